--- /dev/null
+++ b/crates/banyan-core/src/serving.rs
@@ -0,0 +1,14 @@
+//! Decisions about requests: tables of entities and the systems that run over them.
+//!
+//! A request's walk: [`admission`] lets it in, queues or refuses it; [`choice`] picks the chain of
+//! targets or the replica; [`budget`] allows or denies each retry; [`health`] tells which targets
+//! are trusted; [`poison`] finds the requests that crash targets. [`targets`] holds the table that
+//! all of them share. [`decisions`] bundles the systems that have naive counterparts.
+
+pub mod admission;
+pub mod budget;
+pub mod choice;
+pub mod decisions;
+pub mod health;
+pub mod poison;
+pub mod targets;
--- /dev/null
+++ b/crates/banyan-core/src/serving/targets.rs
@@ -0,0 +1,199 @@
+//! The targets as one instance sees them: [`TargetTable`].
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use smol_str::SmolStr;
+
+use crate::declaration::Declaration;
+use crate::declaration::TargetSpec;
+use crate::ids::TargetId;
+use crate::units::Moment;
+
+/// The weight of a new sample in the smoothed latency, in eighths.
+const LATENCY_WEIGHT_EIGHTHS: u32 = 2;
+
+/// All targets in force.
+#[derive(Clone, Debug, Default)]
+pub struct TargetTable {
+    /// The rows by target.
+    pub rows: BTreeMap<TargetId, TargetRow>,
+}
+
+/// One target.
+#[derive(Clone, Debug)]
+pub struct TargetRow {
+    /// What the declaration says of it.
+    pub spec: TargetSpec,
+    /// Steps or calls that this instance has under way there.
+    pub in_flight: u32,
+    /// The newest load report, if one came.
+    pub report: Option<ReportedLoad>,
+    /// Steps that this instance sent since that report was measured.
+    pub sent_since: u32,
+    /// Smoothed time of a step or call; zero before the first.
+    pub latency: Duration,
+    /// Whether it is trusted.
+    pub health: TargetHealth,
+    /// Signs that it is leaving, with the moment of the first.
+    pub leaving: LeavingSigns,
+    /// When it last gave any sign of life.
+    pub heard: Option<Moment>,
+    /// When it last became usable after being new or suspected, for warming up.
+    pub usable_since: Moment,
+}
+
+/// A load report of a target.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct ReportedLoad {
+    /// The target's run.
+    pub incarnation: SmolStr,
+    /// Steps running or waiting there, from all instances.
+    pub load: u32,
+    /// The time of its newest batch.
+    pub step_time: Duration,
+    /// When it was measured, by our clock.
+    pub measured: Moment,
+}
+
+/// Whether a target is trusted.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum TargetHealth {
+    /// It works, as far as we know.
+    Trusted,
+    /// It failed or went silent.
+    Suspected {
+        /// Since when.
+        since: Moment,
+        /// What was seen, in a short sentence.
+        reason: SmolStr,
+    },
+}
+
+/// Who says that a target is leaving. The most cautious wins: any sign is enough.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct LeavingSigns {
+    /// The instance list says so.
+    pub listed: bool,
+    /// The target itself says so.
+    pub own_word: bool,
+    /// A peer says so.
+    pub peers: bool,
+    /// When the first of the present signs came.
+    pub since: Option<Moment>,
+}
+
+impl LeavingSigns {
+    /// Whether any sign is there.
+    pub fn any(&self) -> bool {
+        self.listed || self.own_word || self.peers
+    }
+}
+
+impl TargetRow {
+    /// A target that was just declared.
+    pub fn new(spec: TargetSpec, now: Moment) -> Self {
+        Self {
+            spec,
+            in_flight: 0,
+            report: None,
+            sent_since: 0,
+            latency: Duration::ZERO,
+            health: TargetHealth::Trusted,
+            leaving: LeavingSigns::default(),
+            heard: None,
+            usable_since: now,
+        }
+    }
+
+    /// Whether it may get new work.
+    pub fn usable(&self) -> bool {
+        self.health == TargetHealth::Trusted && !self.leaving.any()
+    }
+
+    /// The load to expect there: the lagged report corrected by what was sent since, and never
+    /// less than what this instance knows itself.
+    pub fn expected_load(&self) -> u32 {
+        let reported = self.report.as_ref().map_or(0, |report| report.load + self.sent_since);
+        reported.max(self.in_flight)
+    }
+}
+
+impl TargetTable {
+    /// Brings the table in line with the declaration in force, keeping what is known of targets
+    /// that stay the same.
+    pub fn sync(&mut self, declaration: &Declaration, now: Moment) {
+        self.rows.retain(|id, _| declaration.targets.contains_key(id));
+        for (id, spec) in &declaration.targets {
+            match self.rows.get_mut(id) {
+                Some(row) if row.spec.address == spec.address => row.spec = spec.clone(),
+                _ => {
+                    self.rows.insert(id.clone(), TargetRow::new(spec.clone(), now));
+                }
+            }
+        }
+    }
+
+    /// Notes that a step or call was sent.
+    pub fn note_sent(&mut self, target: &TargetId) {
+        let Some(row) = self.rows.get_mut(target) else { return };
+        row.in_flight += 1;
+        row.sent_since += 1;
+    }
+
+    /// Notes that a step or call ended, with its time where it was answered.
+    pub fn note_ended(&mut self, target: &TargetId, took: Option<Duration>, now: Moment) {
+        let Some(row) = self.rows.get_mut(target) else { return };
+        row.in_flight = row.in_flight.saturating_sub(1);
+        let Some(took) = took else { return };
+        row.heard = Some(now);
+        row.latency = if row.latency.is_zero() {
+            took
+        } else {
+            (row.latency * (8 - LATENCY_WEIGHT_EIGHTHS) + took * LATENCY_WEIGHT_EIGHTHS) / 8
+        };
+    }
+
+    /// Takes in a load report.
+    pub fn note_report(&mut self, target: &TargetId, report: ReportedLoad, now: Moment) {
+        let Some(row) = self.rows.get_mut(target) else { return };
+        let newer = row.report.as_ref().is_none_or(|old| report.measured > old.measured);
+        row.heard = Some(now);
+        if newer {
+            row.report = Some(report);
+            row.sent_since = 0;
+        }
+    }
+
+    /// Takes in one source's word on whether a target is leaving.
+    pub fn note_leaving(
+        &mut self,
+        target: &TargetId,
+        source: LeavingSource,
+        leaving: bool,
+        now: Moment,
+    ) {
+        let Some(row) = self.rows.get_mut(target) else { return };
+        match source {
+            LeavingSource::InstanceList => row.leaving.listed = leaving,
+            LeavingSource::OwnWord => row.leaving.own_word = leaving,
+            LeavingSource::Peers => row.leaving.peers = leaving,
+        }
+        if !row.leaving.any() {
+            row.leaving.since = None;
+        } else if row.leaving.since.is_none() {
+            row.leaving.since = Some(now);
+        }
+    }
+}
+
+/// Who can say that a target is leaving.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum LeavingSource {
+    /// The platform's instance list.
+    InstanceList,
+    /// The target itself.
+    OwnWord,
+    /// A peer.
+    Peers,
+}
--- /dev/null
+++ b/crates/banyan-wire/src/log.rs
@@ -0,0 +1,249 @@
+//! What we write into the platform's log: [`EntryWire`], JSON in one append.
+//!
+//! A reader that meets a fact of a kind it does not know must stop folding rather than skip it, or
+//! instances of different versions would disagree; see [`LogWireError::Unreadable`].
+
+use banyan_core::ids::IdError;
+use banyan_core::ids::LogOffset;
+use banyan_core::ids::Revision;
+use banyan_core::record::CallOutcome;
+use banyan_core::record::ClaimKey;
+use banyan_core::record::FactBody;
+use banyan_core::record::LogEntry;
+use banyan_core::record::LogFact;
+use banyan_core::units::WallMillis;
+use serde::Deserialize;
+use serde::Serialize;
+use smol_str::SmolStr;
+use thiserror::Error;
+
+/// The version of the facts' format that this program writes and reads.
+pub const LOG_FORMAT: u32 = 1;
+
+/// Why an entry of the log could not be read.
+#[derive(Debug, Error)]
+pub enum LogWireError {
+    /// The body is not of our format.
+    #[error(
+        "entry {offset} is not readable as format {LOG_FORMAT}: {reason}; run a version that knows it"
+    )]
+    Unreadable {
+        /// The entry's position.
+        offset: LogOffset,
+        /// What the decoder said.
+        reason: String,
+    },
+    /// A name inside is malformed.
+    #[error("a fact names something malformed: {0}")]
+    BadName(#[from] IdError),
+}
+
+/// The body of one append.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct EntryWire {
+    /// The format's version, [`LOG_FORMAT`].
+    pub format: u32,
+    /// The facts, in order.
+    pub facts: Vec<FactWire>,
+}
+
+/// One fact.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct FactWire {
+    /// The writer-made id.
+    pub id: SmolStr,
+    /// What the fact says.
+    #[serde(flatten)]
+    pub body: BodyWire,
+}
+
+/// What a fact says.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(tag = "kind", rename_all = "kebab-case")]
+pub enum BodyWire {
+    /// See [`FactBody::Proposal`].
+    Proposal {
+        /// The file's name.
+        file: SmolStr,
+        /// The file's revision that it is based on.
+        base: u64,
+        /// Who proposes it.
+        author: SmolStr,
+        /// The file's text.
+        text: String,
+    },
+    /// See [`FactBody::Quarantine`].
+    Quarantine {
+        /// The content's digest.
+        content: SmolStr,
+        /// How long, in milliseconds.
+        duration_ms: u64,
+        /// Which targets it crashed.
+        evidence: SmolStr,
+    },
+    /// See [`FactBody::Claim`].
+    Claim {
+        /// The workspace of the key.
+        workspace: SmolStr,
+        /// The key.
+        key: SmolStr,
+        /// The run that may dispatch it.
+        claimant: SmolStr,
+        /// The content's digest.
+        content: SmolStr,
+    },
+    /// See [`FactBody::Close`].
+    Close {
+        /// The workspace of the key.
+        workspace: SmolStr,
+        /// The key.
+        key: SmolStr,
+        /// The claim's id.
+        claim: SmolStr,
+        /// The status of the target's answer; absent where none came.
+        status: Option<u16>,
+        /// The body of the target's answer.
+        body: Vec<u8>,
+        /// How long it is remembered, in milliseconds.
+        memory_ms: u64,
+    },
+    /// See [`FactBody::Release`].
+    Release {
+        /// The workspace of the key.
+        workspace: SmolStr,
+        /// The key.
+        key: SmolStr,
+        /// The claim's id.
+        claim: SmolStr,
+    },
+    /// See [`FactBody::Checkpoint`].
+    Checkpoint {
+        /// The first offset that the state does not hold.
+        next: u64,
+        /// The part's number.
+        part: u32,
+        /// The number of parts.
+        parts: u32,
+        /// The serialised state.
+        body: Vec<u8>,
+    },
+}
+
+/// The body of an append that carries these facts.
+pub fn encode_facts(facts: &[LogFact]) -> Vec<u8> {
+    let facts = facts.iter().cloned().map(FactWire::from).collect();
+    let entry = EntryWire { format: LOG_FORMAT, facts };
+    serde_json::to_vec(&entry).unwrap_or_default()
+}
+
+/// The entry at `offset`, decoded.
+pub fn decode_entry(
+    offset: LogOffset,
+    at: WallMillis,
+    body: &[u8],
+) -> Result<LogEntry, LogWireError> {
+    let unreadable = |reason: String| LogWireError::Unreadable { offset, reason };
+    let entry: EntryWire = serde_json::from_slice(body).map_err(|e| unreadable(e.to_string()))?;
+    if entry.format != LOG_FORMAT {
+        return Err(unreadable(format!("its format is {}", entry.format)));
+    }
+    let facts: Result<Vec<LogFact>, LogWireError> =
+        entry.facts.into_iter().map(LogFact::try_from).collect();
+    Ok(LogEntry { offset, at, facts: facts? })
+}
+
+impl From<LogFact> for FactWire {
+    fn from(fact: LogFact) -> Self {
+        Self { id: fact.id.into(), body: fact.body.into() }
+    }
+}
+
+impl TryFrom<FactWire> for LogFact {
+    type Error = LogWireError;
+
+    fn try_from(fact: FactWire) -> Result<Self, LogWireError> {
+        Ok(Self { id: fact.id.try_into()?, body: fact.body.try_into()? })
+    }
+}
+
+impl From<FactBody> for BodyWire {
+    fn from(body: FactBody) -> Self {
+        match body {
+            FactBody::Proposal { file, base, author, text } => {
+                BodyWire::Proposal { file: file.into(), base: base.0, author, text }
+            }
+            FactBody::Quarantine { content, duration_ms, evidence } => BodyWire::Quarantine {
+                content: smol_str::format_smolstr!("{content}"),
+                duration_ms,
+                evidence,
+            },
+            FactBody::Claim { key, claimant, content } => BodyWire::Claim {
+                workspace: key.workspace.into(),
+                key: key.key.into(),
+                claimant: claimant.into(),
+                content: smol_str::format_smolstr!("{content}"),
+            },
+            FactBody::Close { key, claim, outcome, memory_ms } => {
+                let (status, body) = match outcome {
+                    CallOutcome::Answered { status, body } => (Some(status), body),
+                    CallOutcome::Unknown => (None, Vec::new()),
+                };
+                BodyWire::Close {
+                    workspace: key.workspace.into(),
+                    key: key.key.into(),
+                    claim: claim.into(),
+                    status,
+                    body,
+                    memory_ms,
+                }
+            }
+            FactBody::Release { key, claim } => BodyWire::Release {
+                workspace: key.workspace.into(),
+                key: key.key.into(),
+                claim: claim.into(),
+            },
+            FactBody::Checkpoint { next, part, parts, body } => {
+                BodyWire::Checkpoint { next: next.0, part, parts, body }
+            }
+        }
+    }
+}
+
+impl TryFrom<BodyWire> for FactBody {
+    type Error = LogWireError;
+
+    fn try_from(body: BodyWire) -> Result<Self, LogWireError> {
+        Ok(match body {
+            BodyWire::Proposal { file, base, author, text } => {
+                FactBody::Proposal { file: file.try_into()?, base: Revision(base), author, text }
+            }
+            BodyWire::Quarantine { content, duration_ms, evidence } => {
+                FactBody::Quarantine { content: content.parse()?, duration_ms, evidence }
+            }
+            BodyWire::Claim { workspace, key, claimant, content } => FactBody::Claim {
+                key: claim_key(workspace, key)?,
+                claimant: claimant.try_into()?,
+                content: content.parse()?,
+            },
+            BodyWire::Close { workspace, key, claim, status, body, memory_ms } => FactBody::Close {
+                key: claim_key(workspace, key)?,
+                claim: claim.try_into()?,
+                outcome: match status {
+                    Some(status) => CallOutcome::Answered { status, body },
+                    None => CallOutcome::Unknown,
+                },
+                memory_ms,
+            },
+            BodyWire::Release { workspace, key, claim } => {
+                FactBody::Release { key: claim_key(workspace, key)?, claim: claim.try_into()? }
+            }
+            BodyWire::Checkpoint { next, part, parts, body } => {
+                FactBody::Checkpoint { next: LogOffset(next), part, parts, body }
+            }
+        })
+    }
+}
+
+fn claim_key(workspace: SmolStr, key: SmolStr) -> Result<ClaimKey, IdError> {
+    Ok(ClaimKey { workspace: workspace.try_into()?, key: key.try_into()? })
+}
