--- a/crates/banyan-config/src/declaration.rs
+++ b/crates/banyan-config/src/declaration.rs
@@ -5,6 +5,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use serde::Deserialize;
+use smol_str::SmolStr;
+
 use banyan_core::declaration::CallSpec;
 use banyan_core::declaration::Declaration;
 use banyan_core::declaration::ModelSpec;
@@ -27,8 +30,6 @@
 use banyan_core::units::RequestRate;
 use banyan_core::units::TokenCount;
 use banyan_core::units::TokenRate;
-use serde::Deserialize;
-use smol_str::SmolStr;
 
 /// The union of all files, validated, or a text that says what is wrong and how to mend it.
 pub fn merge_files(files: &BTreeMap<FileId, Arc<str>>) -> Result<Declaration, String> {
--- a/crates/banyan-config/src/settings.rs
+++ b/crates/banyan-config/src/settings.rs
@@ -2,12 +2,13 @@
 
 use std::net::SocketAddr;
 
-use banyan_core::ids::InstanceId;
-use banyan_core::ids::ZoneId;
 use eyre::WrapErr;
 use serde::Deserialize;
 use serde::Serialize;
 
+use banyan_core::ids::InstanceId;
+use banyan_core::ids::ZoneId;
+
 /// The settings of one entry daemon.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
--- a/crates/banyan-wire/src/log.rs
+++ b/crates/banyan-wire/src/log.rs
@@ -3,6 +3,11 @@
 //! A reader that meets a fact of a kind it does not know must stop folding rather than skip it, or
 //! instances of different versions would disagree; see [`LogWireError::Unreadable`].
 
+use serde::Deserialize;
+use serde::Serialize;
+use smol_str::SmolStr;
+use thiserror::Error;
+
 use banyan_core::ids::IdError;
 use banyan_core::ids::LogOffset;
 use banyan_core::ids::Revision;
@@ -12,10 +17,6 @@
 use banyan_core::record::LogEntry;
 use banyan_core::record::LogFact;
 use banyan_core::units::WallMillis;
-use serde::Deserialize;
-use serde::Serialize;
-use smol_str::SmolStr;
-use thiserror::Error;
 
 /// The version of the facts' format that this program writes and reads.
 pub const LOG_FORMAT: u32 = 1;
--- a/crates/banyan-wire/src/operator.rs
+++ b/crates/banyan-wire/src/operator.rs
@@ -8,12 +8,13 @@
 //! | `GET /operator/events?after=STAMP` | [`EventsReply`] |
 //! | `GET /metrics` | metrics in the usual text format |
 
-use banyan_core::event::TimelineEvent;
-use banyan_core::ids::IdError;
 use serde::Deserialize;
 use serde::Serialize;
 use smol_str::SmolStr;
 
+use banyan_core::event::TimelineEvent;
+use banyan_core::ids::IdError;
+
 /// What one instance is and sees.
 #[derive(Clone, Debug, Default, Deserialize, Serialize)]
 pub struct StatusReply {
