Targets are drawn a few at a time and priced by time and by the busiest stage

Cause: the choice compared every target for every request, trusted the lagged report plus everything sent since, and added up stage times only, so that the most loaded stage hid in the sum.

Change: groups of interchangeable targets are indexed; three members of each are drawn; a stage has a time and the round of all its streams, and the chain keeps the best of both. Own load at the time of the report is taken out of it. A link is judged by the fastest of the last answers.

--- a/crates/banyan-core/src/serving/choice.rs
+++ b/crates/banyan-core/src/serving/choice.rs
@@ -1,18 +1,32 @@
 //! Which targets serve a request: [`choose_chain`], [`choose_stage`] and [`choose_replica`].
+//!
+//! From every group of targets that can stand in for each other a few are drawn at random, so that
+//! many instances with the same old reports do not all pick the same target. Among the drawn, the
+//! chain with the least expected time of a token is built boundary by boundary. A stage counts
+//! twice: its own time adds to the sum over the chain, and the time that it needs for a round of
+//! all its streams bounds the chain's pace, so that the most loaded stage counts as a whole.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 
-use crate::declaration::TargetRole;
 use crate::ids::LayerRange;
 use crate::ids::ModelId;
 use crate::ids::ServiceId;
 use crate::ids::TargetId;
 use crate::ids::ZoneId;
+use crate::serving::groups::TargetGroup;
+use crate::serving::price::StagePrice;
+use crate::serving::price::replica_price;
+use crate::serving::price::stage_price;
 use crate::serving::targets::TargetRow;
 use crate::serving::targets::TargetTable;
 use crate::units::ByteCount;
 
+/// The members of a group that are drawn and compared.
+const SAMPLE_SIZE: usize = 3;
+/// The partial chains that are kept for each boundary.
+const PARTIAL_LIMIT: usize = 6;
+
 /// What a request asks of the choice.
 #[derive(Clone, Debug)]
 pub struct ChainQuery<'a> {
@@ -41,35 +55,42 @@
     pub layers: LayerRange,
 }
 
+/// The targets that a query may draw from a group, each with its row.
+type Drawn<'a> = Vec<(&'a TargetId, &'a TargetRow)>;
+
+/// A chain that covers the layers up to some boundary.
+#[derive(Clone, Debug)]
+struct PartialChain {
+    /// The price of all stages so far.
+    price: StagePrice,
+    /// The stages so far, in order.
+    stages: Vec<StageChoice>,
+}
+
 /// A chain of targets whose layers cover the model in order, or `None` where no usable one exists.
 pub fn choose_chain(table: &TargetTable, query: &ChainQuery<'_>) -> Option<Vec<StageChoice>> {
-    // The cheapest way to cover the layers up to each boundary, by boundary.
-    let mut best: BTreeMap<u32, (u64, Option<StageChoice>)> = BTreeMap::from([(0, (0, None))]);
-    let mut boundary = 0;
-    loop {
-        let (cost, _) = best.get(&boundary)?.clone();
+    let start = PartialChain { price: StagePrice::default(), stages: Vec::new() };
+    let mut partials = BTreeMap::from([(0, vec![start])]);
+    while let Some((boundary, chains)) = partials.pop_first() {
         if boundary == query.layers {
-            break;
+            let best = chains.into_iter().min_by_key(|chain| chain.price.token_time());
+            return best.map(|chain| chain.stages);
         }
-        for (target, row, layers) in stages_from(table, query, boundary) {
-            let total = cost + stage_cost(target, row, query);
-            let known = best.get(&layers.end).map_or(u64::MAX, |(known, _)| *known);
-            if total < known {
-                let stage = StageChoice { target: target.clone(), layers };
-                best.insert(layers.end, (total, Some(stage)));
+        for (layers, group) in table.groups.beginning_at(query.model, boundary) {
+            if layers.end > query.layers {
+                continue;
+            }
+            for (target, row) in draw_members(table, group, query.excluded, query.draw) {
+                let price = stage_price(table, row, query);
+                let reached = partials.entry(layers.end).or_default();
+                for chain in &chains {
+                    let stage = StageChoice { target: target.clone(), layers };
+                    keep_partial(reached, chain, price, stage);
+                }
             }
         }
-        boundary = best.range(boundary + 1..).next().map(|(next, _)| *next)?;
-    }
-    let mut chain = Vec::new();
-    let mut end = query.layers;
-    while end > 0 {
-        let stage = best.get(&end)?.1.clone()?;
-        end = stage.layers.first;
-        chain.push(stage);
     }
-    chain.reverse();
-    Some(chain)
+    None
 }
 
 /// A target for exactly the layers of a dead stage.
@@ -78,54 +99,108 @@
     query: &ChainQuery<'_>,
     layers: LayerRange,
 ) -> Option<StageChoice> {
-    stages_from(table, query, layers.first)
-        .filter(|(_, _, held)| *held == layers)
-        .min_by_key(|(target, row, _)| stage_cost(target, row, query))
-        .map(|(target, _, _)| StageChoice { target: target.clone(), layers })
+    let group = table.groups.engines.get(query.model)?.get(&layers)?;
+    draw_members(table, group, query.excluded, query.draw)
+        .into_iter()
+        .min_by_key(|(_, row)| stage_price(table, row, query).token_time())
+        .map(|(target, _)| StageChoice { target: target.clone(), layers })
 }
 
-/// A replica of a service: the one with the least expected load, ties broken by the draw.
+/// A replica of a service: of a few drawn, the one that is expected to answer first.
 pub fn choose_replica(
     table: &TargetTable,
     service: &ServiceId,
     excluded: &BTreeSet<TargetId>,
     draw: u64,
 ) -> Option<TargetId> {
-    let serves = |row: &TargetRow| matches!(&row.spec.role, TargetRole::Service { service: s } if s == service);
-    table
-        .rows
-        .iter()
-        .filter(|(target, row)| row.usable() && serves(row) && !excluded.contains(*target))
-        .min_by_key(|(target, row)| (row.expected_load(), tie_break(target, draw)))
+    let group = table.groups.replicas.get(service)?;
+    draw_members(table, group, excluded, draw)
+        .into_iter()
+        .min_by_key(|(target, row)| (replica_price(table, row), member_hash(target, draw)))
         .map(|(target, _)| target.clone())
 }
 
-fn stages_from<'a>(
+/// A few usable members of a group: drawn from the near ones, else any that is left.
+fn draw_members<'a>(
     table: &'a TargetTable,
-    query: &'a ChainQuery<'_>,
-    first: u32,
-) -> impl Iterator<Item = (&'a TargetId, &'a TargetRow, LayerRange)> {
-    table.rows.iter().filter_map(move |(target, row)| {
-        let TargetRole::Engine { model, layers, .. } = &row.spec.role else { return None };
-        let fits = model == query.model && layers.first == first && layers.end <= query.layers;
-        let free = row.usable() && !query.excluded.contains(target);
-        (fits && free).then_some((target, row, *layers))
-    })
+    group: &'a TargetGroup,
+    excluded: &BTreeSet<TargetId>,
+    draw: u64,
+) -> Drawn<'a> {
+    let usable = |target: &'a TargetId| {
+        let row = table.rows.get(target).filter(|row| row.usable())?;
+        (!excluded.contains(target)).then_some((target, row))
+    };
+    let count = group.near.len();
+    if count > SAMPLE_SIZE * 2 {
+        let drawn = sample_indices(count, draw);
+        let drawn: Drawn<'a> = drawn.filter_map(|index| usable(&group.near[index])).collect();
+        if drawn.len() > 1 {
+            return drawn;
+        }
+    }
+    let near = spread_sample(group.near.iter().filter_map(usable), draw);
+    if !near.is_empty() {
+        return near;
+    }
+    spread_sample(group.members.iter().filter_map(usable), draw)
 }
 
-/// The expected time of a step there, in microseconds, with a random part below one microsecond's
-/// worth so that ties spread.
-fn stage_cost(target: &TargetId, row: &TargetRow, query: &ChainQuery<'_>) -> u64 {
-    let TargetRole::Engine { batch, step_time, link_bytes_per_second, .. } = &row.spec.role else {
-        return u64::MAX / 4;
-    };
-    let rounds = u64::from(row.expected_load() / (*batch).max(1)) + 1;
-    let fill = u64::from(row.expected_load()) * 100 / u64::from((*batch).max(1));
-    let link = query.handoff.0 * 1_000_000 / (*link_bytes_per_second).max(1);
-    let run = step_time.as_micros() as u64 * rounds;
-    ((run + link + fill) << 8) + (tie_break(target, query.draw) & 0xff)
+/// Different indices below `count`, as many as are drawn.
+fn sample_indices(count: usize, draw: u64) -> impl Iterator<Item = usize> {
+    // A stride that shares no factor with the count never meets the same index twice in a round.
+    let start = (mix(draw) % count as u64) as usize;
+    let stride = (mix(draw ^ 1) % (count as u64 - 1)) as usize + 1;
+    let step = if common_divisor(stride, count) == 1 { stride } else { 1 };
+    (0..SAMPLE_SIZE).map(move |turn| (start + turn * step) % count)
 }
 
-fn tie_break(target: &TargetId, draw: u64) -> u64 {
+/// The few members with the least hash under this draw: a sample without replacement.
+fn spread_sample<'a>(
+    members: impl Iterator<Item = (&'a TargetId, &'a TargetRow)>,
+    draw: u64,
+) -> Drawn<'a> {
+    let mut members: Drawn<'a> = members.collect();
+    members.sort_by_cached_key(|(target, _)| member_hash(target, draw));
+    members.truncate(SAMPLE_SIZE);
+    members
+}
+
+/// Keeps the longer chain unless another of the same layers is better in both respects.
+fn keep_partial(
+    reached: &mut Vec<PartialChain>,
+    before: &PartialChain,
+    price: StagePrice,
+    stage: StageChoice,
+) {
+    let price = before.price.then(price);
+    if reached.iter().any(|other| other.price.covers(price)) {
+        return;
+    }
+    reached.retain(|other| !price.covers(other.price));
+    let mut stages = before.stages.clone();
+    stages.push(stage);
+    reached.push(PartialChain { price, stages });
+    if reached.len() <= PARTIAL_LIMIT {
+        return;
+    }
+    let worst = (0..reached.len()).max_by_key(|index| reached[*index].price.token_time());
+    if let Some(worst) = worst {
+        reached.swap_remove(worst);
+    }
+}
+
+fn member_hash(target: &TargetId, draw: u64) -> u64 {
     xxhash_rust::xxh3::xxh3_64_with_seed(target.as_str().as_bytes(), draw)
 }
+
+fn mix(draw: u64) -> u64 {
+    xxhash_rust::xxh3::xxh3_64(&draw.to_le_bytes())
+}
+
+fn common_divisor(mut left: usize, mut right: usize) -> usize {
+    while right > 0 {
+        (left, right) = (right, left % right);
+    }
+    left
+}
--- a/crates/banyan-core/src/serving/targets.rs
+++ b/crates/banyan-core/src/serving/targets.rs
@@ -6,18 +6,31 @@
 use smol_str::SmolStr;
 
 use crate::declaration::Declaration;
+use crate::declaration::TargetRole;
 use crate::declaration::TargetSpec;
+use crate::ids::RegionId;
 use crate::ids::TargetId;
+use crate::ids::ZoneId;
+use crate::serving::groups::TargetGroups;
+use crate::serving::load::LinkEstimate;
+use crate::serving::load::LoadHistory;
+use crate::serving::load::LoadSample;
 use crate::units::Moment;
 
-/// The weight of a new sample in the smoothed latency, in eighths.
-const LATENCY_WEIGHT_EIGHTHS: u32 = 2;
+/// The weight of a new sample in a smoothed time, in eighths.
+const SAMPLE_WEIGHT_EIGHTHS: u32 = 2;
 
 /// All targets in force.
 #[derive(Clone, Debug, Default)]
 pub struct TargetTable {
     /// The rows by target.
     pub rows: BTreeMap<TargetId, TargetRow>,
+    /// The targets by what they do. Invariant: holds exactly the targets of `rows`.
+    pub groups: TargetGroups,
+    /// The region of each availability zone.
+    pub regions: BTreeMap<ZoneId, RegionId>,
+    /// The latest moment that any input brought.
+    pub now: Moment,
 }
 
 /// One target.
@@ -29,8 +42,16 @@
     pub in_flight: u32,
     /// The newest load report, if one came.
     pub report: Option<ReportedLoad>,
-    /// Steps that this instance sent since that report was measured.
+    /// Steps that this instance sent since that report came.
     pub sent_since: u32,
+    /// Streams of this instance that run through it.
+    pub assigned: u32,
+    /// What this instance had under way there before.
+    pub history: LoadHistory,
+    /// What answers take beyond the step.
+    pub link: LinkEstimate,
+    /// Smoothed step time as reported; zero before the first report.
+    pub step_time: Duration,
     /// Smoothed time of a step or call; zero before the first.
     pub latency: Duration,
     /// Whether it is trusted.
@@ -50,6 +71,8 @@
     pub incarnation: SmolStr,
     /// Steps running or waiting there, from all instances.
     pub load: u32,
+    /// Streams kept there, from all instances.
+    pub streams: u32,
     /// The time of its newest batch.
     pub step_time: Duration,
     /// When it was measured, by our clock.
@@ -98,6 +121,10 @@
             in_flight: 0,
             report: None,
             sent_since: 0,
+            assigned: 0,
+            history: LoadHistory::default(),
+            link: LinkEstimate::default(),
+            step_time: Duration::ZERO,
             latency: Duration::ZERO,
             health: TargetHealth::Trusted,
             leaving: LeavingSigns::default(),
@@ -111,11 +138,32 @@
         self.health == TargetHealth::Trusted && !self.leaving.any()
     }
 
-    /// The load to expect there: the lagged report corrected by what was sent since, and never
-    /// less than what this instance knows itself.
+    /// The steps to expect there: what others had when the lagged report was measured, and what
+    /// this instance has now.
     pub fn expected_load(&self) -> u32 {
-        let reported = self.report.as_ref().map_or(0, |report| report.load + self.sent_since);
-        reported.max(self.in_flight)
+        let Some(report) = &self.report else { return self.in_flight };
+        let own = self.history.at(report.measured).steps;
+        report.load.saturating_sub(own) + self.in_flight
+    }
+
+    /// The streams to expect there, corrected in the same way.
+    pub fn expected_streams(&self) -> u32 {
+        let Some(report) = &self.report else { return self.assigned };
+        let own = self.history.at(report.measured).streams;
+        report.streams.saturating_sub(own) + self.assigned
+    }
+
+    fn remember_load(&mut self, at: Moment) {
+        self.history.record(LoadSample { at, steps: self.in_flight, streams: self.assigned });
+    }
+
+    /// The time of a step by itself: as reported, else as declared; zero for a service.
+    pub fn expected_step(&self) -> Duration {
+        match &self.spec.role {
+            TargetRole::Engine { step_time, .. } if self.step_time.is_zero() => *step_time,
+            TargetRole::Engine { .. } => self.step_time,
+            TargetRole::Service { .. } => Duration::ZERO,
+        }
     }
 }
 
@@ -123,6 +171,9 @@
     /// Brings the table in line with the declaration in force, keeping what is known of targets
     /// that stay the same.
     pub fn sync(&mut self, declaration: &Declaration, now: Moment) {
+        self.advance(now);
+        let regions = declaration.zones.iter();
+        self.regions = regions.map(|(zone, spec)| (zone.clone(), spec.region.clone())).collect();
         self.rows.retain(|id, _| declaration.targets.contains_key(id));
         for (id, spec) in &declaration.targets {
             match self.rows.get_mut(id) {
@@ -132,34 +183,60 @@
                 }
             }
         }
+        self.groups = TargetGroups::of(declaration);
+    }
+
+    /// Brings the table's time forward.
+    pub fn advance(&mut self, now: Moment) {
+        self.now = self.now.max(now);
     }
 
     /// Notes that a step or call was sent.
     pub fn note_sent(&mut self, target: &TargetId) {
+        let now = self.now;
         let Some(row) = self.rows.get_mut(target) else { return };
         row.in_flight += 1;
         row.sent_since += 1;
+        row.remember_load(now);
+    }
+
+    /// Notes that a stream was given to a target, right after the choice.
+    pub fn note_assigned(&mut self, target: &TargetId) {
+        let now = self.now;
+        let Some(row) = self.rows.get_mut(target) else { return };
+        row.assigned += 1;
+        row.remember_load(now);
+    }
+
+    /// Notes that a stream ended or left a target.
+    pub fn note_unassigned(&mut self, target: &TargetId) {
+        let now = self.now;
+        let Some(row) = self.rows.get_mut(target) else { return };
+        row.assigned = row.assigned.saturating_sub(1);
+        row.remember_load(now);
     }
 
     /// Notes that a step or call ended, with its time where it was answered.
     pub fn note_ended(&mut self, target: &TargetId, took: Option<Duration>, now: Moment) {
+        self.advance(now);
         let Some(row) = self.rows.get_mut(target) else { return };
         row.in_flight = row.in_flight.saturating_sub(1);
+        row.remember_load(now);
         let Some(took) = took else { return };
         row.heard = Some(now);
-        row.latency = if row.latency.is_zero() {
-            took
-        } else {
-            (row.latency * (8 - LATENCY_WEIGHT_EIGHTHS) + took * LATENCY_WEIGHT_EIGHTHS) / 8
-        };
+        row.link.record(took);
+        row.latency = smooth(row.latency, took);
     }
 
     /// Takes in a load report.
     pub fn note_report(&mut self, target: &TargetId, report: ReportedLoad, now: Moment) {
+        self.advance(now);
         let Some(row) = self.rows.get_mut(target) else { return };
         let newer = row.report.as_ref().is_none_or(|old| report.measured > old.measured);
         row.heard = Some(now);
         if newer {
+            row.step_time = smooth(row.step_time, report.step_time);
+            row.link.fade();
             row.report = Some(report);
             row.sent_since = 0;
         }
@@ -187,6 +264,13 @@
     }
 }
 
+fn smooth(known: Duration, sample: Duration) -> Duration {
+    if known.is_zero() || sample.is_zero() {
+        return known.max(sample);
+    }
+    (known * (8 - SAMPLE_WEIGHT_EIGHTHS) + sample * SAMPLE_WEIGHT_EIGHTHS) / 8
+}
+
 /// Who can say that a target is leaving.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum LeavingSource {
