Claims that land long after their key was seen free are void

Cause: on paper, an instance paused between seeing a key free and appending its claim could win the key after another instance's outcome for it had been closed and forgotten, and so run the call twice. Ruled out: a check of the claimant's own clock before the append, since the pause can fall behind the check. The bound is in the fold instead, on the log's own time, so every instance agrees. Conclusion: a claim carries the fold time at which its key was seen free; outcomes are remembered longer than the window.

--- a/crates/banyan-core/src/fold/claims.rs
+++ b/crates/banyan-core/src/fold/claims.rs
@@ -10,6 +10,7 @@
 use crate::ids::IncarnationId;
 use crate::ids::LogOffset;
 use crate::ids::RecordId;
+use crate::record::CLAIM_WINDOW_MS;
 use crate::record::CallOutcome;
 use crate::record::ClaimKey;
 use crate::record::ContentDigest;
@@ -55,6 +56,8 @@
     Won,
     /// Another claim of the key won; its row says what is known.
     Lost(ClaimRow),
+    /// It was released, or it landed too late after its claimant saw the key free.
+    Void,
     /// The log, as far as folded, does not hold the claim.
     Unseen,
 }
@@ -70,7 +73,7 @@
     pub time: WallMillis,
     /// The winning claims by key.
     pub rows: BTreeMap<ClaimKey, ClaimRow>,
-    /// Ids of released claims, each kept until a time of the platform's clock.
+    /// Ids of released and void claims, each kept until a time of the platform's clock.
     pub released: BTreeMap<RecordId, WallMillis>,
 }
 
@@ -90,6 +93,9 @@
 
     /// What became of the claim `claim` of `key`.
     pub fn verdict(&self, key: &ClaimKey, claim: &RecordId) -> ClaimVerdict {
+        if self.released.contains_key(claim) {
+            return ClaimVerdict::Void;
+        }
         match self.rows.get(key) {
             Some(row) if row.claim == *claim && row.state == ClaimState::Open => ClaimVerdict::Won,
             Some(row) => ClaimVerdict::Lost(row.clone()),
@@ -97,6 +103,10 @@
         }
     }
 
+    fn released_until(&self) -> WallMillis {
+        WallMillis(self.time.0 + RELEASED_MEMORY_MS)
+    }
+
     fn forget_expired(&mut self) {
         let time = self.time;
         self.rows.retain(|_, row| match &row.state {
@@ -108,10 +118,14 @@
 
     fn apply_fact(&mut self, id: &RecordId, body: &FactBody) {
         match body {
-            FactBody::Claim { key, claimant, content } => {
+            FactBody::Claim { key, claimant, content, seen } => {
                 if self.rows.contains_key(key) || self.released.contains_key(id) {
                     return;
                 }
+                if self.time.0 > seen.0 + CLAIM_WINDOW_MS {
+                    self.released.insert(id.clone(), self.released_until());
+                    return;
+                }
                 let row = ClaimRow {
                     claim: id.clone(),
                     claimant: claimant.clone(),
@@ -128,8 +142,7 @@
                 }
             }
             FactBody::Release { key, claim } => {
-                let until = WallMillis(self.time.0 + RELEASED_MEMORY_MS);
-                self.released.insert(claim.clone(), until);
+                self.released.insert(claim.clone(), self.released_until());
                 if self.rows.get(key).is_some_and(|row| row.claim == *claim) {
                     self.rows.remove(key);
                 }
--- a/crates/banyan-core/src/record.rs
+++ b/crates/banyan-core/src/record.rs
@@ -27,6 +27,11 @@
 /// Every instance must use the same number, so it is no setting.
 pub const CLAIM_PARTITIONS: u16 = 8;
 
+/// How long after its claimant saw the key free a claim may land, in milliseconds of the log's time.
+///
+/// Invariant: less than any memory of a closed claim, see [`FactBody::Close`].
+pub const CLAIM_WINDOW_MS: u64 = 60_000;
+
 /// One stream of the platform's log; each has offsets of its own, from zero.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub enum StreamId {
@@ -175,6 +180,10 @@
         claimant: IncarnationId,
         /// The digest of service, call and body, so that a key used for another call is told apart.
         content: ContentDigest,
+        /// The time of the fold in which the claimant saw the key free. A claim that lands more
+        /// than [`CLAIM_WINDOW_MS`] later is void, so that a claimant that was paused cannot win a
+        /// key whose outcome was forgotten in between.
+        seen: WallMillis,
     },
     /// The claimant dispatched the call and knows its outcome.
     Close {
--- a/crates/banyan-wire/src/log.rs
+++ b/crates/banyan-wire/src/log.rs
@@ -92,6 +92,8 @@
         claimant: SmolStr,
         /// The content's digest.
         content: SmolStr,
+        /// The time of the fold in which the key was seen free, in milliseconds.
+        seen_ms: u64,
     },
     /// See [`FactBody::Close`].
     Close {
@@ -178,11 +180,12 @@
                 duration_ms,
                 evidence,
             },
-            FactBody::Claim { key, claimant, content } => BodyWire::Claim {
+            FactBody::Claim { key, claimant, content, seen } => BodyWire::Claim {
                 workspace: key.workspace.into(),
                 key: key.key.into(),
                 claimant: claimant.into(),
                 content: smol_str::format_smolstr!("{content}"),
+                seen_ms: seen.0,
             },
             FactBody::Close { key, claim, outcome, memory_ms } => {
                 let (status, body) = match outcome {
@@ -221,10 +224,11 @@
             BodyWire::Quarantine { content, duration_ms, evidence } => {
                 FactBody::Quarantine { content: content.parse()?, duration_ms, evidence }
             }
-            BodyWire::Claim { workspace, key, claimant, content } => FactBody::Claim {
+            BodyWire::Claim { workspace, key, claimant, content, seen_ms } => FactBody::Claim {
                 key: claim_key(workspace, key)?,
                 claimant: claimant.try_into()?,
                 content: content.parse()?,
+                seen: WallMillis(seen_ms),
             },
             BodyWire::Close { workspace, key, claim, status, body, memory_ms } => FactBody::Close {
                 key: claim_key(workspace, key)?,
--- a/crates/banyan-wire/src/peer.rs
+++ b/crates/banyan-wire/src/peer.rs
@@ -111,6 +111,8 @@
     pub claimant: SmolStr,
     /// The content's digest.
     pub content: u64,
+    /// The time of the fold in which the claimant saw the key free, in milliseconds.
+    pub seen_ms: u64,
     /// How long the caller waits, in milliseconds.
     pub wait_ms: u64,
 }
@@ -131,6 +133,8 @@
         /// Whether it ended, and how: status (absent if unknown) and body.
         outcome: Option<(Option<u16>, Vec<u8>)>,
     },
+    /// It landed too late after the key was seen free, and can never win.
+    Void,
     /// It could not be read back in time; it may still land.
     Unseen,
 }
