Formulas of the modelled engines and the reference answer

The entry and the engines' stand-ins must make the same hand-offs, so the two formulas stand in the wire crate. Every layer keeps a digest of its inputs per lineage: a wrong or missing KV cache gives a wrong answer.

--- a/crates/banyan-wire/src/engine.rs
+++ b/crates/banyan-wire/src/engine.rs
@@ -8,7 +8,8 @@
 //! | `GET /v1/cache-events?from=N` | [`CacheEventsReply`]: late and with gaps |
 //! | `POST /v1/kv/export` | a [`CacheRef`]; answers [`CacheCopy`] |
 //! | `POST /v1/kv/import` | a [`CacheCopy`] |
-//! | `POST /v1/orders` | an [`EngineOrder`] to load a model or change role |
+//! | `POST /v1/orders` | an [`EngineOrder`] to load a model or change role; answers [`RoleReply`], 409 for an old fencing number |
+//! | `GET /v1/role` | [`RoleReply`]: what the engine holds now |
 //!
 //! A step is (request, lineage, token, stage). An engine keeps for each (request, lineage) the next
 //! token that it expects and the output of the last one. It runs a step only as the next one of its
@@ -18,6 +19,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 use smol_str::SmolStr;
+use xxhash_rust::xxh3::xxh3_64;
 
 /// Steps for one engine, each answered on its own as soon as it has run.
 #[derive(Clone, Debug, Deserialize, Serialize)]
@@ -96,6 +98,26 @@
     pub bytes: u64,
 }
 
+impl HandOff {
+    /// The hand-off into stage zero for token zero, made from the prompt.
+    pub fn from_prompt(prompt: &str, bytes: u64) -> Self {
+        Self { digest: xxh3_64(prompt.as_bytes()), bytes }
+    }
+
+    /// The hand-off into stage zero for the token behind the one with this text and index.
+    pub fn from_token(text: &str, index: u64, bytes: u64) -> Self {
+        Self { digest: mix_digests(xxh3_64(text.as_bytes()), index), bytes }
+    }
+}
+
+/// A digest of two digests, which depends on their order.
+pub fn mix_digests(first: u64, second: u64) -> u64 {
+    let mut bytes = [0; 16];
+    bytes[..8].copy_from_slice(&first.to_le_bytes());
+    bytes[8..].copy_from_slice(&second.to_le_bytes());
+    xxh3_64(&bytes)
+}
+
 /// One line of the answer to a batch.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 #[serde(tag = "kind", rename_all = "kebab-case")]
@@ -236,10 +258,29 @@
     pub last_output: Option<HandOff>,
     /// The token that the last step made, on the last stage.
     pub last_token: Option<TokenWire>,
+    /// The cache itself, one digest of the lineage's history a layer, as the stand-ins model it.
+    #[serde(default)]
+    pub state: Vec<u64>,
     /// The size of the copy, in bytes.
     pub bytes: u64,
 }
 
+/// The number of prompt tokens between two neighbouring prefixes of [`StepWork::Prompt`].
+pub const PREFIX_TOKENS: u32 = 16;
+
+/// What an engine holds; the answer to an order and to `GET /v1/role`.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct RoleReply {
+    /// The greatest fencing number of the orders taken so far; zero before the first one.
+    pub fence: u64,
+    /// The model.
+    pub model: SmolStr,
+    /// The first layer held.
+    pub first_layer: u32,
+    /// The layer behind the last one held.
+    pub end_layer: u32,
+}
+
 /// An order that changes what an engine holds.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct EngineOrder {
