Entry daemon: the whole path of a request, thin

Cause: nothing served yet. One process holds data path and control: a split into two would add a failure (the control half gone, the data half on old configuration) and a hop, and shares no core. Conclusion: callers, operators, log follower, claims, steps and probes run as tasks of one runtime.

--- /dev/null
+++ b/crates/banyan-entry/src/completion.rs
@@ -0,0 +1,116 @@
+//! Serves a completion: [`run_completion`] runs it and sends what happens to the caller's side.
+
+use std::sync::Arc;
+
+use smol_str::SmolStr;
+use smol_str::format_smolstr;
+use tokio::sync::mpsc;
+use xxhash_rust::xxh3::Xxh3;
+
+use banyan_core::event::EventKind;
+use banyan_wire::caller::OutcomeWire;
+use banyan_wire::caller::StreamEnd;
+
+use crate::admission::admit;
+use crate::crashes;
+use crate::lineage::AnswerOrder;
+use crate::lineage::LineageRun;
+use crate::metric;
+use crate::refusal::Refusal;
+use crate::state::EntryState;
+
+/// What happens to a completion, in order: tokens, then exactly one end.
+#[derive(Clone, Debug)]
+pub enum CompletionEvent {
+    /// The next token's text.
+    Token(SmolStr),
+    /// The answer is whole.
+    End(StreamEnd),
+    /// There is no whole answer.
+    Failed(Refusal),
+}
+
+/// The number of events that may wait for a slow caller.
+const EVENT_BUFFER: usize = 64;
+
+/// Starts a completion; dropping the receiver gives it up.
+pub fn run_completion(
+    state: Arc<EntryState>,
+    order: AnswerOrder,
+) -> mpsc::Receiver<CompletionEvent> {
+    let (sender, receiver) = mpsc::channel(EVENT_BUFFER);
+    tokio::spawn(async move {
+        let request = order.request.to_string();
+        let end = match complete(&state, order, &sender).await {
+            Ok(end) => CompletionEvent::End(end),
+            Err(refusal) => CompletionEvent::Failed(refusal),
+        };
+        note_end(&state, &request, &end);
+        let _ = sender.send(end).await;
+    });
+    receiver
+}
+
+async fn complete(
+    state: &Arc<EntryState>,
+    order: AnswerOrder,
+    sender: &mpsc::Sender<CompletionEvent>,
+) -> Result<StreamEnd, Refusal> {
+    let arrived = state.now();
+    if crashes::is_quarantined(state, order.content) {
+        return Err(Refusal::Quarantined);
+    }
+    let max_tokens = order.max_tokens;
+    let request = order.request.clone();
+    let content = order.content;
+    let pass = admit(state, &request, &order.workspace, max_tokens, order.deadline).await?;
+    let mut run = LineageRun::start(state.clone(), order)?;
+    let mut digest = Xxh3::new();
+    let mut tokens = 0;
+    while tokens < max_tokens {
+        let token = tokio::select! {
+            token = run.next_token() => token?,
+            () = sender.closed() => return Err(Refusal::Cut("the caller went away".to_owned())),
+        };
+        tokens += 1;
+        digest.update(token.text.as_bytes());
+        if tokens == 1 {
+            metric::record_first_token(state.now().since(arrived).as_secs_f64());
+        }
+        if sender.send(CompletionEvent::Token(token.text)).await.is_err() {
+            return Err(Refusal::Cut("the caller went away".to_owned()));
+        }
+        if token.last {
+            break;
+        }
+    }
+    drop(run);
+    drop(pass);
+    state.tables().suspects.clear(content);
+    metric::count_tokens(tokens);
+    Ok(StreamEnd {
+        outcome: OutcomeWire::Complete,
+        request_id: request.into(),
+        tokens,
+        checksum: format_smolstr!("{:016x}", digest.digest()),
+    })
+}
+
+fn note_end(state: &EntryState, request: &str, end: &CompletionEvent) {
+    let (kind, outcome, detail) = match end {
+        CompletionEvent::Token(_) => return,
+        CompletionEvent::End(end) => {
+            let detail = format!("{} tokens", end.tokens);
+            (EventKind::Completed, OutcomeWire::Complete, detail)
+        }
+        CompletionEvent::Failed(refusal) if refusal.outcome() == OutcomeWire::NotRun => {
+            (EventKind::Refused, OutcomeWire::NotRun, refusal.to_string())
+        }
+        CompletionEvent::Failed(refusal) => {
+            (EventKind::OutcomeUnknown, OutcomeWire::Unknown, refusal.to_string())
+        }
+    };
+    metric::count_request(outcome);
+    log::info!("request: {request} ended {outcome}: {detail}.");
+    state.journal.record(kind, request, "", &detail);
+}
--- /dev/null
+++ b/crates/banyan-entry/src/lineage.rs
@@ -0,0 +1,413 @@
+//! Runs one answer over a chain of engines: [`LineageRun`].
+//!
+//! Each token passes through the stages in order. The entry keeps the inputs of every stage, so
+//! that a stage that dies in the middle of a token is replaced without running the earlier stages
+//! again: the replacement rebuilds its cache from the kept inputs and runs the step.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use smol_str::SmolStr;
+use smol_str::format_smolstr;
+
+use banyan_core::declaration::ModelSpec;
+use banyan_core::event::EventKind;
+use banyan_core::ids::LayerRange;
+use banyan_core::ids::ModelId;
+use banyan_core::ids::RequestId;
+use banyan_core::ids::TargetId;
+use banyan_core::ids::WorkspaceId;
+use banyan_core::record::ContentDigest;
+use banyan_core::serving::choice::ChainQuery;
+use banyan_core::serving::choice::StageChoice;
+use banyan_core::units::Moment;
+use banyan_wire::engine::CancelOrder;
+use banyan_wire::engine::HandOff;
+use banyan_wire::engine::StepId;
+use banyan_wire::engine::StepOrder;
+use banyan_wire::engine::StepRefusal;
+use banyan_wire::engine::StepWork;
+use banyan_wire::engine::TokenWire;
+
+use crate::crashes;
+use crate::metric;
+use crate::refusal::Refusal;
+use crate::state::EntryState;
+use crate::state::EntryTables;
+use crate::steps::StepAnswer;
+use crate::steps::StepError;
+
+/// Tries of one step on one target before the target is given up.
+const TRIES_PER_TARGET: u32 = 2;
+/// Targets tried for one step before the answer is given up.
+const TARGETS_PER_STEP: u32 = 6;
+/// The pause before a full engine is asked again, where it names none.
+const FULL_PAUSE: Duration = Duration::from_millis(20);
+/// The pause before another look for a usable target.
+const NO_TARGET_PAUSE: Duration = Duration::from_millis(100);
+/// The number of prompt bytes that one modelled token stands for.
+const BYTES_PER_TOKEN: usize = 4;
+/// The number of tokens between two digests of growing prefixes.
+const PREFIX_TOKENS: usize = 64;
+
+/// What an answer is asked for.
+#[derive(Clone, Debug)]
+pub struct AnswerOrder {
+    /// The request.
+    pub request: RequestId,
+    /// On whose behalf.
+    pub workspace: WorkspaceId,
+    /// The workspace's priority.
+    pub priority: u8,
+    /// The model.
+    pub model: ModelId,
+    /// What is declared of it.
+    pub spec: ModelSpec,
+    /// The prompt.
+    pub prompt: String,
+    /// The digest of model and prompt.
+    pub content: ContentDigest,
+    /// The most tokens to answer with.
+    pub max_tokens: u64,
+    /// When the answer must have ended.
+    pub deadline: Moment,
+}
+
+/// One stage of a running answer.
+#[derive(Clone, Debug)]
+struct RunningStage {
+    choice: StageChoice,
+    /// The inputs of the stage so far, one a token. Invariant: at most one more than the tokens
+    /// that the stage has answered.
+    inputs: Vec<HandOff>,
+}
+
+/// An answer under way.
+#[derive(Debug)]
+pub struct LineageRun {
+    state: Arc<EntryState>,
+    order: AnswerOrder,
+    lineage: u32,
+    stages: Vec<RunningStage>,
+    prefixes: Vec<u64>,
+    /// Targets that failed this answer and are not tried again for it.
+    failed: BTreeSet<TargetId>,
+    /// Every target that may keep state of this request.
+    touched: BTreeSet<TargetId>,
+    token: u64,
+    next_input: HandOff,
+}
+
+/// What became of a step on one target.
+enum StepVerdict {
+    /// It ran.
+    Answered(StepAnswer),
+    /// The target is given up for this answer.
+    GiveUp(SmolStr),
+    /// The target does not take part at present; another is to be found.
+    Unwilling(SmolStr),
+}
+
+impl LineageRun {
+    /// Chooses a chain for an answer. Nothing is sent yet.
+    pub fn start(state: Arc<EntryState>, order: AnswerOrder) -> Result<Self, Refusal> {
+        let prefixes = prefix_digests(&order.prompt);
+        let next_input = HandOff::from_prompt(&order.prompt, order.spec.handoff.0);
+        let mut run = Self {
+            state,
+            order,
+            lineage: 0,
+            stages: Vec::new(),
+            prefixes,
+            failed: BTreeSet::new(),
+            touched: BTreeSet::new(),
+            token: 0,
+            next_input,
+        };
+        if !run.choose() {
+            let what = SmolStr::new(run.order.model.as_str());
+            return Err(Refusal::NoTarget { what, retry_after: Duration::from_secs(1) });
+        }
+        Ok(run)
+    }
+
+    /// Runs the next token through all stages.
+    pub async fn next_token(&mut self) -> Result<TokenWire, Refusal> {
+        let mut input = self.next_input;
+        let mut token = None;
+        for stage in 0..self.stages.len() {
+            let answer = self.run_stage(stage, input).await?;
+            input = answer.output;
+            token = answer.token;
+        }
+        let Some(token) = token else {
+            return Err(Refusal::Cut("the last stage gave no token".to_owned()));
+        };
+        self.next_input = HandOff::from_token(&token.text, self.token, self.order.spec.handoff.0);
+        self.token += 1;
+        Ok(token)
+    }
+
+    fn choose(&mut self) -> bool {
+        let draw = rand::random();
+        let tables = self.state.tables();
+        let excluded = self.excluded(&tables);
+        let query = self.query(&excluded, draw);
+        let choose_chain = self.state.decisions.choose_chain;
+        let chain = choose_chain(&tables.targets, &query);
+        drop(tables);
+        let Some(chain) = chain else { return false };
+        let names: Vec<&str> = chain.iter().map(|stage| stage.target.as_str()).collect();
+        let detail = names.join(" > ");
+        self.state.journal.record(EventKind::Routed, &self.order.request.to_string(), "", &detail);
+        let stage = |choice| RunningStage { choice, inputs: Vec::new() };
+        self.stages = chain.into_iter().map(stage).collect();
+        true
+    }
+
+    fn excluded(&self, tables: &EntryTables) -> BTreeSet<TargetId> {
+        let mut excluded = self.failed.clone();
+        if tables.suspects.is_suspect(self.order.content) {
+            excluded.extend(tables.suspects.occupied(self.order.content));
+        }
+        excluded
+    }
+
+    fn query<'a>(&'a self, excluded: &'a BTreeSet<TargetId>, draw: u64) -> ChainQuery<'a> {
+        ChainQuery {
+            model: &self.order.model,
+            layers: self.order.spec.layers,
+            handoff: self.order.spec.handoff,
+            zone: &self.state.settings.zone,
+            prefixes: &self.prefixes,
+            excluded,
+            draw,
+        }
+    }
+
+    /// Runs the step of the current token on one stage, replacing the stage's target as needed.
+    async fn run_stage(&mut self, stage: usize, input: HandOff) -> Result<StepAnswer, Refusal> {
+        self.stages[stage].inputs.push(input);
+        let mut rebuild = false;
+        for _ in 0..TARGETS_PER_STEP {
+            match self.try_target(stage, rebuild).await? {
+                StepVerdict::Answered(answer) => return Ok(answer),
+                StepVerdict::GiveUp(reason) => {
+                    let target = self.stages[stage].choice.target.clone();
+                    log::info!(
+                        "steps: Request {} gives up {target}: {reason}.",
+                        self.order.request
+                    );
+                    self.failed.insert(target);
+                }
+                StepVerdict::Unwilling(reason) => {
+                    log::debug!("steps: Request {} moves on: {reason}.", self.order.request);
+                }
+            }
+            if !self.state.decisions.replace_stages {
+                return Err(Refusal::Cut("a target failed".to_owned()));
+            }
+            self.replace(stage).await?;
+            rebuild = true;
+        }
+        Err(Refusal::Cut("too many targets failed in a row".to_owned()))
+    }
+
+    /// Tries the current step on the stage's target.
+    async fn try_target(&mut self, stage: usize, rebuild: bool) -> Result<StepVerdict, Refusal> {
+        let mut rebuild = rebuild;
+        let mut tries = 0;
+        loop {
+            self.check_deadline()?;
+            self.check_quarantine()?;
+            let target = self.stages[stage].choice.target.clone();
+            match self.send(stage, rebuild).await? {
+                Ok(answer) => return Ok(StepVerdict::Answered(answer)),
+                Err(StepError::Refused(StepRefusal::Lineage { .. })) if !rebuild => rebuild = true,
+                Err(StepError::Refused(StepRefusal::Full { retry_after_ms })) => {
+                    let pause = Duration::from_millis(retry_after_ms).max(FULL_PAUSE);
+                    tokio::time::sleep(pause).await;
+                }
+                Err(StepError::Refused(StepRefusal::Late)) => {
+                    return Err(Refusal::Cut("the deadline passed".to_owned()));
+                }
+                Err(StepError::Refused(reason)) => {
+                    return Ok(StepVerdict::Unwilling(format_smolstr!("{target}: {reason:?}")));
+                }
+                Err(StepError::Silent) if tries + 1 < TRIES_PER_TARGET => {
+                    // The same step id on a new connection: an engine that ran it answers again.
+                    tries += 1;
+                    self.note_retry(&target, "its connection went silent");
+                }
+                Err(StepError::Broken(reason)) if tries + 1 < TRIES_PER_TARGET => {
+                    tries += 1;
+                    self.note_retry(&target, &reason);
+                }
+                Err(error) => {
+                    let reason = error.to_string();
+                    crashes::note_crash(&self.state, &target, &reason);
+                    return Ok(StepVerdict::GiveUp(SmolStr::new(reason)));
+                }
+            }
+        }
+    }
+
+    /// Sends the current step once.
+    async fn send(
+        &mut self,
+        stage: usize,
+        rebuild: bool,
+    ) -> Result<Result<StepAnswer, StepError>, Refusal> {
+        let now = self.state.now();
+        let order = self.step_order(stage, rebuild, now);
+        let target = self.stages[stage].choice.target.clone();
+        let row = {
+            let mut tables = self.state.tables();
+            tables.targets.note_sent(&target);
+            let silence = tables.declaration.policy.suspect_after;
+            tables.targets.rows.get(&target).map(|row| (row.spec.address, silence))
+        };
+        let Some((address, silence)) = row else {
+            let reason = SmolStr::new_static("it is no longer declared");
+            return Ok(Err(StepError::Connect(reason)));
+        };
+        self.touched.insert(target.clone());
+        let request = self.order.request.clone();
+        crashes::note_running(&self.state, &target, &request, self.order.content);
+        let name = request.to_string();
+        let detail = format_smolstr!("token {} stage {stage}", self.token);
+        self.state.journal.record(EventKind::StepSent, &name, target.as_str(), &detail);
+        let deadline = self.state.clock.instant(self.order.deadline);
+        let result = tokio::time::timeout_at(
+            deadline,
+            self.state.steps.run(&target, address, order, silence),
+        )
+        .await;
+        let ended = self.state.now();
+        let took = matches!(result, Ok(Ok(_))).then(|| ended.since(now));
+        self.state.tables().targets.note_ended(&target, took, ended);
+        if !matches!(result, Ok(Err(StepError::Broken(_) | StepError::Silent))) {
+            crashes::note_idle(&self.state, &target, &request);
+        }
+        let Ok(result) = result else {
+            return Err(Refusal::Cut("the deadline passed".to_owned()));
+        };
+        if result.is_ok() {
+            self.state.journal.record(EventKind::StepAnswered, &name, target.as_str(), &detail);
+        }
+        Ok(result)
+    }
+
+    fn step_order(&self, stage: usize, rebuild: bool, now: Moment) -> StepOrder {
+        let running = &self.stages[stage];
+        let layers: LayerRange = running.choice.layers;
+        let input = running.inputs.last().copied().unwrap_or(self.next_input);
+        let tokens = (self.order.prompt.len() / BYTES_PER_TOKEN + 1) as u32;
+        let work = if rebuild && self.token > 0 {
+            StepWork::Rebuild { inputs: running.inputs.clone(), tokens }
+        } else if self.token == 0 {
+            StepWork::Prompt { input, tokens, prefixes: self.prefixes.clone() }
+        } else {
+            StepWork::Token { input }
+        };
+        StepOrder {
+            step: StepId {
+                request: self.order.request.clone().into(),
+                lineage: self.lineage,
+                token: self.token,
+                stage: stage as u32,
+            },
+            model: self.order.model.clone().into(),
+            first_layer: layers.first,
+            end_layer: layers.end,
+            work,
+            priority: self.order.priority,
+            deadline_ms: self.order.deadline.since(now).as_millis() as u64,
+        }
+    }
+
+    /// Finds another target for a stage's layers, waiting for one within the deadline.
+    async fn replace(&mut self, stage: usize) -> Result<(), Refusal> {
+        let layers = self.stages[stage].choice.layers;
+        loop {
+            self.check_deadline()?;
+            let choice = {
+                let tables = self.state.tables();
+                let excluded = self.excluded(&tables);
+                let query = self.query(&excluded, rand::random());
+                let choose_stage = self.state.decisions.choose_stage;
+                choose_stage(&tables.targets, &query, layers)
+            };
+            if let Some(choice) = choice {
+                self.note_replacement(stage, &choice);
+                self.stages[stage].choice = choice;
+                return Ok(());
+            }
+            // A target that failed this answer may have come back, which is better than none.
+            self.failed.clear();
+            tokio::time::sleep(NO_TARGET_PAUSE).await;
+        }
+    }
+
+    fn note_replacement(&self, stage: usize, choice: &StageChoice) {
+        metric::count_replacement();
+        let dead = &self.stages[stage].choice.target;
+        let detail = format_smolstr!("stage {stage}, token {}, instead of {dead}", self.token);
+        let name = self.order.request.to_string();
+        self.state.journal.record(EventKind::StageReplaced, &name, choice.target.as_str(), &detail);
+    }
+
+    fn note_retry(&self, target: &TargetId, reason: &str) {
+        metric::count_retry();
+        let name = self.order.request.to_string();
+        self.state.journal.record(EventKind::Retried, &name, target.as_str(), reason);
+    }
+
+    fn check_deadline(&self) -> Result<(), Refusal> {
+        if self.state.now() >= self.order.deadline {
+            return Err(Refusal::Cut("the deadline passed".to_owned()));
+        }
+        Ok(())
+    }
+
+    fn check_quarantine(&self) -> Result<(), Refusal> {
+        if crashes::is_quarantined(&self.state, self.order.content) {
+            return Err(Refusal::Cut("its content stops the targets that run it".to_owned()));
+        }
+        Ok(())
+    }
+}
+
+impl Drop for LineageRun {
+    fn drop(&mut self) {
+        let request = self.order.request.clone();
+        let mut addresses = Vec::new();
+        {
+            let mut tables = self.state.tables();
+            for target in &self.touched {
+                if let Some(contents) = tables.contents.get_mut(target) {
+                    contents.remove(&request);
+                }
+                if let Some(row) = tables.targets.rows.get(target) {
+                    addresses.push(row.spec.address);
+                }
+            }
+            tables.suspects.probation.remove(&self.order.content);
+        }
+        let state = self.state.clone();
+        let Ok(runtime) = tokio::runtime::Handle::try_current() else { return };
+        runtime.spawn(async move {
+            let order = CancelOrder { request: request.into() };
+            for address in addresses {
+                state.steps.cancel(address, &order).await;
+            }
+        });
+    }
+}
+
+fn prefix_digests(prompt: &str) -> Vec<u64> {
+    let bytes = prompt.as_bytes();
+    let unit = BYTES_PER_TOKEN * PREFIX_TOKENS;
+    (1..=bytes.len() / unit).map(|count| ContentDigest::of(&bytes[..count * unit]).0).collect()
+}
