--- a/crates/banyan-entry/src/admission.rs
+++ b/crates/banyan-entry/src/admission.rs
@@ -5,6 +5,9 @@
 
 use tokio::sync::oneshot;
 
+use crate::refusal::Refusal;
+use crate::state::EntryState;
+use crate::state::EntryTables;
 use banyan_core::event::EventKind;
 use banyan_core::ids::RequestId;
 use banyan_core::ids::WorkspaceId;
@@ -12,10 +15,6 @@
 use banyan_core::serving::admission::AdmissionVerdict;
 use banyan_core::units::Moment;
 
-use crate::refusal::Refusal;
-use crate::state::EntryState;
-use crate::state::EntryTables;
-
 /// Leave to run one request; dropping it makes room for the next.
 #[derive(Debug)]
 pub struct AdmissionPass {
--- a/crates/banyan-entry/src/caller.rs
+++ b/crates/banyan-entry/src/caller.rs
@@ -27,6 +27,16 @@
 use warp::reply::Response;
 use warp::sse::Event;
 
+use crate::completion::CompletionEvent;
+use crate::completion::run_completion;
+use crate::daemon;
+use crate::lineage::AnswerOrder;
+use crate::metric;
+use crate::refusal::Refusal;
+use crate::services::ServiceOrder;
+use crate::services::run_call;
+use crate::state::EntryState;
+use crate::state::ServingPhase;
 use banyan_core::ids::CallId;
 use banyan_core::ids::IdempotencyKey;
 use banyan_core::ids::ModelId;
@@ -45,17 +55,6 @@
 use banyan_wire::caller::REQUEST_ID_HEADER;
 use banyan_wire::caller::StreamEnd;
 
-use crate::completion::CompletionEvent;
-use crate::completion::run_completion;
-use crate::daemon;
-use crate::lineage::AnswerOrder;
-use crate::metric;
-use crate::refusal::Refusal;
-use crate::services::ServiceOrder;
-use crate::services::run_call;
-use crate::state::EntryState;
-use crate::state::ServingPhase;
-
 /// The longest body that a caller may send, in bytes.
 const BODY_LIMIT_BYTES: u64 = 1 << 20;
 /// The longest deadline that a caller may ask for.
--- a/crates/banyan-entry/src/claims.rs
+++ b/crates/banyan-entry/src/claims.rs
@@ -14,6 +14,8 @@
 use tokio::sync::watch;
 use tokio::time::Instant;
 
+use crate::refusal::Refusal;
+use crate::state::EntryState;
 use banyan_core::event::EventKind;
 use banyan_core::fold::ClaimRow;
 use banyan_core::fold::ClaimState;
@@ -28,9 +30,6 @@
 use banyan_core::record::StreamId;
 use banyan_core::units::WallMillis;
 
-use crate::refusal::Refusal;
-use crate::state::EntryState;
-
 /// The longest time to wait for a claim to be read back.
 const CLAIM_WAIT: Duration = Duration::from_secs(2);
 /// The longest time to wait for the outcome of a claim that another run holds.
--- a/crates/banyan-entry/src/completion.rs
+++ b/crates/banyan-entry/src/completion.rs
@@ -7,10 +7,6 @@
 use tokio::sync::mpsc;
 use xxhash_rust::xxh3::Xxh3;
 
-use banyan_core::event::EventKind;
-use banyan_wire::caller::OutcomeWire;
-use banyan_wire::caller::StreamEnd;
-
 use crate::admission::admit;
 use crate::crashes;
 use crate::lineage::AnswerOrder;
@@ -18,6 +14,9 @@
 use crate::metric;
 use crate::refusal::Refusal;
 use crate::state::EntryState;
+use banyan_core::event::EventKind;
+use banyan_wire::caller::OutcomeWire;
+use banyan_wire::caller::StreamEnd;
 
 /// What happens to a completion, in order: tokens, then exactly one end.
 #[derive(Clone, Debug)]
--- a/crates/banyan-entry/src/crashes.rs
+++ b/crates/banyan-entry/src/crashes.rs
@@ -5,6 +5,7 @@
 
 use smol_str::SmolStr;
 
+use crate::state::EntryState;
 use banyan_core::event::EventKind;
 use banyan_core::ids::RequestId;
 use banyan_core::ids::TargetId;
@@ -14,8 +15,6 @@
 use banyan_core::record::StreamId;
 use banyan_core::serving::health;
 
-use crate::state::EntryState;
-
 /// Notes that a request's content has a step under way on a target.
 pub fn note_running(
     state: &EntryState,
--- a/crates/banyan-entry/src/daemon.rs
+++ b/crates/banyan-entry/src/daemon.rs
@@ -13,6 +13,14 @@
 use tokio::task::JoinHandle;
 use tokio::task::JoinSet;
 
+use crate::admission::run_admission;
+use crate::caller;
+use crate::follower::all_streams;
+use crate::follower::follow;
+use crate::operator;
+use crate::probes;
+use crate::state::EntryState;
+use crate::state::ServingPhase;
 use banyan_config::settings::EntrySettings;
 use banyan_core::event::EventKind;
 use banyan_core::ids::Revision;
@@ -24,15 +32,6 @@
 use banyan_wire::platform::InstanceState;
 use banyan_wire::platform::InstanceWire;
 
-use crate::admission::run_admission;
-use crate::caller;
-use crate::follower::all_streams;
-use crate::follower::follow;
-use crate::operator;
-use crate::probes;
-use crate::state::EntryState;
-use crate::state::ServingPhase;
-
 /// The time between two runs of the systems that run each tick.
 const TICK: Duration = Duration::from_millis(20);
 /// The time that the balancer has to notice that the instance is not ready.
--- a/crates/banyan-entry/src/follower.rs
+++ b/crates/banyan-entry/src/follower.rs
@@ -11,6 +11,7 @@
 use smol_str::SmolStr;
 use tokio::sync::watch;
 
+use crate::state::EntryState;
 use banyan_core::event::EventKind;
 use banyan_core::fold::ClaimFold;
 use banyan_core::fold::ConfigurationFold;
@@ -23,8 +24,6 @@
 use banyan_wire::platform::ReadEntry;
 use banyan_wire::platform::ReadReply;
 
-use crate::state::EntryState;
-
 /// The longest time that a read waits for an entry.
 const READ_WAIT: Duration = Duration::from_millis(1000);
 /// The pause after a failed read.
--- a/crates/banyan-entry/src/lineage.rs
+++ b/crates/banyan-entry/src/lineage.rs
@@ -11,6 +11,13 @@
 use smol_str::SmolStr;
 use smol_str::format_smolstr;
 
+use crate::crashes;
+use crate::metric;
+use crate::refusal::Refusal;
+use crate::state::EntryState;
+use crate::state::EntryTables;
+use crate::steps::StepAnswer;
+use crate::steps::StepError;
 use banyan_core::declaration::ModelSpec;
 use banyan_core::event::EventKind;
 use banyan_core::ids::LayerRange;
@@ -30,14 +37,6 @@
 use banyan_wire::engine::StepWork;
 use banyan_wire::engine::TokenWire;
 
-use crate::crashes;
-use crate::metric;
-use crate::refusal::Refusal;
-use crate::state::EntryState;
-use crate::state::EntryTables;
-use crate::steps::StepAnswer;
-use crate::steps::StepError;
-
 /// Tries of one step on one target before the target is given up.
 const TRIES_PER_TARGET: u32 = 2;
 /// Targets tried for one step before the answer is given up.
--- a/crates/banyan-entry/src/operator.rs
+++ b/crates/banyan-entry/src/operator.rs
@@ -9,6 +9,11 @@
 use warp::Rejection;
 use warp::Reply;
 
+use crate::daemon;
+use crate::follower::FoldTables;
+use crate::follower::all_streams;
+use crate::metric;
+use crate::state::EntryState;
 use banyan_core::event::HybridStamp;
 use banyan_core::fold::ProposalVerdict;
 use banyan_core::ids::RecordId;
@@ -26,12 +31,6 @@
 use banyan_wire::operator::TargetStatus;
 use banyan_wire::operator::VerdictReply;
 
-use crate::daemon;
-use crate::follower::FoldTables;
-use crate::follower::all_streams;
-use crate::metric;
-use crate::state::EntryState;
-
 /// What a reader asks of the events.
 #[derive(Debug, serde::Deserialize)]
 struct EventsQuery {
--- a/crates/banyan-entry/src/probes.rs
+++ b/crates/banyan-entry/src/probes.rs
@@ -8,6 +8,7 @@
 use http::Method;
 use smol_str::SmolStr;
 
+use crate::state::EntryState;
 use banyan_core::declaration::TargetRole;
 use banyan_core::event::EventKind;
 use banyan_core::ids::TargetId;
@@ -19,8 +20,6 @@
 use banyan_http::client::JsonClient;
 use banyan_wire::engine::LoadReport;
 
-use crate::state::EntryState;
-
 /// The time between two probes of a target.
 const PROBE_PAUSE: Duration = Duration::from_millis(200);
 /// The time that a probe may take.
--- a/crates/banyan-entry/src/services.rs
+++ b/crates/banyan-entry/src/services.rs
@@ -22,6 +22,13 @@
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 
+use crate::claims::ClaimTurn;
+use crate::claims::HeldClaim;
+use crate::claims::acquire;
+use crate::crashes;
+use crate::metric;
+use crate::refusal::Refusal;
+use crate::state::EntryState;
 use banyan_core::declaration::CallSpec;
 use banyan_core::event::EventKind;
 use banyan_core::ids::CallId;
@@ -36,14 +43,6 @@
 use banyan_core::units::Moment;
 use banyan_wire::service::REQUEST_HEADER;
 
-use crate::claims::ClaimTurn;
-use crate::claims::HeldClaim;
-use crate::claims::acquire;
-use crate::crashes;
-use crate::metric;
-use crate::refusal::Refusal;
-use crate::state::EntryState;
-
 /// The time that making a connection may take.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// When to try again where no replica is usable.
--- a/crates/banyan-entry/src/state.rs
+++ b/crates/banyan-entry/src/state.rs
@@ -16,6 +16,14 @@
 use tokio::sync::oneshot;
 use tokio::sync::watch;
 
+use crate::claims::ClaimLedger;
+use crate::clock::RuntimeClock;
+use crate::follower::FoldHub;
+use crate::journal::EventJournal;
+use crate::peers::PeerTable;
+use crate::platform::PlatformClient;
+use crate::steps::StepClient;
+use crate::writer::LogWriter;
 use banyan_config::settings::EntrySettings;
 use banyan_core::declaration::Declaration;
 use banyan_core::event::EventKind;
@@ -33,15 +41,6 @@
 use banyan_core::serving::targets::TargetTable;
 use banyan_core::units::Moment;
 
-use crate::claims::ClaimLedger;
-use crate::clock::RuntimeClock;
-use crate::follower::FoldHub;
-use crate::journal::EventJournal;
-use crate::peers::PeerTable;
-use crate::platform::PlatformClient;
-use crate::steps::StepClient;
-use crate::writer::LogWriter;
-
 /// Whether the instance takes new requests.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum ServingPhase {
--- a/crates/banyan-entry/src/steps.rs
+++ b/crates/banyan-entry/src/steps.rs
@@ -24,6 +24,7 @@
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 
+use crate::metric;
 use banyan_core::ids::TargetId;
 use banyan_http::client::JsonClient;
 use banyan_http::client::PlainClient;
@@ -39,8 +40,6 @@
 use banyan_wire::engine::StepRefusal;
 use banyan_wire::engine::TokenWire;
 
-use crate::metric;
-
 /// The most steps in one batch.
 const BATCH_LIMIT: usize = 256;
 /// The time that a cancel may take.
--- a/crates/banyan-entry/src/writer.rs
+++ b/crates/banyan-entry/src/writer.rs
@@ -13,12 +13,11 @@
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 
+use crate::platform::PlatformClient;
 use banyan_core::record::LogFact;
 use banyan_core::record::StreamId;
 use banyan_wire::log::encode_facts;
 
-use crate::platform::PlatformClient;
-
 /// The time that facts are gathered before they go out together.
 const GATHER_TIME: Duration = Duration::from_millis(4);
 /// The most facts in one append.
