Checkpoints, gaps, expiry indexes and the window of timed keys

Cause: the thin folds skipped over missing entries, walked every row at every entry to forget, and had no way to start once the log had dropped what came first. A claim that ended a silence of its stream longer than the window of claims was void, since the window was measured to its own entry. Ruled out: the age of a checkpoint's own record as a sign that it is usable, since a paused instance may append an old state late; the checkpoint's offset of its state decides, and its time tells when the next one is due. Forgetting by the time of the entry that is being folded, since the row a claim loses to would be gone when its claimant asks. Conclusion: an entry that is not the next one changes nothing and says so. A state is started from only if the log holds every entry behind it. Keys that carry a time can be claimed within a window of the log's time and are remembered for longer than it, so they run at most once for ever and their orphaned claims can be forgotten. Bytes in log entries are base 64 in place of lists of numbers.

--- a/crates/banyan-core/src/fold.rs
+++ b/crates/banyan-core/src/fold.rs
@@ -4,14 +4,36 @@
 //! quarantine; [`ClaimFold`] decides who may dispatch a call that runs at most once. Neither reads
 //! a clock: time in a fold is the greatest time that the platform stamped on an entry so far.
 
+mod checkpoint;
 mod claims;
 mod configuration;
+mod expiry;
+mod keys;
+mod step;
 
+pub use checkpoint::CheckpointId;
+pub use checkpoint::CheckpointInputs;
+pub use checkpoint::CheckpointPolicy;
+pub use checkpoint::CheckpointRow;
+pub use checkpoint::CheckpointTable;
+pub use checkpoint::StartChoice;
+pub use checkpoint::StartError;
+pub use checkpoint::checkpoint_facts;
+pub use checkpoint::choose_start;
+pub use checkpoint::when_checkpoint_due;
 pub use claims::ClaimFold;
 pub use claims::ClaimRow;
+pub use claims::ClaimSnapshot;
 pub use claims::ClaimState;
 pub use claims::ClaimVerdict;
 pub use configuration::ConfigurationFold;
+pub use configuration::ConfigurationSnapshot;
 pub use configuration::FileRow;
 pub use configuration::MergeFiles;
 pub use configuration::ProposalVerdict;
+pub use configuration::RestoreError;
+pub use keys::KEY_WINDOW_MS;
+pub use keys::KeyStanding;
+pub use keys::key_issued;
+pub use keys::key_standing;
+pub use step::FoldStep;
--- a/crates/banyan-core/src/fold/claims.rs
+++ b/crates/banyan-core/src/fold/claims.rs
@@ -2,11 +2,18 @@
 //!
 //! The first claim of a key wins, and only its claimant may ever dispatch it. A claim never passes
 //! to another instance: one whose claimant is gone stays open, and repeats are told that the
-//! outcome is unknown. An open claim is never forgotten, because its claimant may be paused for
-//! longer than any limit; a closed one is forgotten when its memory ends.
+//! outcome is unknown. An open claim is not forgotten while another claim of its key could win,
+//! because its claimant may be paused for longer than any limit: never for a key without a time,
+//! and not within the window of a key that carries one. A closed one is forgotten when its memory
+//! ends.
 
 use std::collections::BTreeMap;
 
+use crate::fold::expiry::ExpiryIndex;
+use crate::fold::keys::KeyStanding;
+use crate::fold::keys::key_end;
+use crate::fold::keys::key_standing;
+use crate::fold::step::FoldStep;
 use crate::ids::IncarnationId;
 use crate::ids::LogOffset;
 use crate::ids::RecordId;
@@ -18,9 +25,11 @@
 use crate::record::LogEntry;
 use crate::units::WallMillis;
 
-/// The time that the id of a released claim is kept, so that a late copy of the claim folds to
-/// nothing, in milliseconds.
-const RELEASED_MEMORY_MS: u64 = 3_600_000;
+/// The time that the id of a released or void claim is kept, in milliseconds.
+///
+/// Invariant: greater than [`CLAIM_WINDOW_MS`], so that a copy of the claim that lands when the id
+/// is forgotten is void because it is late.
+const RELEASED_MEMORY_MS: u64 = 2 * CLAIM_WINDOW_MS;
 
 /// The winning claim of a key.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -75,20 +84,78 @@
     pub rows: BTreeMap<ClaimKey, ClaimRow>,
     /// Ids of released and void claims, each kept until a time of the platform's clock.
     pub released: BTreeMap<RecordId, WallMillis>,
+    /// The ends of those `rows` that have one.
+    row_ends: ExpiryIndex<ClaimKey>,
+    /// The ends of `released`.
+    released_ends: ExpiryIndex<RecordId>,
+}
+
+/// All that a [`ClaimFold`] has to remember, for checkpoints and for peers.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct ClaimSnapshot {
+    /// See [`ClaimFold::next`].
+    pub next: LogOffset,
+    /// See [`ClaimFold::time`].
+    pub time: WallMillis,
+    /// See [`ClaimFold::rows`].
+    pub rows: BTreeMap<ClaimKey, ClaimRow>,
+    /// See [`ClaimFold::released`].
+    pub released: BTreeMap<RecordId, WallMillis>,
 }
 
 impl ClaimFold {
-    /// Folds one entry; entries below `next` were folded before and change nothing.
-    pub fn apply(&mut self, entry: &LogEntry) {
-        if entry.offset < self.next {
-            return;
+    /// The fold that goes on from a snapshot of a checkpoint or of a peer.
+    pub fn restore(snapshot: ClaimSnapshot) -> Self {
+        let mut fold = Self { next: snapshot.next, time: snapshot.time, ..Self::default() };
+        for (key, row) in &snapshot.rows {
+            if let Some(end) = row_end(key, row) {
+                fold.row_ends.insert(end, key.clone());
+            }
+        }
+        for (claim, until) in &snapshot.released {
+            fold.released_ends.insert(*until, claim.clone());
+        }
+        fold.rows = snapshot.rows;
+        fold.released = snapshot.released;
+        fold
+    }
+
+    /// All that this fold has to remember.
+    pub fn snapshot(&self) -> ClaimSnapshot {
+        ClaimSnapshot {
+            next: self.next,
+            time: self.time,
+            rows: self.rows.clone(),
+            released: self.released.clone(),
         }
+    }
+
+    /// Takes over a peer's state where it holds more of the log than this one; says whether it did.
+    pub fn adopt(&mut self, snapshot: ClaimSnapshot) -> bool {
+        if snapshot.next <= self.next {
+            return false;
+        }
+        *self = Self::restore(snapshot);
+        true
+    }
+
+    /// Folds one entry if it is the next one; otherwise changes nothing.
+    ///
+    /// Rows are forgotten by the time of the entries before. So a claim that ends a long silence of
+    /// the stream can win, and one that loses finds the row that it lost to.
+    pub fn apply(&mut self, entry: &LogEntry) -> FoldStep {
+        let step = FoldStep::judge(self.next, entry.offset);
+        if step != FoldStep::Folded {
+            return step;
+        }
+        self.forget_expired();
+        let before = self.time;
         self.next = entry.offset.next();
         self.time = self.time.max(entry.at);
-        self.forget_expired();
         for fact in &entry.facts {
-            self.apply_fact(&fact.id, &fact.body);
+            self.apply_fact(before, &fact.id, &fact.body);
         }
+        step
     }
 
     /// What became of the claim `claim` of `key`.
@@ -103,27 +170,14 @@
         }
     }
 
-    fn released_until(&self) -> WallMillis {
-        WallMillis(self.time.0 + RELEASED_MEMORY_MS)
-    }
-
-    fn forget_expired(&mut self) {
-        let time = self.time;
-        self.rows.retain(|_, row| match &row.state {
-            ClaimState::Open => true,
-            ClaimState::Closed { until, .. } => *until > time,
-        });
-        self.released.retain(|_, until| *until > time);
-    }
-
-    fn apply_fact(&mut self, id: &RecordId, body: &FactBody) {
+    fn apply_fact(&mut self, before: WallMillis, id: &RecordId, body: &FactBody) {
         match body {
             FactBody::Claim { key, claimant, content, seen } => {
                 if self.rows.contains_key(key) || self.released.contains_key(id) {
                     return;
                 }
-                if self.time.0 > seen.0 + CLAIM_WINDOW_MS {
-                    self.released.insert(id.clone(), self.released_until());
+                if !self.is_in_time(before, key, *seen) {
+                    self.void(id);
                     return;
                 }
                 let row = ClaimRow {
@@ -132,22 +186,80 @@
                     content: *content,
                     state: ClaimState::Open,
                 };
+                if let Some(end) = row_end(key, &row) {
+                    self.row_ends.insert(end, key.clone());
+                }
                 self.rows.insert(key.clone(), row);
             }
             FactBody::Close { key, claim, outcome, memory_ms } => {
-                let until = WallMillis(self.time.0 + memory_ms);
-                let Some(row) = self.rows.get_mut(key) else { return };
-                if row.claim == *claim && row.state == ClaimState::Open {
-                    row.state = ClaimState::Closed { outcome: outcome.clone(), until };
-                }
-            }
-            FactBody::Release { key, claim } => {
-                self.released.insert(claim.clone(), self.released_until());
-                if self.rows.get(key).is_some_and(|row| row.claim == *claim) {
-                    self.rows.remove(key);
-                }
+                self.close(key, claim, outcome, *memory_ms);
             }
+            FactBody::Release { key, claim } => self.release(key, claim),
             _ => {}
         }
     }
+
+    /// Whether a claim may win that saw the key free at `seen`, the stream's time being `before`
+    /// ahead of its entry.
+    fn is_in_time(&self, before: WallMillis, key: &ClaimKey, seen: WallMillis) -> bool {
+        let in_window = before.0 <= seen.0.saturating_add(CLAIM_WINDOW_MS);
+        let standing = key_standing(&key.key, self.time);
+        in_window && matches!(standing, KeyStanding::Timeless | KeyStanding::Fresh)
+    }
+
+    fn close(&mut self, key: &ClaimKey, claim: &RecordId, outcome: &CallOutcome, memory_ms: u64) {
+        // Forgetting a row sooner would let a claim win that saw the key free before this one.
+        let memory_ms = memory_ms.max(CLAIM_WINDOW_MS + 1);
+        let until = WallMillis(self.time.0.saturating_add(memory_ms))
+            .max(key_end(&key.key).unwrap_or_default());
+        let Some(row) = self.rows.get_mut(key) else { return };
+        if row.claim != *claim || row.state != ClaimState::Open {
+            return;
+        }
+        if let Some(end) = row_end(key, row) {
+            self.row_ends.remove(end, key);
+        }
+        row.state = ClaimState::Closed { outcome: outcome.clone(), until };
+        self.row_ends.insert(until, key.clone());
+    }
+
+    fn release(&mut self, key: &ClaimKey, claim: &RecordId) {
+        let Some(row) = self.rows.get(key).filter(|row| row.claim == *claim) else {
+            return self.void(claim);
+        };
+        // What was closed was dispatched, and a dispatched call cannot be given up.
+        if row.state != ClaimState::Open {
+            return;
+        }
+        if let Some(end) = row_end(key, row) {
+            self.row_ends.remove(end, key);
+        }
+        self.rows.remove(key);
+        self.void(claim);
+    }
+
+    fn void(&mut self, claim: &RecordId) {
+        let until = WallMillis(self.time.0.saturating_add(RELEASED_MEMORY_MS));
+        if let Some(known) = self.released.insert(claim.clone(), until) {
+            self.released_ends.remove(known, claim);
+        }
+        self.released_ends.insert(until, claim.clone());
+    }
+
+    fn forget_expired(&mut self) {
+        while let Some(key) = self.row_ends.pop_ended(self.time) {
+            self.rows.remove(&key);
+        }
+        while let Some(claim) = self.released_ends.pop_ended(self.time) {
+            self.released.remove(&claim);
+        }
+    }
+}
+
+/// When a row is forgotten, if ever.
+fn row_end(key: &ClaimKey, row: &ClaimRow) -> Option<WallMillis> {
+    match row.state {
+        ClaimState::Open => key_end(&key.key),
+        ClaimState::Closed { until, .. } => Some(until),
+    }
 }
--- a/crates/banyan-core/src/lib.rs
+++ b/crates/banyan-core/src/lib.rs
@@ -13,5 +13,6 @@
 pub mod fold;
 pub mod ids;
 pub mod record;
+pub mod rendezvous;
 pub mod serving;
 pub mod units;
--- a/crates/banyan-core/src/record.rs
+++ b/crates/banyan-core/src/record.rs
@@ -207,11 +207,15 @@
     Checkpoint {
         /// The first offset that the state does not hold.
         next: LogOffset,
+        /// The fold's time in the state.
+        as_of: WallMillis,
+        /// The digest of the whole serialised state, by which parts of one state are known.
+        digest: ContentDigest,
         /// The part's number, from zero.
         part: u32,
         /// The number of parts.
         parts: u32,
-        /// The serialised state, as the wire crate writes it.
+        /// This part of the serialised state, as the wire crate writes it.
         body: Vec<u8>,
     },
 }
--- /dev/null
+++ b/crates/banyan-core/tests/fold_checkpoint.rs
@@ -0,0 +1,142 @@
+//! Where a fold may start, and who writes checkpoints when.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use banyan_core::fold::CheckpointInputs;
+use banyan_core::fold::CheckpointPolicy;
+use banyan_core::fold::CheckpointTable;
+use banyan_core::fold::StartChoice;
+use banyan_core::fold::StartError;
+use banyan_core::fold::checkpoint_facts;
+use banyan_core::fold::choose_start;
+use banyan_core::fold::when_checkpoint_due;
+use banyan_core::ids::InstanceId;
+use banyan_core::ids::LogOffset;
+use banyan_core::ids::RecordId;
+use banyan_core::record::FactBody;
+use banyan_core::record::LogEntry;
+use banyan_core::record::LogFact;
+use banyan_core::record::StreamId;
+use banyan_core::rendezvous::owner_rank;
+use banyan_core::rendezvous::preferred_owners;
+use banyan_core::units::WallMillis;
+
+fn facts(next: u64, body: &[u8], part_bytes: usize) -> Vec<LogFact> {
+    let mut counter = 0;
+    checkpoint_facts(LogOffset(next), WallMillis(next), body, part_bytes, || {
+        counter += 1;
+        format!("w-{next}-{counter}").parse::<RecordId>().unwrap()
+    })
+}
+
+fn table(entries: &[(u64, &LogFact)]) -> CheckpointTable {
+    let mut table = CheckpointTable::for_start();
+    for (offset, fact) in entries {
+        let facts = vec![(*fact).clone()];
+        table.observe(&LogEntry { offset: LogOffset(*offset), at: WallMillis(*offset), facts });
+    }
+    table
+}
+
+fn from_checkpoint(next: u64, body: &[u8]) -> Result<StartChoice, StartError> {
+    Ok(StartChoice::FromCheckpoint { next: LogOffset(next), body: body.to_vec() })
+}
+
+#[test]
+fn interleaved_parts_of_two_checkpoints_are_told_apart() {
+    let old = facts(4, b"old state", 5);
+    let new = facts(6, b"new state", 5);
+    let entries = [(8, &old[0]), (9, &new[1]), (10, &old[1]), (11, &new[0]), (12, &new[1])];
+    assert_eq!(choose_start(LogOffset(3), &table(&entries)), from_checkpoint(6, b"new state"));
+    let cut = [(8, &old[0]), (9, &new[1]), (10, &old[1])];
+    assert_eq!(choose_start(LogOffset(3), &table(&cut)), from_checkpoint(4, b"old state"));
+}
+
+#[test]
+fn a_late_checkpoint_of_a_paused_instance_is_no_start_once_its_entries_are_gone() {
+    let late = facts(4, b"state", 100);
+    let table = table(&[(50, &late[0])]);
+    assert_eq!(choose_start(LogOffset(4), &table), from_checkpoint(4, b"state"));
+    let first = LogOffset(5);
+    assert_eq!(choose_start(first, &table), Err(StartError::StateGone { first }));
+}
+
+#[test]
+fn incomplete_and_impossible_checkpoints_are_no_start() {
+    let parts = facts(4, b"a longer state", 5);
+    let only_first = table(&[(8, &parts[0]), (9, &parts[0])]);
+    assert_eq!(choose_start(LogOffset(0), &only_first), Ok(StartChoice::FromEmpty));
+    let ahead = facts(9, b"state", 100);
+    let first = LogOffset(2);
+    let refused = Err(StartError::StateGone { first });
+    assert_eq!(choose_start(first, &table(&[(8, &ahead[0])])), refused);
+}
+
+#[test]
+fn contradicting_checkpoints_are_passed_over() {
+    let one = facts(6, b"one state", 100);
+    let other = facts(6, b"another state", 100);
+    let older = facts(4, b"older state", 100);
+    let entries = [(7, &older[0]), (8, &one[0]), (9, &other[0])];
+    assert_eq!(choose_start(LogOffset(4), &table(&entries)), from_checkpoint(4, b"older state"));
+    let contradiction = Err(StartError::Contradiction { next: LogOffset(6) });
+    assert_eq!(choose_start(LogOffset(5), &table(&entries)), contradiction);
+    assert_eq!(choose_start(LogOffset(0), &table(&entries[1..])), Ok(StartChoice::FromEmpty));
+}
+
+#[test]
+fn a_damaged_part_makes_its_checkpoint_useless() {
+    let mut damaged = facts(6, b"one state", 4);
+    if let FactBody::Checkpoint { body, .. } = &mut damaged[1].body {
+        body[0] ^= 1;
+    }
+    let entries: Vec<(u64, &LogFact)> = (7..).zip(&damaged).collect();
+    let first = LogOffset(5);
+    assert_eq!(choose_start(first, &table(&entries)), Err(StartError::StateGone { first }));
+}
+
+#[test]
+fn the_preferred_writer_comes_first_and_the_others_later() {
+    let policy = CheckpointPolicy {
+        entries: 100,
+        age: Duration::from_secs(60),
+        stagger: Duration::from_secs(5),
+    };
+    let inputs = |next, now, rank| CheckpointInputs {
+        next: LogOffset(next),
+        newest: (LogOffset(10), WallMillis(1_000)),
+        platform_now: WallMillis(now),
+        rank,
+    };
+    assert!(!when_checkpoint_due(&inputs(109, 2_000, 0), &policy));
+    assert!(when_checkpoint_due(&inputs(110, 2_000, 0), &policy));
+    assert!(!when_checkpoint_due(&inputs(209, 20_000, 1), &policy));
+    assert!(when_checkpoint_due(&inputs(210, 20_000, 1), &policy));
+    assert!(when_checkpoint_due(&inputs(11, 61_000, 0), &policy));
+    assert!(!when_checkpoint_due(&inputs(11, 61_000, 1), &policy));
+    assert!(when_checkpoint_due(&inputs(11, 66_000, 1), &policy));
+    assert!(!when_checkpoint_due(&inputs(10, 900_000, 0), &policy));
+}
+
+#[test]
+fn a_leaving_instance_moves_only_its_own_keys() {
+    let live: BTreeSet<InstanceId> =
+        (0..7).map(|i| format!("entry-{i}").parse().unwrap()).collect();
+    let gone: InstanceId = "entry-3".parse().unwrap();
+    let mut fewer = live.clone();
+    fewer.remove(&gone);
+    let mut first_of = BTreeMap::new();
+    for key in 0..700 {
+        let key = format!("key-{key}");
+        let before = preferred_owners(&key, &live);
+        let after = preferred_owners(&key, &fewer);
+        let kept: Vec<InstanceId> = before.iter().filter(|o| **o != gone).cloned().collect();
+        assert_eq!(kept, after);
+        *first_of.entry(before[0].clone()).or_insert(0) += 1;
+    }
+    assert_eq!(first_of.len(), 7);
+    assert!(first_of.values().all(|count| (50..150).contains(count)), "{first_of:?}");
+    assert_eq!(owner_rank(StreamId::Configuration, &gone, &fewer), 6);
+}
--- /dev/null
+++ b/crates/banyan-core/tests/fold_claims.rs
@@ -0,0 +1,166 @@
+//! Which claims win, and how long they are remembered.
+
+use banyan_core::fold::ClaimFold;
+use banyan_core::fold::ClaimVerdict;
+use banyan_core::fold::FoldStep;
+use banyan_core::fold::KEY_WINDOW_MS;
+use banyan_core::fold::KeyStanding;
+use banyan_core::fold::key_standing;
+use banyan_core::ids::IdempotencyKey;
+use banyan_core::ids::LogOffset;
+use banyan_core::ids::RecordId;
+use banyan_core::record::CLAIM_WINDOW_MS;
+use banyan_core::record::CallOutcome;
+use banyan_core::record::ClaimKey;
+use banyan_core::record::ContentDigest;
+use banyan_core::record::FactBody;
+use banyan_core::record::LogEntry;
+use banyan_core::record::LogFact;
+use banyan_core::units::WallMillis;
+
+/// A UUIDv7 made at 1,700,000,000,000 ms.
+const TIMED_KEY: &str = "018bcfe5-6800-7000-8000-000000000000";
+const TIMED_KEY_MS: u64 = 1_700_000_000_000;
+
+struct ClaimLog {
+    fold: ClaimFold,
+    key: ClaimKey,
+}
+
+impl ClaimLog {
+    fn new(key: &str) -> Self {
+        let key = ClaimKey { workspace: "sedlar".parse().unwrap(), key: key.parse().unwrap() };
+        Self { fold: ClaimFold::default(), key }
+    }
+
+    fn append(&mut self, at: u64, id: &str, body: FactBody) {
+        let facts = vec![LogFact { id: record(id), body }];
+        let entry = LogEntry { offset: self.fold.next, at: WallMillis(at), facts };
+        assert_eq!(self.fold.apply(&entry), FoldStep::Folded);
+    }
+
+    fn claim(&mut self, at: u64, id: &str, seen: u64) -> ClaimVerdict {
+        let body = FactBody::Claim {
+            key: self.key.clone(),
+            claimant: format!("run-{id}").parse().unwrap(),
+            content: ContentDigest(1),
+            seen: WallMillis(seen),
+        };
+        self.append(at, id, body);
+        self.fold.verdict(&self.key, &record(id))
+    }
+
+    fn close(&mut self, at: u64, claim: &str, memory_ms: u64) {
+        let outcome = CallOutcome::Unknown;
+        let (key, claim) = (self.key.clone(), record(claim));
+        self.append(at, "close", FactBody::Close { key, claim, outcome, memory_ms });
+    }
+
+    fn release(&mut self, at: u64, claim: &str) {
+        let (key, claim) = (self.key.clone(), record(claim));
+        self.append(at, "release", FactBody::Release { key, claim });
+    }
+}
+
+fn record(id: &str) -> RecordId {
+    id.parse().unwrap()
+}
+
+#[test]
+fn a_claim_that_ends_a_long_silence_wins() {
+    let mut log = ClaimLog::new("plain");
+    assert_eq!(log.claim(1_000, "first", 0), ClaimVerdict::Won);
+    log.release(1_001, "first");
+    let seen = log.fold.time.0;
+    assert_eq!(log.claim(90_000_000, "second", seen), ClaimVerdict::Won);
+}
+
+#[test]
+fn a_claim_seen_free_before_a_forgotten_outcome_is_void() {
+    let mut log = ClaimLog::new("plain");
+    let seen = 1_000;
+    assert_eq!(log.claim(1_000, "first", seen), ClaimVerdict::Won);
+    // A memory shorter than the window of claims is made longer than it.
+    log.close(1_001, "first", 1);
+    let gone = 1_001 + CLAIM_WINDOW_MS + 1;
+    assert!(matches!(log.claim(gone - 1, "early", seen), ClaimVerdict::Lost(_)));
+    log.release(gone, "other");
+    assert_eq!(log.claim(gone, "paused", seen), ClaimVerdict::Void);
+    assert!(log.fold.rows.is_empty());
+    let now = log.fold.time.0;
+    assert_eq!(log.claim(gone, "repeat", now), ClaimVerdict::Won);
+}
+
+#[test]
+fn a_late_copy_of_a_released_claim_never_wins() {
+    let mut log = ClaimLog::new("plain");
+    log.claim(1_000, "first", 1_000);
+    log.release(1_001, "first");
+    for at in (2_000..400_000).step_by(1_000) {
+        assert_ne!(log.claim(at, "first", 1_000), ClaimVerdict::Won);
+    }
+    assert!(log.fold.released.len() <= 1);
+}
+
+#[test]
+fn a_closed_claim_cannot_be_released() {
+    let mut log = ClaimLog::new("plain");
+    log.claim(1_000, "first", 1_000);
+    log.close(1_001, "first", 1_000_000);
+    log.release(1_002, "first");
+    assert!(matches!(log.claim(1_003, "second", 1_003), ClaimVerdict::Lost(_)));
+}
+
+#[test]
+fn an_open_claim_of_a_timeless_key_is_never_forgotten() {
+    let mut log = ClaimLog::new("plain");
+    log.claim(1_000, "first", 1_000);
+    let later = 1_000 + 400 * 86_400_000;
+    assert!(matches!(log.claim(later, "second", later), ClaimVerdict::Lost(_)));
+}
+
+#[test]
+fn a_key_with_a_time_runs_once_for_ever() {
+    let mut log = ClaimLog::new(TIMED_KEY);
+    let start = TIMED_KEY_MS;
+    let end = start + KEY_WINDOW_MS;
+    assert_eq!(log.claim(start, "first", start), ClaimVerdict::Won);
+    log.close(start + 1, "first", 1);
+    assert!(matches!(log.claim(end, "second", end), ClaimVerdict::Lost(_)));
+    assert!(matches!(log.claim(end + 1, "third", end + 1), ClaimVerdict::Lost(_)));
+    assert_eq!(log.claim(end + 2, "fourth", end + 2), ClaimVerdict::Void);
+    assert!(log.fold.rows.is_empty());
+}
+
+#[test]
+fn an_open_claim_of_a_key_with_a_time_is_forgotten_when_no_other_could_win() {
+    let mut log = ClaimLog::new(TIMED_KEY);
+    let end = TIMED_KEY_MS + KEY_WINDOW_MS;
+    log.claim(TIMED_KEY_MS, "first", TIMED_KEY_MS);
+    assert!(matches!(log.claim(end, "second", end), ClaimVerdict::Lost(_)));
+    log.release(end + 1, "other");
+    assert_eq!(log.claim(end + 1, "third", end + 1), ClaimVerdict::Void);
+    assert!(log.fold.rows.is_empty());
+}
+
+#[test]
+fn the_time_in_a_key_is_judged_both_ways() {
+    let timed: IdempotencyKey = TIMED_KEY.parse().unwrap();
+    let plain: IdempotencyKey = "order-17".parse().unwrap();
+    let standing = |time| key_standing(&timed, WallMillis(time));
+    assert_eq!(key_standing(&plain, WallMillis(5)), KeyStanding::Timeless);
+    assert_eq!(standing(TIMED_KEY_MS + KEY_WINDOW_MS), KeyStanding::Fresh);
+    assert_eq!(standing(TIMED_KEY_MS + KEY_WINDOW_MS + 1), KeyStanding::TooOld);
+    assert_eq!(standing(TIMED_KEY_MS - KEY_WINDOW_MS), KeyStanding::Fresh);
+    assert_eq!(standing(TIMED_KEY_MS - KEY_WINDOW_MS - 1), KeyStanding::TooNew);
+}
+
+#[test]
+fn a_gap_changes_nothing() {
+    let mut log = ClaimLog::new("plain");
+    log.claim(1_000, "first", 1_000);
+    let before = log.fold.clone();
+    let entry = LogEntry { offset: LogOffset(5), at: WallMillis(9_000), facts: Vec::new() };
+    assert_eq!(log.fold.apply(&entry), FoldStep::Gap { expected: LogOffset(1) });
+    assert_eq!(log.fold, before);
+}
--- /dev/null
+++ b/crates/banyan-wire/src/checkpoint.rs
@@ -0,0 +1,316 @@
+//! The state of a fold, as a checkpoint's body and a peer's snapshot carry it: postcard.
+//!
+//! The body begins with [`CHECKPOINT_FORMAT`], so that a program of another version says so instead
+//! of reading nonsense. The main types are [`ConfigurationWire`] and [`ClaimsWire`].
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use serde::Deserialize;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use smol_str::SmolStr;
+use thiserror::Error;
+
+use banyan_core::fold::ClaimRow;
+use banyan_core::fold::ClaimSnapshot;
+use banyan_core::fold::ClaimState;
+use banyan_core::fold::ConfigurationSnapshot;
+use banyan_core::fold::FileRow;
+use banyan_core::fold::ProposalVerdict;
+use banyan_core::ids::FileId;
+use banyan_core::ids::IdError;
+use banyan_core::ids::LogOffset;
+use banyan_core::ids::RecordId;
+use banyan_core::ids::Revision;
+use banyan_core::record::CallOutcome;
+use banyan_core::record::ClaimKey;
+use banyan_core::record::ContentDigest;
+use banyan_core::units::WallMillis;
+
+/// The version of the bodies that this program writes and reads.
+pub const CHECKPOINT_FORMAT: u32 = 1;
+
+/// Why a body is not the state of a fold.
+#[derive(Debug, Error)]
+pub enum CheckpointError {
+    /// The body is of another version.
+    #[error("the state is of format {0}, not {CHECKPOINT_FORMAT}: run the version that wrote it")]
+    OtherFormat(u32),
+    /// The bytes are not of our format.
+    #[error("the state is not readable: {0}; take it from a peer that runs")]
+    Unreadable(#[from] postcard::Error),
+    /// A name inside is malformed.
+    #[error("the state names something malformed: {0}; take it from a peer that runs")]
+    BadName(#[from] IdError),
+}
+
+/// The state of the configuration fold.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct ConfigurationWire {
+    /// The first offset that the state does not hold.
+    pub next: u64,
+    /// The fold's time.
+    pub time: u64,
+    /// The revision in force.
+    pub revision: u64,
+    /// The files in force.
+    pub files: Vec<FileRowWire>,
+    /// The remembered verdicts.
+    pub verdicts: Vec<VerdictRowWire>,
+    /// The refused contents, each with its end.
+    pub quarantines: Vec<(u64, u64)>,
+}
+
+/// A file in force.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct FileRowWire {
+    /// Its name.
+    pub file: SmolStr,
+    /// The revision that put it in force.
+    pub revision: u64,
+    /// Who proposed it.
+    pub author: SmolStr,
+    /// Its text.
+    pub text: String,
+}
+
+/// A remembered verdict.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct VerdictRowWire {
+    /// The proposal's record id.
+    pub id: SmolStr,
+    /// Its offset.
+    pub offset: u64,
+    /// What became of it.
+    pub verdict: VerdictWire,
+}
+
+/// What became of a proposal.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub enum VerdictWire {
+    /// See [`ProposalVerdict::Accepted`].
+    Accepted(u64),
+    /// See [`ProposalVerdict::Conflict`].
+    Conflict {
+        /// The revision in force.
+        current: u64,
+        /// Who proposed that one.
+        winner: SmolStr,
+    },
+    /// See [`ProposalVerdict::Invalid`].
+    Invalid(String),
+}
+
+/// The state of a claim fold.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct ClaimsWire {
+    /// The first offset that the state does not hold.
+    pub next: u64,
+    /// The fold's time.
+    pub time: u64,
+    /// The winning claims.
+    pub rows: Vec<ClaimRowWire>,
+    /// The released and void claims, each with its end.
+    pub released: Vec<(SmolStr, u64)>,
+}
+
+/// The winning claim of a key.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct ClaimRowWire {
+    /// The workspace of the key.
+    pub workspace: SmolStr,
+    /// The key.
+    pub key: SmolStr,
+    /// The claim's record id.
+    pub claim: SmolStr,
+    /// The run that alone may dispatch it.
+    pub claimant: SmolStr,
+    /// The content's digest.
+    pub content: u64,
+    /// How it ended, if it did.
+    pub closed: Option<ClosedWire>,
+}
+
+/// The end of a claim.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct ClosedWire {
+    /// The status and body of the target's answer; none where no answer came.
+    pub answer: Option<(u16, Vec<u8>)>,
+    /// When it is forgotten.
+    pub until: u64,
+}
+
+/// The body that holds the state of a configuration fold.
+pub fn encode_configuration(snapshot: ConfigurationSnapshot) -> Result<Vec<u8>, CheckpointError> {
+    encode(&ConfigurationWire::from(snapshot))
+}
+
+/// The state of a configuration fold, from the body that holds it.
+pub fn decode_configuration(body: &[u8]) -> Result<ConfigurationSnapshot, CheckpointError> {
+    decode::<ConfigurationWire>(body)?.try_into()
+}
+
+/// The body that holds the state of a claim fold.
+pub fn encode_claims(snapshot: ClaimSnapshot) -> Result<Vec<u8>, CheckpointError> {
+    encode(&ClaimsWire::from(snapshot))
+}
+
+/// The state of a claim fold, from the body that holds it.
+pub fn decode_claims(body: &[u8]) -> Result<ClaimSnapshot, CheckpointError> {
+    decode::<ClaimsWire>(body)?.try_into()
+}
+
+fn encode<T: Serialize>(state: &T) -> Result<Vec<u8>, CheckpointError> {
+    let body = postcard::to_stdvec(&CHECKPOINT_FORMAT)?;
+    Ok(postcard::to_extend(state, body)?)
+}
+
+fn decode<T: DeserializeOwned>(body: &[u8]) -> Result<T, CheckpointError> {
+    let (format, rest) = postcard::take_from_bytes::<u32>(body)?;
+    if format != CHECKPOINT_FORMAT {
+        return Err(CheckpointError::OtherFormat(format));
+    }
+    Ok(postcard::from_bytes(rest)?)
+}
+
+impl From<ConfigurationSnapshot> for ConfigurationWire {
+    fn from(snapshot: ConfigurationSnapshot) -> Self {
+        let file = |(file, row): (FileId, FileRow)| FileRowWire {
+            file: file.into(),
+            revision: row.revision.0,
+            author: row.author,
+            text: row.text.to_string(),
+        };
+        let verdict = |(id, (offset, verdict)): (RecordId, (LogOffset, ProposalVerdict))| {
+            VerdictRowWire { id: id.into(), offset: offset.0, verdict: verdict.into() }
+        };
+        let quarantines = snapshot.quarantines.into_iter();
+        Self {
+            next: snapshot.next.0,
+            time: snapshot.time.0,
+            revision: snapshot.revision.0,
+            files: snapshot.files.into_iter().map(file).collect(),
+            verdicts: snapshot.verdicts.into_iter().map(verdict).collect(),
+            quarantines: quarantines.map(|(content, until)| (content.0, until.0)).collect(),
+        }
+    }
+}
+
+impl TryFrom<ConfigurationWire> for ConfigurationSnapshot {
+    type Error = CheckpointError;
+
+    fn try_from(state: ConfigurationWire) -> Result<Self, CheckpointError> {
+        let mut files = BTreeMap::new();
+        for row in state.files {
+            let text = Arc::from(row.text);
+            let revision = Revision(row.revision);
+            files.insert(row.file.try_into()?, FileRow { revision, author: row.author, text });
+        }
+        let mut verdicts = BTreeMap::new();
+        for row in state.verdicts {
+            verdicts.insert(row.id.try_into()?, (LogOffset(row.offset), row.verdict.into()));
+        }
+        let quarantines = state.quarantines.into_iter();
+        Ok(Self {
+            next: LogOffset(state.next),
+            time: WallMillis(state.time),
+            revision: Revision(state.revision),
+            files,
+            verdicts,
+            quarantines: quarantines
+                .map(|(content, until)| (ContentDigest(content), WallMillis(until)))
+                .collect(),
+        })
+    }
+}
+
+impl From<ProposalVerdict> for VerdictWire {
+    fn from(verdict: ProposalVerdict) -> Self {
+        match verdict {
+            ProposalVerdict::Accepted(revision) => VerdictWire::Accepted(revision.0),
+            ProposalVerdict::Conflict { current, winner } => {
+                VerdictWire::Conflict { current: current.0, winner }
+            }
+            ProposalVerdict::Invalid(message) => VerdictWire::Invalid(message),
+        }
+    }
+}
+
+impl From<VerdictWire> for ProposalVerdict {
+    fn from(verdict: VerdictWire) -> Self {
+        match verdict {
+            VerdictWire::Accepted(revision) => ProposalVerdict::Accepted(Revision(revision)),
+            VerdictWire::Conflict { current, winner } => {
+                ProposalVerdict::Conflict { current: Revision(current), winner }
+            }
+            VerdictWire::Invalid(message) => ProposalVerdict::Invalid(message),
+        }
+    }
+}
+
+impl From<ClaimSnapshot> for ClaimsWire {
+    fn from(snapshot: ClaimSnapshot) -> Self {
+        let released = snapshot.released.into_iter();
+        Self {
+            next: snapshot.next.0,
+            time: snapshot.time.0,
+            rows: snapshot.rows.into_iter().map(|(key, row)| claim_row_wire(key, row)).collect(),
+            released: released.map(|(claim, until)| (claim.into(), until.0)).collect(),
+        }
+    }
+}
+
+impl TryFrom<ClaimsWire> for ClaimSnapshot {
+    type Error = CheckpointError;
+
+    fn try_from(state: ClaimsWire) -> Result<Self, CheckpointError> {
+        let rows: Result<BTreeMap<ClaimKey, ClaimRow>, CheckpointError> =
+            state.rows.into_iter().map(claim_row).collect();
+        let mut released = BTreeMap::new();
+        for (claim, until) in state.released {
+            released.insert(claim.try_into()?, WallMillis(until));
+        }
+        let next = LogOffset(state.next);
+        Ok(Self { next, time: WallMillis(state.time), rows: rows?, released })
+    }
+}
+
+fn claim_row_wire(key: ClaimKey, row: ClaimRow) -> ClaimRowWire {
+    let closed = match row.state {
+        ClaimState::Open => None,
+        ClaimState::Closed { outcome: CallOutcome::Unknown, until } => {
+            Some(ClosedWire { answer: None, until: until.0 })
+        }
+        ClaimState::Closed { outcome: CallOutcome::Answered { status, body }, until } => {
+            Some(ClosedWire { answer: Some((status, body)), until: until.0 })
+        }
+    };
+    ClaimRowWire {
+        workspace: key.workspace.into(),
+        key: key.key.into(),
+        claim: row.claim.into(),
+        claimant: row.claimant.into(),
+        content: row.content.0,
+        closed,
+    }
+}
+
+fn claim_row(row: ClaimRowWire) -> Result<(ClaimKey, ClaimRow), CheckpointError> {
+    let key = ClaimKey { workspace: row.workspace.try_into()?, key: row.key.try_into()? };
+    let state = match row.closed {
+        None => ClaimState::Open,
+        Some(ClosedWire { answer, until }) => {
+            let answered = |(status, body)| CallOutcome::Answered { status, body };
+            let outcome = answer.map_or(CallOutcome::Unknown, answered);
+            ClaimState::Closed { outcome, until: WallMillis(until) }
+        }
+    };
+    let row = ClaimRow {
+        claim: row.claim.try_into()?,
+        claimant: row.claimant.try_into()?,
+        content: ContentDigest(row.content),
+        state,
+    };
+    Ok((key, row))
+}
--- a/crates/banyan-wire/src/log.rs
+++ b/crates/banyan-wire/src/log.rs
@@ -1,7 +1,8 @@
 //! What we write into the platform's log: [`EntryWire`], JSON in one append.
 //!
-//! A reader that meets a fact of a kind it does not know must stop folding rather than skip it, or
-//! instances of different versions would disagree; see [`LogWireError::Unreadable`].
+//! A reader that meets an entry of a newer format must stop folding rather than skip it, or
+//! instances of different versions would disagree; see [`LogWireError::Newer`]. An entry that no
+//! version can read holds no facts for any of them; see [`LogWireError::Unreadable`].
 
 use serde::Deserialize;
 use serde::Serialize;
@@ -24,9 +25,19 @@
 /// Why an entry of the log could not be read.
 #[derive(Debug, Error)]
 pub enum LogWireError {
-    /// The body is not of our format.
+    /// The entry is of a newer format. The reader stops ahead of it.
     #[error(
-        "entry {offset} is not readable as format {LOG_FORMAT}: {reason}; run a version that knows it"
+        "entry {offset} is of format {format}, newer than {LOG_FORMAT}: run a version that knows it"
+    )]
+    Newer {
+        /// The entry's position.
+        offset: LogOffset,
+        /// Its format.
+        format: u64,
+    },
+    /// The body is of no format. Every reader takes it for an entry without facts.
+    #[error(
+        "entry {offset} is not readable as format {LOG_FORMAT}: {reason}; write it with banyanctl"
     )]
     Unreadable {
         /// The entry's position.
@@ -48,6 +59,13 @@
     pub facts: Vec<FactWire>,
 }
 
+/// What every format's entries begin with.
+#[derive(Debug, Deserialize)]
+struct HeadWire {
+    /// The format's version.
+    format: u64,
+}
+
 /// One fact.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct FactWire {
@@ -105,7 +123,8 @@
         claim: SmolStr,
         /// The status of the target's answer; absent where none came.
         status: Option<u16>,
-        /// The body of the target's answer.
+        /// The body of the target's answer, in base 64.
+        #[serde(with = "base64_text")]
         body: Vec<u8>,
         /// How long it is remembered, in milliseconds.
         memory_ms: u64,
@@ -123,11 +142,16 @@
     Checkpoint {
         /// The first offset that the state does not hold.
         next: u64,
+        /// The fold's time in the state, in milliseconds.
+        as_of_ms: u64,
+        /// The whole state's digest.
+        digest: SmolStr,
         /// The part's number.
         part: u32,
         /// The number of parts.
         parts: u32,
-        /// The serialised state.
+        /// This part of the serialised state, in base 64.
+        #[serde(with = "base64_text")]
         body: Vec<u8>,
     },
 }
@@ -146,10 +170,11 @@
     body: &[u8],
 ) -> Result<LogEntry, LogWireError> {
     let unreadable = |reason: String| LogWireError::Unreadable { offset, reason };
-    let entry: EntryWire = serde_json::from_slice(body).map_err(|e| unreadable(e.to_string()))?;
-    if entry.format != LOG_FORMAT {
-        return Err(unreadable(format!("its format is {}", entry.format)));
+    let head: HeadWire = serde_json::from_slice(body).map_err(|e| unreadable(e.to_string()))?;
+    if head.format > u64::from(LOG_FORMAT) {
+        return Err(LogWireError::Newer { offset, format: head.format });
     }
+    let entry: EntryWire = serde_json::from_slice(body).map_err(|e| unreadable(e.to_string()))?;
     let facts: Result<Vec<LogFact>, LogWireError> =
         entry.facts.into_iter().map(LogFact::try_from).collect();
     Ok(LogEntry { offset, at, facts: facts? })
@@ -206,8 +231,15 @@
                 key: key.key.into(),
                 claim: claim.into(),
             },
-            FactBody::Checkpoint { next, part, parts, body } => {
-                BodyWire::Checkpoint { next: next.0, part, parts, body }
+            FactBody::Checkpoint { next, as_of, digest, part, parts, body } => {
+                BodyWire::Checkpoint {
+                    next: next.0,
+                    as_of_ms: as_of.0,
+                    digest: smol_str::format_smolstr!("{digest}"),
+                    part,
+                    parts,
+                    body,
+                }
             }
         }
     }
@@ -242,8 +274,15 @@
             BodyWire::Release { workspace, key, claim } => {
                 FactBody::Release { key: claim_key(workspace, key)?, claim: claim.try_into()? }
             }
-            BodyWire::Checkpoint { next, part, parts, body } => {
-                FactBody::Checkpoint { next: LogOffset(next), part, parts, body }
+            BodyWire::Checkpoint { next, as_of_ms, digest, part, parts, body } => {
+                FactBody::Checkpoint {
+                    next: LogOffset(next),
+                    as_of: WallMillis(as_of_ms),
+                    digest: digest.parse()?,
+                    part,
+                    parts,
+                    body,
+                }
             }
         })
     }
@@ -252,3 +291,22 @@
 fn claim_key(workspace: SmolStr, key: SmolStr) -> Result<ClaimKey, IdError> {
     Ok(ClaimKey { workspace: workspace.try_into()?, key: key.try_into()? })
 }
+
+/// Bytes as text in JSON.
+mod base64_text {
+    use base64::Engine;
+    use base64::engine::general_purpose::STANDARD;
+    use serde::Deserialize;
+    use serde::Deserializer;
+    use serde::Serializer;
+    use serde::de::Error;
+
+    pub(super) fn serialize<S: Serializer>(bytes: &[u8], out: S) -> Result<S::Ok, S::Error> {
+        out.serialize_str(&STANDARD.encode(bytes))
+    }
+
+    pub(super) fn deserialize<'de, D: Deserializer<'de>>(input: D) -> Result<Vec<u8>, D::Error> {
+        let text = String::deserialize(input)?;
+        STANDARD.decode(text).map_err(D::Error::custom)
+    }
+}
