Admission takes turns by share, learns its pace and refuses in time

Cause: the queue looked at every waiting request for each turn, let one workspace fill it, charged strict priorities without end, and expected waits from the mean service time alone.

Change: start-time fair queueing over workspaces with ordered sets; every fourth turn ignores priorities; a full queue makes room at the cost of the longest backlog for its share; service times are kept by size with their deviation, drain by the measured pause between ends, and each workspace's own pace of turns. Capacity follows the engines (capacity_share). Limits over all instances are split by use (limits).

--- a/crates/banyan-core/src/serving.rs
+++ b/crates/banyan-core/src/serving.rs
@@ -7,10 +7,14 @@
 
 pub mod admission;
 pub mod budget;
+pub mod capacity;
 pub mod choice;
 pub mod decisions;
+pub mod estimate;
 pub mod groups;
 pub mod health;
+pub mod lanes;
+pub mod limits;
 pub mod load;
 pub mod poison;
 pub mod price;
--- a/crates/banyan-core/src/serving/admission.rs
+++ b/crates/banyan-core/src/serving/admission.rs
@@ -1,16 +1,27 @@
 //! Who is let in: [`AdmissionQueue`].
 //!
 //! A request is let in at once while there is room, waits while its deadline can still be met, and
-//! is refused before waiting is hopeless. Among workspaces that wait, the one that has had least
-//! for its share goes first.
+//! is refused before waiting is hopeless. Workspaces that wait take turns by start-time fair
+//! queueing: each has a tag that grows by the tokens it was given divided by its share, and the
+//! least tag goes first. Most turns look at the priority before the tag; every fourth does not, so
+//! that no priority starves. All steps cost the logarithm of the number of waiting requests.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
 
 use crate::ids::RequestId;
 use crate::ids::WorkspaceId;
+use crate::serving::estimate::ServiceEstimates;
+use crate::serving::lanes::LaneTable;
 use crate::units::Moment;
 
+/// One turn in so many ignores priorities.
+const FAIR_TURN: u64 = 4;
+/// The wait that must fit into the deadline, in percent of the expected one.
+const WAIT_MARGIN_PERCENT: u32 = 200;
+/// The least time after which a refused caller is asked back.
+const LEAST_RETRY_AFTER: Duration = Duration::from_millis(100);
+
 /// What is asked of admission.
 #[derive(Clone, Debug)]
 pub struct AdmissionRequest {
@@ -51,89 +62,140 @@
     pub refused: Vec<(RequestId, Duration)>,
 }
 
+/// A request under way.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ActiveRequest {
+    /// When it was let in.
+    pub since: Moment,
+    /// On whose behalf.
+    pub workspace: WorkspaceId,
+    /// The workspace's share.
+    pub share: u32,
+    /// The tokens that the workspace was charged.
+    pub tokens: u64,
+}
+
 /// The queue of one instance.
+///
+/// Invariants: at most `capacity` requests are active, unless it was lowered since; no request is
+/// both active and waiting.
 #[derive(Clone, Debug, Default)]
 pub struct AdmissionQueue {
     /// The most requests under way at once.
     pub capacity: u32,
     /// The most requests that wait.
     pub queue_limit: u32,
-    /// Requests under way, with when each was admitted.
-    pub active: BTreeMap<RequestId, Moment>,
-    /// Requests that wait, oldest first.
-    pub waiting: Vec<AdmissionRequest>,
-    /// Tokens given to each workspace, divided by its share; decides who goes first.
-    pub served: BTreeMap<WorkspaceId, u64>,
-    /// The smoothed time that a request takes.
-    pub service_time: Duration,
+    /// Requests under way.
+    pub active: BTreeMap<RequestId, ActiveRequest>,
+    /// Requests that wait, by workspace.
+    pub lanes: LaneTable,
+    /// How long requests take and how fast they end.
+    pub estimates: ServiceEstimates,
+    /// Requests that made room in a full queue, to be named by the next tick.
+    pub displaced: Vec<(RequestId, Duration)>,
+    /// Counts the turns.
+    pub turns: u64,
 }
 
 impl AdmissionQueue {
     /// Asks for a request to be let in.
     pub fn offer(&mut self, request: AdmissionRequest, now: Moment) -> AdmissionVerdict {
-        if (self.active.len() as u32) < self.capacity && self.waiting.is_empty() {
-            self.admit(&request, now);
+        if self.has_room() && self.lanes.is_empty() {
+            self.lanes.charge_unopposed(&request.workspace, request.share, request.tokens);
+            self.activate(request, now);
             return AdmissionVerdict::Admitted;
         }
-        let wait = self.expected_wait(self.waiting.len());
-        let hopeless = now + wait + self.service_time > request.deadline;
-        if hopeless || self.waiting.len() as u32 >= self.queue_limit {
-            return AdmissionVerdict::Refused { retry_after: wait.max(self.service_time) };
+        let service = self.estimates.expected(request.tokens);
+        let wait = self.expected_wait(&request.workspace, request.share);
+        let retry_after = wait.max(service).max(LEAST_RETRY_AFTER);
+        if now + wait * WAIT_MARGIN_PERCENT / 100 + service > request.deadline {
+            return AdmissionVerdict::Refused { retry_after };
+        }
+        if self.lanes.len() as u32 >= self.waiting_limit() && !self.displace(&request) {
+            return AdmissionVerdict::Refused { retry_after };
         }
-        self.waiting.push(request);
+        let slack = request.deadline.since(Moment(0)).saturating_sub(service);
+        self.lanes.push(request, Moment(0) + slack);
         AdmissionVerdict::Queued
     }
 
     /// Notes that a request that was admitted has ended.
     pub fn release(&mut self, request: &RequestId, now: Moment) {
-        let Some(since) = self.active.remove(request) else { return };
-        let took = now.since(since);
-        self.service_time =
-            if self.service_time.is_zero() { took } else { (self.service_time * 7 + took) / 8 };
+        let Some(active) = self.active.remove(request) else { return };
+        let busy = !self.lanes.is_empty();
+        self.estimates.record(active.tokens, now.since(active.since), busy, now);
+    }
+
+    /// Gives a workspace back what an active request did not use of its tokens.
+    pub fn settle(&mut self, request: &RequestId, used: u64) {
+        let Some(active) = self.active.get_mut(request) else { return };
+        let unused = active.tokens.saturating_sub(used);
+        active.tokens -= unused;
+        self.lanes.refund(&active.workspace, active.share, unused);
     }
 
     /// Forgets a request that waits and whose caller is gone.
     pub fn withdraw(&mut self, request: &RequestId) {
-        self.waiting.retain(|waiting| waiting.request != *request);
+        self.lanes.remove(request);
+        self.displaced.retain(|(displaced, _)| displaced != request);
     }
 
     /// Lets in what there is room for and refuses what became hopeless.
     pub fn tick(&mut self, now: Moment) -> AdmissionRound {
-        let mut round = AdmissionRound::default();
-        let service_time = self.service_time;
-        let retry_after = self.expected_wait(self.waiting.len()).max(service_time);
-        self.waiting.retain(|waiting| {
-            let hopeless = now + service_time > waiting.deadline;
-            if hopeless {
-                round.refused.push((waiting.request.clone(), retry_after));
-            }
-            !hopeless
-        });
-        while (self.active.len() as u32) < self.capacity {
-            let Some(index) = self.next_waiting() else { break };
-            let request = self.waiting.remove(index);
-            self.admit(&request, now);
-            round.admitted.push(request.request);
+        let mut refused = std::mem::take(&mut self.displaced);
+        while let Some(late) = self.lanes.pop_late(now) {
+            let service = self.estimates.expected(late.tokens);
+            let wait = self.expected_wait(&late.workspace, late.share);
+            refused.push((late.request, wait.max(service).max(LEAST_RETRY_AFTER)));
+        }
+        let mut admitted = Vec::new();
+        while self.has_room() {
+            self.turns += 1;
+            let by_priority = !self.turns.is_multiple_of(FAIR_TURN);
+            let Some(request) = self.lanes.pop_next(by_priority, now) else { break };
+            admitted.push(request.request.clone());
+            self.activate(request, now);
+        }
+        AdmissionRound { admitted, refused }
+    }
+
+    /// The time until a new request of a workspace would be let in: by what is ahead of it at its
+    /// share, or by the pace of the workspace's own turns, which also shows those who come in
+    /// before it without waiting.
+    fn expected_wait(&self, workspace: &WorkspaceId, share: u32) -> Duration {
+        let ahead = self.lanes.expected_ahead(workspace, share);
+        let by_share = self.estimates.drain_time(ahead + 1, self.capacity);
+        by_share.max(self.lanes.expected_turn(workspace))
+    }
+
+    /// The most requests that wait: one for each place until the first has ended, because without
+    /// any measured time nobody can tell which would be late.
+    fn waiting_limit(&self) -> u32 {
+        if self.estimates.is_known() {
+            self.queue_limit
+        } else {
+            self.queue_limit.min(self.capacity)
         }
-        round
     }
 
-    fn next_waiting(&self) -> Option<usize> {
-        let served = |workspace: &WorkspaceId| self.served.get(workspace).copied().unwrap_or(0);
-        let rank =
-            |waiting: &AdmissionRequest| (9 - waiting.priority.min(9), served(&waiting.workspace));
-        (0..self.waiting.len()).min_by_key(|index| rank(&self.waiting[*index]))
+    fn has_room(&self) -> bool {
+        (self.active.len() as u32) < self.capacity
     }
 
-    fn admit(&mut self, request: &AdmissionRequest, now: Moment) {
-        self.active.insert(request.request.clone(), now);
-        let floor = self.served.values().min().copied().unwrap_or(0);
-        let served = self.served.entry(request.workspace.clone()).or_insert(floor);
-        *served += request.tokens / u64::from(request.share.max(1));
+    fn activate(&mut self, request: AdmissionRequest, now: Moment) {
+        let AdmissionRequest { request, workspace, share, tokens, .. } = request;
+        self.active.insert(request, ActiveRequest { since: now, workspace, share, tokens });
     }
 
-    fn expected_wait(&self, ahead: usize) -> Duration {
-        let rounds = ahead as u32 / self.capacity.max(1) + 1;
-        self.service_time * rounds
+    /// Makes room in a full queue at the cost of the workspace that has most waiting for its
+    /// share; false where that is the newcomer's own.
+    fn displace(&mut self, newcomer: &AdmissionRequest) -> bool {
+        let Some(displaced) = self.lanes.pop_longest(&newcomer.workspace, newcomer.share) else {
+            return false;
+        };
+        let wait = self.expected_wait(&displaced.workspace, displaced.share);
+        let retry_after = wait.max(self.estimates.expected(displaced.tokens));
+        self.displaced.push((displaced.request, retry_after));
+        true
     }
 }
--- a/crates/banyan-naive/src/lib.rs
+++ b/crates/banyan-naive/src/lib.rs
@@ -4,6 +4,7 @@
 //! decision. [`choice`] holds round robin and its kin, [`admission`] first come, first served, and
 //! [`batch_model`] is a deterministic model of engines that batch steps.
 
+pub mod admission;
 pub mod batch_model;
 pub mod choice;
 pub mod draws;
