Silence is judged by the link, and a part of a silent group stays in use

Cause: a fixed limit suspects targets behind a slow link again and again; a hiccup on our side of the links emptied whole groups; a target that kept failing came back at its first answer.

--- a/crates/banyan-core/src/serving/price.rs
+++ b/crates/banyan-core/src/serving/price.rs
@@ -5,6 +5,7 @@
 use crate::declaration::TargetRole;
 use crate::ids::ZoneId;
 use crate::serving::choice::ChainQuery;
+use crate::serving::targets::TargetHealth;
 use crate::serving::targets::TargetRow;
 use crate::serving::targets::TargetTable;
 use crate::units::ByteCount;
@@ -20,6 +21,11 @@
 /// The weight of the busiest stage where it does not bound the pace, as a divisor.
 const IDLE_PEAK_DIVISOR: u64 = 4;
 
+/// What a target costs more that stays in use although it is suspected, in microseconds.
+const SUSPECT_MICROS: u64 = 200_000;
+/// The same for a replica, in calls under way.
+const SUSPECT_CALLS: u64 = 16;
+
 /// The price of one stage, or of a chain of them.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct StagePrice {
@@ -61,12 +67,14 @@
     let link = link_time(row, query.handoff, *link_bytes_per_second);
     let distance = distance(table, query.zone, &row.spec.zone);
     let peak = step * (u64::from(row.expected_streams()) + 1) / batch;
-    StagePrice { sum: step + wait + link + distance, peak }
+    let doubt = if is_suspected(row) { SUSPECT_MICROS } else { 0 };
+    StagePrice { sum: step + wait + link + distance + doubt, peak }
 }
 
 /// What a call to a replica costs, in calls under way before it.
 pub fn replica_price(table: &TargetTable, row: &TargetRow) -> u64 {
-    (u64::from(row.expected_load()) + 1) * 100 / warm_percent(table, row)
+    let doubt = if is_suspected(row) { SUSPECT_CALLS } else { 0 };
+    (u64::from(row.expected_load()) + 1 + doubt) * 100 / warm_percent(table, row)
 }
 
 /// The time that the hand-off needs: as declared, or as observed where the link has become slower.
@@ -77,6 +85,10 @@
     declared.max(observed)
 }
 
+fn is_suspected(row: &TargetRow) -> bool {
+    row.health != TargetHealth::Trusted
+}
+
 fn distance(table: &TargetTable, from: &ZoneId, to: &ZoneId) -> u64 {
     if from == to {
         return 0;
--- a/crates/banyan-core/src/serving/targets.rs
+++ b/crates/banyan-core/src/serving/targets.rs
@@ -19,6 +19,10 @@
 
 /// The weight of a new sample in a smoothed time, in eighths.
 const SAMPLE_WEIGHT_EIGHTHS: u32 = 2;
+/// The signs of life over which the longest gap between them fades.
+const GAP_MEMORY: u32 = 256;
+/// A longer gap between two signs of life is a failure, not a slow link.
+const LEARNABLE_GAP: Duration = Duration::from_secs(3);
 
 /// All targets in force.
 #[derive(Clone, Debug, Default)]
@@ -31,6 +35,8 @@
     pub regions: BTreeMap<ZoneId, RegionId>,
     /// The latest moment that any input brought.
     pub now: Moment,
+    /// The share of a group that stays in use whatever is silent, in percent.
+    pub floor_percent: u32,
 }
 
 /// One target.
@@ -60,6 +66,18 @@
     pub leaving: LeavingSigns,
     /// When it last gave any sign of life.
     pub heard: Option<Moment>,
+    /// The longest time between two signs of life lately.
+    pub longest_gap: Duration,
+    /// When it last failed plainly.
+    pub failed: Option<Moment>,
+    /// Plain failures in a row.
+    pub failures: u32,
+    /// Whether its connection is refused or broke, for as long as it is suspected.
+    pub broken: bool,
+    /// Whether it stays in use although it is suspected of silence.
+    ///
+    /// Invariant: never true together with `broken`.
+    pub retained: bool,
     /// When it last became usable after being new or suspected, for warming up.
     pub usable_since: Moment,
 }
@@ -129,13 +147,28 @@
             health: TargetHealth::Trusted,
             leaving: LeavingSigns::default(),
             heard: None,
+            longest_gap: Duration::ZERO,
+            failed: None,
+            failures: 0,
+            broken: false,
+            retained: false,
             usable_since: now,
         }
     }
 
     /// Whether it may get new work.
     pub fn usable(&self) -> bool {
-        self.health == TargetHealth::Trusted && !self.leaving.any()
+        (self.health == TargetHealth::Trusted || self.retained) && !self.leaving.any()
+    }
+
+    /// Notes a sign of life.
+    pub fn hear(&mut self, now: Moment) {
+        let gap = self.heard.map_or(Duration::ZERO, |heard| now.since(heard));
+        self.heard = Some(now);
+        self.longest_gap = self.longest_gap * (GAP_MEMORY - 1) / GAP_MEMORY;
+        if gap <= LEARNABLE_GAP {
+            self.longest_gap = self.longest_gap.max(gap);
+        }
     }
 
     /// The steps to expect there: what others had when the lagged report was measured, and what
@@ -184,6 +217,7 @@
             }
         }
         self.groups = TargetGroups::of(declaration);
+        self.floor_percent = declaration.policy.ejection_floor_percent;
     }
 
     /// Brings the table's time forward.
@@ -223,7 +257,7 @@
         row.in_flight = row.in_flight.saturating_sub(1);
         row.remember_load(now);
         let Some(took) = took else { return };
-        row.heard = Some(now);
+        row.hear(now);
         row.link.record(took);
         row.latency = smooth(row.latency, took);
     }
@@ -233,7 +267,7 @@
         self.advance(now);
         let Some(row) = self.rows.get_mut(target) else { return };
         let newer = row.report.as_ref().is_none_or(|old| report.measured > old.measured);
-        row.heard = Some(now);
+        row.hear(now);
         if newer {
             row.step_time = smooth(row.step_time, report.step_time);
             row.link.fade();
