--- a/crates/banyan-naive/src/lib.rs
+++ b/crates/banyan-naive/src/lib.rs
@@ -8,4 +8,5 @@
 pub mod batch_model;
 pub mod choice;
 pub mod draws;
+pub mod faults;
 pub mod fixtures;
