Entry follows the folds' steps and the window of timed keys

Cause: the folds now tell repeated entries from gaps, and judge a key's own time themselves. Ruled out: judging a key's time ahead of the log's before claiming, since a quiet stream's time may be hours old; it is judged after a claim came back void, when the time is fresh.

--- a/crates/banyan-entry/src/claims.rs
+++ b/crates/banyan-entry/src/claims.rs
@@ -20,6 +20,8 @@
 use banyan_core::fold::ClaimRow;
 use banyan_core::fold::ClaimState;
 use banyan_core::fold::ClaimVerdict;
+use banyan_core::fold::KeyStanding;
+use banyan_core::fold::key_standing;
 use banyan_core::ids::RecordId;
 use banyan_core::ids::RequestId;
 use banyan_core::record::CallOutcome;
@@ -34,8 +36,6 @@
 const CLAIM_WAIT: Duration = Duration::from_secs(2);
 /// The longest time to wait for the outcome of a claim that another run holds.
 const HOLDER_WAIT: Duration = Duration::from_secs(5);
-/// How far a key's time may lie ahead of the log's, in milliseconds.
-const KEY_LEAD_MS: u64 = 300_000;
 /// Tries to claim a key whose claims land too late.
 const CLAIM_TRIES: u32 = 3;
 
@@ -134,8 +134,7 @@
     pub fn close(self, outcome: CallOutcome) {
         let state = self.state.clone();
         let memory = state.tables().declaration.policy.key_memory;
-        // A key's time may lead the log's, and the memory covers that lead.
-        let memory_ms = memory.as_millis() as u64 + KEY_LEAD_MS;
+        let memory_ms = memory.as_millis() as u64;
         let body = FactBody::Close {
             key: self.key.clone(),
             claim: self.claim.clone(),
@@ -164,8 +163,8 @@
     content: ContentDigest,
     deadline: Instant,
 ) -> Result<ClaimTurn, Refusal> {
-    check_key_time(state, key)?;
-    for _ in 0..CLAIM_TRIES {
+    for turn in 0..CLAIM_TRIES {
+        check_key_time(state, key, turn > 0)?;
         if let Some(row) = folded_row(state, key) {
             return wait_for_holder(state, key, content, row, deadline).await;
         }
@@ -199,24 +198,14 @@
 }
 
 /// A key that carries its time, as UUIDv7 does, is refused once its outcome may be forgotten.
-fn check_key_time(state: &EntryState, key: &ClaimKey) -> Result<(), Refusal> {
-    let Ok(uuid) = uuid::Uuid::parse_str(key.key.as_str()) else { return Ok(()) };
-    if uuid.get_version_num() != 7 {
-        return Ok(());
+///
+/// A time ahead of the log's is judged only when an entry has just told the log's time.
+fn check_key_time(state: &EntryState, key: &ClaimKey, time_is_fresh: bool) -> Result<(), Refusal> {
+    match key_standing(&key.key, fold_time(state, key)) {
+        KeyStanding::TooOld => Err(Refusal::KeyExpired),
+        KeyStanding::TooNew if time_is_fresh => Err(Refusal::KeyFromFuture),
+        _ => Ok(()),
     }
-    let Some(stamp) = uuid.get_timestamp() else { return Ok(()) };
-    let (seconds, nanos) = stamp.to_unix();
-    let key_ms = seconds * 1000 + u64::from(nanos) / 1_000_000;
-    let memory = state.tables().declaration.policy.key_memory.as_millis() as u64;
-    let time = fold_time(state, key);
-    if time.0 > key_ms + memory {
-        return Err(Refusal::KeyExpired);
-    }
-    // Before the stream's first entry there is no time to compare with.
-    if time.0 > 0 && key_ms > time.0.max(crate::clock::wall_millis()) + KEY_LEAD_MS {
-        return Err(Refusal::KeyFromFuture);
-    }
-    Ok(())
 }
 
 fn fold_time(state: &EntryState, key: &ClaimKey) -> WallMillis {
--- a/crates/banyan-entry/src/follower.rs
+++ b/crates/banyan-entry/src/follower.rs
@@ -17,9 +17,11 @@
 use banyan_core::fold::ConfigurationFold;
 use banyan_core::ids::LogOffset;
 use banyan_core::record::CLAIM_PARTITIONS;
+use banyan_core::record::LogEntry;
 use banyan_core::record::StreamId;
 use banyan_core::units::Moment;
 use banyan_core::units::WallMillis;
+use banyan_wire::log::LogWireError;
 use banyan_wire::log::decode_entry;
 use banyan_wire::platform::ReadEntry;
 use banyan_wire::platform::ReadReply;
@@ -111,11 +113,23 @@
         if offset != self.next(stream) {
             return Ok(());
         }
-        let decoded = decode_entry(offset, WallMillis(entry.at_ms), entry.body.as_bytes())
-            .map_err(|error| error.to_string())?;
+        let at = WallMillis(entry.at_ms);
+        let decoded = match decode_entry(offset, at, entry.body.as_bytes()) {
+            Ok(decoded) => decoded,
+            Err(error @ LogWireError::Newer { .. }) => return Err(error.to_string()),
+            // An entry that no version can read holds no facts for any instance.
+            Err(error) => {
+                log::warn!("log: {stream}: {error}.");
+                LogEntry { offset, at, facts: Vec::new() }
+            }
+        };
         match stream {
-            StreamId::Configuration => self.configuration.apply(&decoded),
-            StreamId::Claims(partition) => self.claims[usize::from(partition)].apply(&decoded),
+            StreamId::Configuration => {
+                self.configuration.apply(&decoded);
+            }
+            StreamId::Claims(partition) => {
+                self.claims[usize::from(partition)].apply(&decoded);
+            }
         }
         let recent = self.recent.entry(stream).or_default();
         recent.push_back(entry.clone());
