A claim that lost tells the requests that wait for it

Cause: repeats of one key at once through all entries: a request that waited for a claim of its own instance waited until its deadline when that claim lost, because the row left the ledger without a word (test repeats_at_once_through_all_entries_run_once was red: outcome unknown after 25 s). Ruled out: the fold's verdict, which was right.

--- a/crates/banyan-entry/src/claims.rs
+++ b/crates/banyan-entry/src/claims.rs
@@ -115,6 +115,12 @@
         }
     }
 
+    /// Ends a claim that will never be dispatched, and tells the requests that wait for it.
+    fn give_up(&self, key: &ClaimKey, claim: &RecordId) {
+        self.set_phase(key, claim, LedgerPhase::Abandoned);
+        self.remove(key, claim);
+    }
+
     fn remove(&self, key: &ClaimKey, claim: &RecordId) {
         let mut rows = self.lock();
         if rows.get(key).is_some_and(|row| row.claim == *claim) {
@@ -187,7 +193,7 @@
                 let (state, key) = (state.clone(), key.clone());
                 return Ok(ClaimTurn::Mine(HeldClaim { state, key, claim, dispatched: false }));
             }
-            ClaimVerdict::Lost(_) | ClaimVerdict::Void => state.ledger.remove(key, &claim),
+            ClaimVerdict::Lost(_) | ClaimVerdict::Void => state.ledger.give_up(key, &claim),
             ClaimVerdict::Unseen => {
                 abandon(state, key, &claim);
                 return Err(Refusal::LogAway);
@@ -307,8 +313,7 @@
 
 /// Gives up a claim that was not dispatched: here first, then in the log.
 fn abandon(state: &Arc<EntryState>, key: &ClaimKey, claim: &RecordId) {
-    state.ledger.set_phase(key, claim, LedgerPhase::Abandoned);
-    state.ledger.remove(key, claim);
+    state.ledger.give_up(key, claim);
     state.journal.record(EventKind::ClaimReleased, "", "", &key.to_string());
     let body = FactBody::Release { key: key.clone(), claim: claim.clone() };
     submit(state, key, body, None);
--- a/crates/banyan-entry/src/daemon.rs
+++ b/crates/banyan-entry/src/daemon.rs
@@ -183,6 +183,7 @@
         ticks.tick().await;
         let now = state.now();
         let mut tables = state.tables();
+        tables.targets.advance(now);
         run_admission(&mut tables, now);
         let suspect_after = tables.declaration.policy.suspect_after;
         let changes = health::suspect_silent(&mut tables.targets, suspect_after, now);
--- a/crates/banyan-entry/src/lineage.rs
+++ b/crates/banyan-entry/src/lineage.rs
@@ -154,13 +154,17 @@
 
     fn choose(&mut self) -> bool {
         let draw = rand::random();
-        let tables = self.state.tables();
+        let now = self.state.now();
+        let mut tables = self.state.tables();
+        tables.targets.advance(now);
         let excluded = self.excluded(&tables);
         let query = self.query(&excluded, draw);
         let choose_chain = self.state.decisions.choose_chain;
-        let chain = choose_chain(&tables.targets, &query);
+        let Some(chain) = choose_chain(&tables.targets, &query) else { return false };
+        for stage in &chain {
+            tables.targets.note_assigned(&stage.target);
+        }
         drop(tables);
-        let Some(chain) = chain else { return false };
         let names: Vec<&str> = chain.iter().map(|stage| stage.target.as_str()).collect();
         let detail = names.join(" > ");
         self.state.journal.record(EventKind::Routed, &self.order.request.to_string(), "", &detail);
@@ -342,11 +346,18 @@
         loop {
             self.check_deadline()?;
             let choice = {
-                let tables = self.state.tables();
+                let now = self.state.now();
+                let mut tables = self.state.tables();
+                tables.targets.advance(now);
                 let excluded = self.excluded(&tables);
                 let query = self.query(&excluded, rand::random());
                 let choose_stage = self.state.decisions.choose_stage;
-                choose_stage(&tables.targets, &query, layers)
+                let choice = choose_stage(&tables.targets, &query, layers);
+                if let Some(choice) = &choice {
+                    tables.targets.note_unassigned(&self.stages[stage].choice.target);
+                    tables.targets.note_assigned(&choice.target);
+                }
+                choice
             };
             if let Some(choice) = choice {
                 self.note_replacement(stage, &choice);
@@ -394,6 +405,9 @@
         let mut addresses = Vec::new();
         {
             let mut tables = self.state.tables();
+            for stage in &self.stages {
+                tables.targets.note_unassigned(&stage.choice.target);
+            }
             for target in &self.touched {
                 if let Some(contents) = tables.contents.get_mut(target) {
                     contents.remove(&request);
--- a/crates/banyan-entry/src/probes.rs
+++ b/crates/banyan-entry/src/probes.rs
@@ -86,6 +86,7 @@
     let load = ReportedLoad {
         incarnation: report.incarnation,
         load: report.running + report.queued,
+        streams: report.lineages,
         step_time: Duration::from_micros(report.step_us),
         measured,
     };
--- a/crates/banyan-entry/tests/support/mod.rs
+++ b/crates/banyan-entry/tests/support/mod.rs
@@ -121,7 +121,10 @@
         self.entries.push(entry);
         let index = self.entries.len() - 1;
         let entry = &self.entries[index];
-        wait_for("the entry is ready", || daemon::readiness(&entry.state).ready).await;
+        wait_for("the entry is ready and has read every stream", || {
+            daemon::readiness(&entry.state).ready && entry.state.folds.tables().log_reachable()
+        })
+        .await;
         index
     }
 
