banyan-timeline: events of all processes as one causal line

Cause: each entry keeps its own events, and nobody could read them in one order.

Ruled out: sorting by wall clock, which shows effects before causes where clocks differ (test with a receiver whose clock is 5 s behind); a scale true to time in the picture, where events of one millisecond would cover each other and a quiet minute would fill the page.

Conclusion: text, JSON lines and one page without references; sources that fail are named and do not keep the others away.

--- /dev/null
+++ b/crates/banyan-timeline/src/run.rs
@@ -0,0 +1,99 @@
+//! Carries out a parsed command line: [`run_command`].
+
+use std::collections::BTreeSet;
+use std::fs;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use clap::ArgMatches;
+use smol_str::SmolStr;
+
+use crate::collect::EventSources;
+use crate::collect::ProcessAddress;
+use crate::collect::collect_events;
+use crate::filter::EventFilter;
+use crate::filter::apply_filter;
+use crate::merge::merge_replies;
+use crate::picture::timeline_page;
+use crate::text::json_lines;
+use crate::text::text_lines;
+use banyan_http::client::JsonClient;
+
+/// Every source gave its events.
+pub const EXIT_DONE: u8 = 0;
+/// The command line is wrong, or the page cannot be written.
+pub const EXIT_USAGE: u8 = 2;
+/// No source gave any events.
+pub const EXIT_NOTHING: u8 = 3;
+/// Some sources gave none.
+pub const EXIT_PARTIAL: u8 = 4;
+
+/// What to print, and how it ended.
+#[derive(Clone, Debug, Default)]
+pub struct TimelineReport {
+    /// The events, one a line, for standard output.
+    pub lines: Vec<String>,
+    /// What is missing, for standard error.
+    pub notes: Vec<String>,
+    /// The exit code.
+    pub exit: u8,
+}
+
+/// Collects, merges, filters and shows.
+pub async fn run_command(matches: &ArgMatches) -> TimelineReport {
+    let sources = sources_of(matches);
+    if sources.platform.is_none() && sources.processes.is_empty() && sources.files.is_empty() {
+        let note = "no source is given: give --platform, --process or --file";
+        return TimelineReport { notes: vec![note.into()], exit: EXIT_USAGE, lines: Vec::new() };
+    }
+    let timeout_ms = matches.get_one::<u64>("timeout-ms").copied().unwrap_or_default();
+    let client = JsonClient::new(Duration::from_millis(timeout_ms));
+    let collected = collect_events(&client, &sources).await;
+    let mut notes: Vec<String> = collected.errors.iter().map(ToString::to_string).collect();
+    let exit = match (collected.replies.is_empty(), notes.is_empty()) {
+        (true, _) => EXIT_NOTHING,
+        (false, true) => EXIT_DONE,
+        (false, false) => EXIT_PARTIAL,
+    };
+    let mut timeline = merge_replies(collected.replies);
+    apply_filter(&mut timeline, &filter_of(matches));
+    for gap in &timeline.gaps {
+        notes.push(format!("{}: {} events are missing: {}", gap.process, gap.count, gap.reason));
+    }
+    let lines = match matches.get_flag("json") {
+        true => json_lines(&timeline),
+        false => text_lines(&timeline),
+    };
+    if let Some(path) = matches.get_one::<String>("html")
+        && let Err(error) = fs::write(path, timeline_page(&timeline))
+    {
+        notes.push(format!("{path} cannot be written: {error}; name a file that can"));
+        return TimelineReport { lines, notes, exit: EXIT_USAGE };
+    }
+    TimelineReport { lines, notes, exit }
+}
+
+fn sources_of(matches: &ArgMatches) -> EventSources {
+    EventSources {
+        platform: matches.get_one::<SocketAddr>("platform").copied(),
+        processes: matches
+            .get_many::<ProcessAddress>("process")
+            .unwrap_or_default()
+            .cloned()
+            .collect(),
+        files: matches.get_many::<String>("file").unwrap_or_default().cloned().collect(),
+    }
+}
+
+fn filter_of(matches: &ArgMatches) -> EventFilter {
+    let set = |name: &str| -> BTreeSet<SmolStr> {
+        matches.get_many::<String>(name).unwrap_or_default().map(SmolStr::new).collect()
+    };
+    EventFilter {
+        requests: set("request"),
+        targets: set("target"),
+        instances: set("instance"),
+        kinds: set("kind"),
+        last: matches.get_one::<u64>("last").map(|last| *last as usize),
+    }
+}
