banyanctl try: one request as a caller, with its answer checked whole

Cause: after an apply an operator had no quick way to see that an answer arrives whole, and the quickstart needs the same check.

Ruled out: curl with a shell, which cannot make the checksum.

--- a/crates/banyan-ctl/src/command.rs
+++ b/crates/banyan-ctl/src/command.rs
@@ -44,6 +44,7 @@
         .subcommand(in_force_command())
         .subcommand(status_command())
         .subcommand(history_command())
+        .subcommand(try_command())
 }
 
 fn shared_flags() -> Vec<Arg> {
@@ -174,3 +175,51 @@
         )
         .after_help(EXIT_CODES)
 }
+
+fn try_command() -> Command {
+    let caller = || {
+        [
+            Arg::new("caller")
+                .long("caller")
+                .value_name("IP:PORT")
+                .required(true)
+                .value_parser(value_parser!(SocketAddr))
+                .help("An entry's caller address, or the balancer's"),
+            Arg::new("token")
+                .long("token")
+                .value_name("TOKEN")
+                .required(true)
+                .help("A workspace's bearer token"),
+        ]
+    };
+    let text = |name: &'static str, help: &'static str| {
+        Arg::new(name).long(name).value_name("TEXT").required(true).help(help)
+    };
+    let completion = Command::new("completion")
+        .about("Asks for a streamed completion and checks outcome, token count and checksum")
+        .args(caller())
+        .arg(text("model", "The model"))
+        .arg(text("prompt", "The prompt"))
+        .arg(
+            Arg::new("max-tokens")
+                .long("max-tokens")
+                .value_name("NUMBER")
+                .default_value("16")
+                .value_parser(value_parser!(u64).range(1..))
+                .help("The most tokens to answer with"),
+        );
+    let call = Command::new("call")
+        .about("Calls a plain service and checks the outcome")
+        .args(caller())
+        .arg(text("service", "The service"))
+        .arg(text("call", "The call"))
+        .arg(Arg::new("key").long("key").value_name("KEY").help("The idempotency key"))
+        .arg(Arg::new("body").long("body").value_name("JSON").default_value("{}").help("The body"));
+    Command::new("try")
+        .about("Sends one request as a caller would and checks that the answer is whole")
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .after_help(EXIT_CODES)
+        .subcommand(completion)
+        .subcommand(call)
+}
--- a/crates/banyan-ctl/src/lib.rs
+++ b/crates/banyan-ctl/src/lib.rs
@@ -12,6 +12,8 @@
 pub mod history;
 pub mod in_force;
 pub mod log_stream;
+pub mod probe;
 pub mod report;
 pub mod run;
 pub mod status;
+pub mod stream_check;
--- a/crates/banyan-ctl/src/main.rs
+++ b/crates/banyan-ctl/src/main.rs
@@ -2,6 +2,7 @@
 
 use std::process::ExitCode;
 
+use clap::ArgMatches;
 use serde::Serialize;
 
 use banyan_ctl::command::ctl_command;
@@ -18,7 +19,7 @@
 async fn main() -> ExitCode {
     env_logger::init();
     let matches = ctl_command().get_matches();
-    let is_json = matches.subcommand().is_some_and(|(_, matches)| matches.get_flag("json"));
+    let is_json = matches.subcommand().is_some_and(|(_, matches)| is_flagged(matches));
     match run_command(&matches).await {
         Ok(report) => {
             let line = if is_json { report.json } else { report.text };
@@ -33,6 +34,12 @@
     }
 }
 
+/// Whether `--json` stands before or behind the innermost subcommand.
+fn is_flagged(matches: &ArgMatches) -> bool {
+    let inner = matches.subcommand().is_some_and(|(_, inner)| inner.get_flag("json"));
+    inner || matches.get_flag("json")
+}
+
 fn print_error(error: &CtlError, is_json: bool) -> ExitCode {
     if is_json {
         let result = ErrorResult { error: error.to_string() };
--- a/crates/banyan-ctl/src/run.rs
+++ b/crates/banyan-ctl/src/run.rs
@@ -17,7 +17,11 @@
 use crate::history::show_history;
 use crate::in_force::show_in_force;
 use crate::log_stream::LogClient;
+use crate::probe::CallerOrder;
+use crate::probe::try_call;
+use crate::probe::try_completion;
 use crate::report::CommandReport;
+use crate::report::ExitKind;
 use crate::status::show_status;
 use banyan_core::ids::FileId;
 use banyan_core::ids::RecordId;
@@ -46,6 +50,7 @@
         Some(("status", matches)) => {
             show_status(&context_of(matches).fleet, matches.get_flag("long")).await
         }
+        Some(("try", matches)) => Ok(run_try(matches).await),
         Some((_, matches)) => {
             let context = context_of(matches);
             show_history(&context.fleet, &log_client(&context)?).await
@@ -83,6 +88,26 @@
     Ok(check_files(&local, &in_force))
 }
 
+async fn run_try(matches: &ArgMatches) -> CommandReport {
+    let Some((kind, matches)) = matches.subcommand() else {
+        // The command line requires a subcommand.
+        return CommandReport::new(ExitKind::Usage, String::new(), &());
+    };
+    let text = |name: &str| matches.get_one::<String>(name).cloned().unwrap_or_default();
+    let unset = SocketAddr::from(([127, 0, 0, 1], 0));
+    let order = CallerOrder {
+        address: matches.get_one::<SocketAddr>("caller").copied().unwrap_or(unset),
+        token: SmolStr::from(text("token")),
+        timeout: context_of(matches).timeout,
+    };
+    if kind == "completion" {
+        let max_tokens = matches.get_one::<u64>("max-tokens").copied().unwrap_or(1);
+        return try_completion(&order, &text("model"), &text("prompt"), max_tokens).await;
+    }
+    let key = matches.get_one::<String>("key").map(String::as_str);
+    try_call(&order, &text("service"), &text("call"), key, &text("body")).await
+}
+
 async fn run_apply(matches: &ArgMatches) -> Result<CommandReport, CtlError> {
     let context = context_of(matches);
     let path = matches.get_one::<String>("file").cloned().unwrap_or_default();
