--- a/crates/banyan-entry/tests/support/mod.rs
+++ b/crates/banyan-entry/tests/support/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code, missing_docs)]
 
 pub mod caller;
+pub mod process;
 pub mod truth;
 
 use std::net::Ipv4Addr;
