--- a/crates/banyan-entry/src/claims.rs
+++ b/crates/banyan-entry/src/claims.rs
@@ -20,6 +20,8 @@
 use banyan_core::fold::ClaimRow;
 use banyan_core::fold::ClaimState;
 use banyan_core::fold::ClaimVerdict;
+use banyan_core::fold::KeyStanding;
+use banyan_core::fold::key_standing;
 use banyan_core::ids::RecordId;
 use banyan_core::ids::RequestId;
 use banyan_core::record::CallOutcome;
@@ -34,8 +36,6 @@
 const CLAIM_WAIT: Duration = Duration::from_secs(2);
 /// The longest time to wait for the outcome of a claim that another run holds.
 const HOLDER_WAIT: Duration = Duration::from_secs(5);
-/// How far a key's time may lie ahead of the log's, in milliseconds.
-const KEY_LEAD_MS: u64 = 300_000;
 /// Tries to claim a key whose claims land too late.
 const CLAIM_TRIES: u32 = 3;
 
@@ -115,6 +115,12 @@
         }
     }
 
+    /// Ends a claim that will never be dispatched, and tells the requests that wait for it.
+    fn give_up(&self, key: &ClaimKey, claim: &RecordId) {
+        self.set_phase(key, claim, LedgerPhase::Abandoned);
+        self.remove(key, claim);
+    }
+
     fn remove(&self, key: &ClaimKey, claim: &RecordId) {
         let mut rows = self.lock();
         if rows.get(key).is_some_and(|row| row.claim == *claim) {
@@ -134,8 +140,7 @@
     pub fn close(self, outcome: CallOutcome) {
         let state = self.state.clone();
         let memory = state.tables().declaration.policy.key_memory;
-        // A key's time may lead the log's, and the memory covers that lead.
-        let memory_ms = memory.as_millis() as u64 + KEY_LEAD_MS;
+        let memory_ms = memory.as_millis() as u64;
         let body = FactBody::Close {
             key: self.key.clone(),
             claim: self.claim.clone(),
@@ -164,8 +169,8 @@
     content: ContentDigest,
     deadline: Instant,
 ) -> Result<ClaimTurn, Refusal> {
-    check_key_time(state, key)?;
-    for _ in 0..CLAIM_TRIES {
+    for turn in 0..CLAIM_TRIES {
+        check_key_time(state, key, turn > 0)?;
         if let Some(row) = folded_row(state, key) {
             return wait_for_holder(state, key, content, row, deadline).await;
         }
@@ -188,7 +193,7 @@
                 let (state, key) = (state.clone(), key.clone());
                 return Ok(ClaimTurn::Mine(HeldClaim { state, key, claim, dispatched: false }));
             }
-            ClaimVerdict::Lost(_) | ClaimVerdict::Void => state.ledger.remove(key, &claim),
+            ClaimVerdict::Lost(_) | ClaimVerdict::Void => state.ledger.give_up(key, &claim),
             ClaimVerdict::Unseen => {
                 abandon(state, key, &claim);
                 return Err(Refusal::LogAway);
@@ -199,24 +204,14 @@
 }
 
 /// A key that carries its time, as UUIDv7 does, is refused once its outcome may be forgotten.
-fn check_key_time(state: &EntryState, key: &ClaimKey) -> Result<(), Refusal> {
-    let Ok(uuid) = uuid::Uuid::parse_str(key.key.as_str()) else { return Ok(()) };
-    if uuid.get_version_num() != 7 {
-        return Ok(());
-    }
-    let Some(stamp) = uuid.get_timestamp() else { return Ok(()) };
-    let (seconds, nanos) = stamp.to_unix();
-    let key_ms = seconds * 1000 + u64::from(nanos) / 1_000_000;
-    let memory = state.tables().declaration.policy.key_memory.as_millis() as u64;
-    let time = fold_time(state, key);
-    if time.0 > key_ms + memory {
-        return Err(Refusal::KeyExpired);
-    }
-    // Before the stream's first entry there is no time to compare with.
-    if time.0 > 0 && key_ms > time.0.max(crate::clock::wall_millis()) + KEY_LEAD_MS {
-        return Err(Refusal::KeyFromFuture);
+///
+/// A time ahead of the log's is judged only when an entry has just told the log's time.
+fn check_key_time(state: &EntryState, key: &ClaimKey, time_is_fresh: bool) -> Result<(), Refusal> {
+    match key_standing(&key.key, fold_time(state, key)) {
+        KeyStanding::TooOld => Err(Refusal::KeyExpired),
+        KeyStanding::TooNew if time_is_fresh => Err(Refusal::KeyFromFuture),
+        _ => Ok(()),
     }
-    Ok(())
 }
 
 fn fold_time(state: &EntryState, key: &ClaimKey) -> WallMillis {
@@ -318,8 +313,7 @@
 
 /// Gives up a claim that was not dispatched: here first, then in the log.
 fn abandon(state: &Arc<EntryState>, key: &ClaimKey, claim: &RecordId) {
-    state.ledger.set_phase(key, claim, LedgerPhase::Abandoned);
-    state.ledger.remove(key, claim);
+    state.ledger.give_up(key, claim);
     state.journal.record(EventKind::ClaimReleased, "", "", &key.to_string());
     let body = FactBody::Release { key: key.clone(), claim: claim.clone() };
     submit(state, key, body, None);
