Instances exchange pages of a fixed size with a fixed number of peers

Cause: nothing spread loads, demands, leaving signs and suspects between instances, and each instance asked every target for its load.

Ruled out: watchers by the ring place modulo the number of sharers: 0 to 4 watchers, because the ring wraps inside a window.

--- a/crates/banyan-core/src/serving/groups.rs
+++ b/crates/banyan-core/src/serving/groups.rs
@@ -30,10 +30,12 @@
     pub members: Vec<TargetId>,
     /// Those that this instance draws from first. Invariant: a subset of `members`.
     pub near: Vec<TargetId>,
+    /// Those that this instance asks for their load. Invariant: a subset of `near`.
+    pub watched: Vec<TargetId>,
 }
 
 impl TargetGroups {
-    /// The groups of a declaration, with every member near.
+    /// The groups of a declaration, with every member near and watched.
     pub fn of(declaration: &Declaration) -> Self {
         let mut groups = Self::default();
         for (target, spec) in &declaration.targets {
@@ -41,6 +43,7 @@
         }
         for group in groups.all_mut() {
             group.near = group.members.clone();
+            group.watched = group.members.clone();
         }
         groups
     }
--- a/crates/banyan-core/src/serving/limits.rs
+++ b/crates/banyan-core/src/serving/limits.rs
@@ -8,6 +8,7 @@
 //! for as long as the estimate is off.
 
 use std::collections::BTreeMap;
+use std::ops::Bound;
 use std::time::Duration;
 
 use crate::ids::WorkspaceId;
@@ -18,7 +19,7 @@
 /// The time over which a bucket saves up.
 const BURST: Duration = Duration::from_secs(1);
 /// The time after which a peer's report counts no more.
-const REPORT_LIFE: Duration = Duration::from_secs(5);
+const REPORT_LIFE: Duration = Duration::from_secs(30);
 /// The time over which the own demand is averaged.
 const DEMAND_WINDOW: Duration = Duration::from_secs(1);
 /// The weight of one peer's report in the mean, as a divisor.
@@ -36,10 +37,16 @@
 }
 
 impl UsagePage {
-    fn covers(&self, workspace: &WorkspaceId) -> bool {
-        let first = self.rows.first_key_value().is_some_and(|(first, _)| first <= workspace);
-        let last = self.rows.last_key_value().is_some_and(|(last, _)| workspace <= last);
-        self.whole || (first && last)
+    /// The workspaces that the page says something about.
+    fn covered(&self) -> (Bound<&WorkspaceId>, Bound<&WorkspaceId>) {
+        let first = self.rows.first_key_value().map(|(first, _)| first);
+        let last = self.rows.last_key_value().map(|(last, _)| last);
+        match (first, last) {
+            (Some(first), Some(last)) if !self.whole => {
+                (Bound::Included(first), Bound::Included(last))
+            }
+            _ => (Bound::Unbounded, Bound::Unbounded),
+        }
     }
 }
 
@@ -107,21 +114,36 @@
         row.milli_level += amount * MILLI;
     }
 
-    /// The demand of each workspace here, in thousandths a second, to be told to peers.
-    pub fn demands(&self) -> impl Iterator<Item = (&WorkspaceId, u64)> {
-        let rows = self.rows.iter().filter(|(_, row)| row.milli_demand > 0);
+    /// The demands here behind a workspace in name order, in thousandths a second, for peers.
+    pub fn demands_after(
+        &self,
+        from: Option<&WorkspaceId>,
+    ) -> impl Iterator<Item = (&WorkspaceId, u64)> {
+        let from = from.map_or(Bound::Unbounded, Bound::Excluded);
+        let rows = self.rows.range::<WorkspaceId, _>((from, Bound::Unbounded));
+        let rows = rows.filter(|(_, row)| row.milli_demand > 0);
         rows.map(|(workspace, row)| (workspace, row.milli_demand))
     }
 
+    /// The number of workspaces with a row.
+    pub fn len(&self) -> usize {
+        self.rows.len()
+    }
+
+    /// Whether no workspace has a row.
+    pub fn is_empty(&self) -> bool {
+        self.rows.is_empty()
+    }
+
     /// Takes in a peer's demands.
     pub fn note_usage(&mut self, page: &UsagePage, now: Moment) {
         for workspace in page.rows.keys() {
             self.row(workspace, now);
         }
-        for (workspace, row) in &mut self.rows {
-            if !page.covers(workspace) {
-                continue;
-            }
+        if page.rows.is_empty() && !page.whole {
+            return;
+        }
+        for (workspace, row) in self.rows.range_mut::<WorkspaceId, _>(page.covered()) {
             let demand = page.rows.get(workspace).copied().unwrap_or(0);
             row.milli_mean = match row.reported {
                 Some(_) => (row.milli_mean * (PEER_DIVISOR - 1) + demand) / PEER_DIVISOR,
--- a/crates/banyan-core/src/serving/targets.rs
+++ b/crates/banyan-core/src/serving/targets.rs
@@ -1,6 +1,7 @@
 //! The targets as one instance sees them: [`TargetTable`].
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use smol_str::SmolStr;
@@ -33,12 +34,25 @@
     pub groups: TargetGroups,
     /// The region of each availability zone.
     pub regions: BTreeMap<ZoneId, RegionId>,
+    /// All targets by place, the same on every instance that has the same declaration in force.
+    pub listing: TargetListing,
+    /// The targets with any sign of leaving.
+    pub leaving: BTreeSet<TargetId>,
     /// The latest moment that any input brought.
     pub now: Moment,
     /// The share of a group that stays in use whatever is silent, in percent.
     pub floor_percent: u32,
 }
 
+/// The declared targets by place, so that peers can name them by a number.
+#[derive(Clone, Debug, Default)]
+pub struct TargetListing {
+    /// The targets in order.
+    pub targets: Vec<TargetId>,
+    /// A digest of the list; places mean the same only where it is the same.
+    pub digest: u64,
+}
+
 /// One target.
 #[derive(Clone, Debug)]
 pub struct TargetRow {
@@ -200,6 +214,17 @@
     }
 }
 
+impl TargetListing {
+    fn of(declaration: &Declaration) -> Self {
+        let targets: Vec<TargetId> = declaration.targets.keys().cloned().collect();
+        let combine = |digest: u64, target: &TargetId| {
+            xxhash_rust::xxh3::xxh3_64_with_seed(target.as_str().as_bytes(), digest)
+        };
+        let digest = targets.iter().fold(0, combine);
+        Self { targets, digest }
+    }
+}
+
 impl TargetTable {
     /// Brings the table in line with the declaration in force, keeping what is known of targets
     /// that stay the same.
@@ -212,11 +237,14 @@
             match self.rows.get_mut(id) {
                 Some(row) if row.spec.address == spec.address => row.spec = spec.clone(),
                 _ => {
+                    self.leaving.remove(id);
                     self.rows.insert(id.clone(), TargetRow::new(spec.clone(), now));
                 }
             }
         }
         self.groups = TargetGroups::of(declaration);
+        self.listing = TargetListing::of(declaration);
+        self.leaving.retain(|id| declaration.targets.contains_key(id));
         self.floor_percent = declaration.policy.ejection_floor_percent;
     }
 
@@ -276,6 +304,19 @@
         }
     }
 
+    /// Takes in a load report that a peer passed on. It says nothing about our own link.
+    pub fn note_peer_report(&mut self, target: &TargetId, mut report: ReportedLoad) {
+        let Some(row) = self.rows.get_mut(target) else { return };
+        if let Some(old) = &row.report {
+            if report.measured <= old.measured {
+                return;
+            }
+            report.incarnation = old.incarnation.clone();
+        }
+        row.sent_since = 0;
+        row.report = Some(report);
+    }
+
     /// Takes in one source's word on whether a target is leaving.
     pub fn note_leaving(
         &mut self,
@@ -292,8 +333,10 @@
         }
         if !row.leaving.any() {
             row.leaving.since = None;
+            self.leaving.remove(target);
         } else if row.leaving.since.is_none() {
             row.leaving.since = Some(now);
+            self.leaving.insert(target.clone());
         }
     }
 }
--- a/crates/banyan-core/tests/serving_admission.rs
+++ b/crates/banyan-core/tests/serving_admission.rs
@@ -254,7 +254,8 @@
             }
             if exchange && step % 50 == own as u64 {
                 let peer = (own + 1 + (step / 50) as usize % (demands.len() - 1)) % demands.len();
-                let rows = tables[peer].demands().map(|(name, demand)| (name.clone(), demand));
+                let rows =
+                    tables[peer].demands_after(None).map(|(name, demand)| (name.clone(), demand));
                 let page = UsagePage { rows: rows.collect(), whole: true };
                 tables[own].note_usage(&page, now);
             }
--- a/crates/banyan-core/tests/serving_choice.rs
+++ b/crates/banyan-core/tests/serving_choice.rs
@@ -18,7 +18,8 @@
 use banyan_core::serving::choice::choose_stage;
 use banyan_core::serving::decisions::DecisionSet;
 use banyan_core::serving::health::note_failure;
-use banyan_core::serving::subset::LiveInstances;
+use banyan_core::serving::ring::InstanceRing;
+use banyan_core::serving::ring::LiveInstances;
 use banyan_core::serving::subset::narrow_groups;
 use banyan_core::serving::subset::near_limit;
 use banyan_core::serving::targets::ReportedLoad;
@@ -195,25 +196,32 @@
 fn every_target_is_near_to_the_same_number_of_instances() {
     let declaration = mixed_splits(60);
     let live = live_instances(47);
+    let mut near: BTreeMap<TargetId, usize> = BTreeMap::new();
     let mut watchers: BTreeMap<TargetId, usize> = BTreeMap::new();
     let mut table = table_of(&declaration);
     for own in live.keys() {
-        narrow_groups(&mut table, own, &live);
+        let ring = InstanceRing::of(&live, own).unwrap();
+        narrow_groups(&mut table, &ring);
         for group in table.groups.all() {
             assert_eq!(group.near.len(), near_limit(6));
-            group.near.iter().for_each(|target| *watchers.entry(target.clone()).or_default() += 1);
+            for target in &group.near {
+                *near.entry(target.clone()).or_default() += 1;
+                let watches = group.watched.contains(target);
+                *watchers.entry(target.clone()).or_default() += usize::from(watches);
+            }
         }
     }
-    assert_eq!(watchers.len(), declaration.targets.len());
-    let least = watchers.values().min().unwrap();
-    let most = watchers.values().max().unwrap();
-    assert!(most - least <= 1, "watched by {least} to {most} instances");
+    assert_eq!(near.len(), declaration.targets.len());
+    let (least, most) = (near.values().min().unwrap(), near.values().max().unwrap());
+    assert!(most - least <= 1, "near to {least} to {most} instances");
+    assert!(watchers.values().all(|count| *count == 2), "{watchers:?}");
 }
 
 #[test]
 fn a_far_target_is_used_when_no_near_one_is_left() {
     let mut table = table_of(&mixed_splits(60));
-    narrow_groups(&mut table, &instance(3), &live_instances(47));
+    let ring = InstanceRing::of(&live_instances(47), &instance(3)).unwrap();
+    narrow_groups(&mut table, &ring);
     let excluded: BTreeSet<TargetId> =
         table.groups.all().flat_map(|group| group.near.iter().cloned()).collect();
     let chain = with_query(48, &excluded, 1, |query| choose_chain(&table, query));
