--- a/crates/banyan-standin/src/lib.rs
+++ b/crates/banyan-standin/src/lib.rs
@@ -6,6 +6,7 @@
 //! [`reference`](mod@reference) gives the right answer of the modelled engines without running any.
 
 pub mod announce;
+pub mod client;
 pub mod engine;
 pub mod fault;
 pub mod gate;
--- a/crates/banyan-standin/src/server.rs
+++ b/crates/banyan-standin/src/server.rs
@@ -103,6 +103,10 @@
     let mut connections = JoinSet::new();
     let mut listener = Some(listener);
     loop {
+        if !mode.borrow_and_update().listening {
+            // Connections are refused only where nothing listens.
+            listener = None;
+        }
         if mode.wait_for(|mode| mode.listening).await.is_err() {
             return;
         }
