--- a/crates/banyan-entry/src/lineage.rs
+++ b/crates/banyan-entry/src/lineage.rs
@@ -31,6 +31,7 @@
 use banyan_core::units::Moment;
 use banyan_wire::engine::CancelOrder;
 use banyan_wire::engine::HandOff;
+use banyan_wire::engine::PREFIX_TOKENS;
 use banyan_wire::engine::StepId;
 use banyan_wire::engine::StepOrder;
 use banyan_wire::engine::StepRefusal;
@@ -51,8 +52,6 @@
 const NO_TARGET_PAUSE: Duration = Duration::from_millis(100);
 /// The number of prompt bytes that one modelled token stands for.
 const BYTES_PER_TOKEN: usize = 4;
-/// The number of tokens between two digests of growing prefixes.
-const PREFIX_TOKENS: usize = 64;
 
 /// What an answer is asked for.
 #[derive(Clone, Debug)]
@@ -431,6 +430,6 @@
 
 fn prefix_digests(prompt: &str) -> Vec<u64> {
     let bytes = prompt.as_bytes();
-    let unit = BYTES_PER_TOKEN * PREFIX_TOKENS;
+    let unit = BYTES_PER_TOKEN * PREFIX_TOKENS as usize;
     (1..=bytes.len() / unit).map(|count| ContentDigest::of(&bytes[..count * unit]).0).collect()
 }
--- a/crates/banyan-standin/src/engine/runner.rs
+++ b/crates/banyan-standin/src/engine/runner.rs
@@ -109,19 +109,31 @@
     if let StepWork::Prompt { prefixes, .. } = &order.work {
         state.prefixes.store(prefixes);
     }
-    rows.extend(runs.into_iter().map(|run| truth_row(state, order, run)));
+    rows.extend(runs.into_iter().map(|run| truth_row(state, order, run, cached)));
     let event = state.answer(order.step.clone(), result, cached);
     answers.push((event, waiters));
 }
 
-fn truth_row(state: &EngineState, order: &StepOrder, (token, kind): TokenRun) -> RunRow {
+fn truth_row(
+    state: &EngineState,
+    order: &StepOrder,
+    (token, kind): TokenRun,
+    cached: u32,
+) -> RunRow {
     let mut step = order.step.clone();
     step.token = token;
+    let prompt = match &order.work {
+        StepWork::Prompt { tokens, .. } | StepWork::Rebuild { tokens, .. } => *tokens,
+        StepWork::Token { .. } => 0,
+    };
+    let read = if token == 0 { prompt - cached } else { 0 };
     RunRow {
         step,
         first_layer: order.first_layer,
         end_layer: order.end_layer,
         kind,
+        read,
+        cached,
         incarnation: state.truth.incarnation.clone(),
         at_ms: wall_ms(),
     }
--- a/crates/banyan-standin/src/truth.rs
+++ b/crates/banyan-standin/src/truth.rs
@@ -39,6 +39,12 @@
     pub end_layer: u32,
     /// Why it ran.
     pub kind: RunKind,
+    /// Prompt tokens that were read.
+    #[serde(default)]
+    pub read: u32,
+    /// Prompt tokens that the prefix cache held and that were not read.
+    #[serde(default)]
+    pub cached: u32,
     /// The engine's run.
     pub incarnation: SmolStr,
     /// When, in milliseconds of the Unix epoch.
--- a/crates/banyan-standin/tests/engine.rs
+++ b/crates/banyan-standin/tests/engine.rs
@@ -303,17 +303,17 @@
 #[tokio::test]
 async fn cached_prefixes_are_found_until_memory_runs_out() {
     let client = JsonClient::default();
-    let options = EngineOptions { cache_limit: 32, cache_lag: Duration::ZERO, ..quick() };
+    let options = EngineOptions { cache_limit: 128, cache_lag: Duration::ZERO, ..quick() };
     let engine = engine::start(options).await.expect("a free port");
     let ask = async |request: &str, prefixes: &[u64]| {
         let input = HandOff::from_prompt("p", 1);
-        let work = StepWork::Prompt { input, tokens: 40, prefixes: prefixes.to_vec() };
+        let work = StepWork::Prompt { input, tokens: 160, prefixes: prefixes.to_vec() };
         answer(&client, engine.address, step(request, 0, WHOLE, work)).await.2
     };
     assert_eq!(ask("a", &[1, 2]).await, 0);
-    assert_eq!(ask("b", &[1, 2]).await, 32);
-    assert_eq!(ask("c", &[1, 3]).await, 16);
-    assert_eq!(ask("d", &[1, 2]).await, 16);
+    assert_eq!(ask("b", &[1, 2]).await, 128);
+    assert_eq!(ask("c", &[1, 3]).await, 64);
+    assert_eq!(ask("d", &[1, 2]).await, 64);
     let path = "/v1/cache-events?from=0";
     let reply: CacheEventsReply = client.get(engine.address, path).await.expect("events");
     let events: Vec<(u64, bool)> =
--- a/crates/banyan-wire/src/engine.rs
+++ b/crates/banyan-wire/src/engine.rs
@@ -266,7 +266,7 @@
 }
 
 /// The number of prompt tokens between two neighbouring prefixes of [`StepWork::Prompt`].
-pub const PREFIX_TOKENS: u32 = 16;
+pub const PREFIX_TOKENS: u32 = 64;
 
 /// What an engine holds; the answer to an order and to `GET /v1/role`.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
