banyan-load: bench of real processes, open-loop load and the throughput experiment

Every stage has a fast, a middle and a slow engine, whose declared batch times give the bound exactly. Latencies count from the intended time of sending.

--- /dev/null
+++ b/crates/banyan-load/src/experiments/throughput.rs
@@ -0,0 +1,134 @@
+//! The share of the engines' bound that is reached at saturation: [`run`].
+//!
+//! Each stage has a fast, a middle and a slow engine. Under 0.8 of the bound the latencies are
+//! taken, under 1.2 the tokens a second.
+
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use crate::bench::LoadBench;
+use crate::caller::CallEnd;
+use crate::experiments::ExperimentOrder;
+use crate::load::CallRecord;
+use crate::load::EntryList;
+use crate::load::run_load;
+use crate::plan::BenchPlan;
+use crate::plan::DecisionChoice;
+use crate::report::ExperimentLine;
+use crate::report::rounded;
+use crate::schedule::LoadSchedule;
+use crate::schedule::StreamShape;
+use crate::tally::first_token_latencies;
+use crate::tally::report_ends;
+use crate::tally::token_gaps;
+use crate::tally::tokens_between;
+use banyan_naive::draws::DrawSource;
+
+/// The share of the bound under which latencies are taken.
+const EASY_LOAD: f64 = 0.8;
+/// The share of the bound that saturates the engines.
+const FULL_LOAD: f64 = 1.2;
+/// The length of the easy load.
+const EASY_TIME: Duration = Duration::from_secs(10);
+/// The length of the full load.
+const FULL_TIME: Duration = Duration::from_secs(16);
+/// The part of the full load in which the engines fill up and that is not measured.
+const FILL_TIME: Duration = Duration::from_secs(5);
+/// The share of the bound to be reached.
+const TARGET_SHARE: f64 = 0.9;
+
+/// Runs the experiment.
+pub async fn run(order: ExperimentOrder) -> eyre::Result<ExperimentLine> {
+    let mut line = ExperimentLine::new(
+        "throughput",
+        order.seed,
+        "share of the engines' bound in tokens a second",
+        "at least 0.90 of the bound, and above every baseline",
+    );
+    let mut best_naive: f64 = 0.0;
+    for naive in DecisionChoice::NAIVE {
+        let share = saturate(order.seed, naive, &mut line).await?;
+        best_naive = best_naive.max(share);
+    }
+    line.baseline = Some(rounded(best_naive));
+    line.figure = rounded(best_naive);
+    if !order.naive_only {
+        measure_easy(order.seed, &mut line).await?;
+        let share = saturate(order.seed, DecisionChoice::Product, &mut line).await?;
+        line.figure = rounded(share);
+        line.check(share > best_naive, "above every baseline");
+    }
+    let share = line.figure;
+    line.check(share >= TARGET_SHARE, "0.90 of the bound");
+    Ok(line)
+}
+
+fn plan(decisions: DecisionChoice) -> BenchPlan {
+    let mut plan = BenchPlan { decisions, ..BenchPlan::default() };
+    plan.capacity = plan.full_capacity();
+    plan
+}
+
+fn shape(plan: &BenchPlan, load: f64, time: Duration) -> StreamShape {
+    let mut shape = StreamShape {
+        workspace: 0,
+        rate: 0.0,
+        from: Duration::ZERO,
+        until: time,
+        tokens: (16, 48),
+        prompt_tokens: 50,
+        deadline: Duration::from_secs(20),
+        entries: plan.entries,
+    };
+    shape.rate = load * plan.request_bound(shape.mean_tokens(), shape.prompt_tokens as f64);
+    shape
+}
+
+async fn offer(
+    seed: u64,
+    decisions: DecisionChoice,
+    load: f64,
+    time: Duration,
+) -> eyre::Result<(Vec<CallRecord>, f64)> {
+    let plan = plan(decisions);
+    let shape = shape(&plan, load, time);
+    let bound = plan.request_bound(shape.mean_tokens(), shape.prompt_tokens as f64);
+    let mut schedule = LoadSchedule::default();
+    schedule.add_stream(&shape, &mut DrawSource::new(seed));
+    let count = schedule.requests.len();
+    eprintln!("throughput: {} at {load} of the bound, {count} requests", decisions.name());
+    let mut bench = LoadBench::start(plan).await?;
+    let entries = EntryList::new(bench.caller_addresses());
+    let records = run_load(&bench.plan, &entries, schedule, Instant::now()).await;
+    bench.stop().await?;
+    Ok((records, bound * shape.mean_tokens()))
+}
+
+/// The share of the bound reached at saturation.
+async fn saturate(
+    seed: u64,
+    decisions: DecisionChoice,
+    line: &mut ExperimentLine,
+) -> eyre::Result<f64> {
+    let (records, bound) = offer(seed, decisions, FULL_LOAD, FULL_TIME).await?;
+    let tokens = tokens_between(&records, FILL_TIME, FULL_TIME);
+    let rate = tokens as f64 / (FULL_TIME - FILL_TIME).as_secs_f64();
+    line.add("bound_tokens_per_second", bound);
+    let name = decisions.name();
+    line.add(format!("{name}_tokens_per_second"), rate);
+    line.add(format!("{name}_share"), rate / bound);
+    report_ends(&records, &format!("{name}_full_"), line);
+    let served = records.iter().filter(|record| record.end == CallEnd::Complete);
+    token_gaps(served)?.report(&format!("{name}_full_inter_token"), line);
+    eprintln!("throughput: {name} reached {:.3} of the bound", rate / bound);
+    Ok(rate / bound)
+}
+
+async fn measure_easy(seed: u64, line: &mut ExperimentLine) -> eyre::Result<()> {
+    let (records, _) = offer(seed, DecisionChoice::Product, EASY_LOAD, EASY_TIME).await?;
+    report_ends(&records, "product_easy_", line);
+    first_token_latencies(records.iter())?.report("product_easy_first_token", line);
+    token_gaps(records.iter())?.report("product_easy_inter_token", line);
+    Ok(())
+}
--- a/crates/banyan-load/src/lib.rs
+++ b/crates/banyan-load/src/lib.rs
@@ -1,1 +1,18 @@
-//! Placeholder.
+//! Load and experiments: open loop, deterministic by seed, with every answer checked.
+//!
+//! An experiment starts a [`bench`] of real processes on loopback, offers it a [`schedule`] of
+//! requests through [`load`], reads what really ran from the engines' [`ground_truth`], and reports
+//! one [`report::ExperimentLine`]. [`experiments`] holds one module each. The control work alone is
+//! measured by [`control`].
+
+pub mod bench;
+pub mod caller;
+pub mod control;
+pub mod experiments;
+pub mod ground_truth;
+pub mod load;
+pub mod plan;
+pub mod process;
+pub mod report;
+pub mod schedule;
+pub mod tally;
