--- a/crates/banyan-timeline/tests/timeline.rs
+++ b/crates/banyan-timeline/tests/timeline.rs
@@ -179,3 +179,16 @@
     assert!(page.contains("detail: &lt;b&gt;"), "texts are escaped");
     assert!(!page.contains("http"), "the page needs nothing from elsewhere");
 }
+
+#[test]
+fn page_for_operators_names_every_kind() {
+    let path = env!("CARGO_MANIFEST_DIR").to_owned() + "/../../docs/operators/timeline.md";
+    let page = std::fs::read_to_string(path).unwrap();
+    let kinds = page.split("## Kinds").nth(1).unwrap();
+    let names: Vec<&str> = kinds.split('`').skip(1).step_by(2).collect();
+    for name in &names {
+        assert!(name.parse::<EventKind>().is_ok(), "'{name}' is no kind");
+    }
+    // The last kind of the closed set, in order of declaration, tells how many there are.
+    assert_eq!(names.len(), EventKind::Stopped as usize + 1, "a kind is missing");
+}
