--- a/crates/banyan-ctl/src/apply.rs
+++ b/crates/banyan-ctl/src/apply.rs
@@ -121,7 +121,8 @@
     log: &LogClient,
     order: ApplyOrder,
 ) -> Result<CommandReport, CtlError> {
-    let in_force = fleet.newest_in_force(fleet.entries().await?).await?;
+    let entries = fleet.entries().await?;
+    let in_force = fleet.newest_in_force(entries.clone()).await?;
     let current = in_force.files.iter().find(|file| file.file == order.file.name.as_str());
     if let Err(errors) = validate_files(&union_of(slice::from_ref(&order.file), &in_force.files)) {
         let mut result = ApplyResult::new(&order, ApplyOutcome::Invalid, error_text(&errors));
@@ -137,7 +138,7 @@
     let base = order.base.unwrap_or(Revision(current.map_or(0, |file| file.revision)));
     let order = ApplyOrder { base: Some(base), ..order };
     note(&format!("proposing {} over revision {base} as record {}", order.file.name, order.record));
-    let verdict = propose(fleet, log, &order, base).await;
+    let verdict = propose(fleet, log, &order, entries).await;
     Ok(match verdict {
         Some(VerdictReply::Accepted { revision }) => {
             note(&format!("accepted as revision {revision}"));
@@ -167,14 +168,14 @@
     fleet: &EntryFleet,
     log: &LogClient,
     order: &ApplyOrder,
-    base: Revision,
+    mut known: Vec<EntryAddress>,
 ) -> Option<VerdictReply> {
     let deadline = Instant::now() + order.timeout;
     let fact = LogFact {
         id: order.record.clone(),
         body: FactBody::Proposal {
             file: order.file.name.clone(),
-            base,
+            base: order.base.unwrap_or_default(),
             author: order.author.clone(),
             text: order.file.text.to_string(),
         },
@@ -187,8 +188,11 @@
                 Err(error) => note(&format!("trying again: {error}")),
             }
         }
-        let entries = fleet.entries().await.unwrap_or_default();
-        let verdict = fleet.verdict(entries, order.record.as_str()).await;
+        // Where the platform is away, its list is too; the entries that it listed before still answer.
+        if let Ok(entries) = fleet.entries().await {
+            known = entries;
+        }
+        let verdict = fleet.verdict(known.clone(), order.record.as_str()).await;
         if verdict.is_some() || Instant::now() >= deadline {
             return verdict;
         }
