Entry: peers, joining, checkpoints, isolation and claims through owners

Cause: instances read the log from offset zero only, did not know each other, and sent every claim and its end to the log by themselves. Found on the way, each with a test: requests that waited for a claim that lost hung until their deadline; a claim whose claimant's fold was behind a stream that had been silent was void three times in a row; an instance cut off from the log was taken for an owner.

--- a/crates/banyan-config/src/settings.rs
+++ b/crates/banyan-config/src/settings.rs
@@ -35,7 +35,14 @@
 /// The longest wait of a stop that may be set, in milliseconds: one day.
 pub const DRAIN_LIMIT_MS: u64 = 86_400_000;
 
-const FIELD_NAMES: [&str; 9] = [
+/// How long the log keeps records where the settings do not say, in milliseconds: seven days.
+pub const DEFAULT_LOG_RETENTION_MS: u64 = 7 * 86_400_000;
+/// The shortest retention of the log that may be set, in milliseconds: one minute.
+pub const LOG_RETENTION_FLOOR_MS: u64 = 60_000;
+/// The longest retention of the log that may be set, in milliseconds: ten years.
+pub const LOG_RETENTION_LIMIT_MS: u64 = 3_650 * 86_400_000;
+
+const FIELD_NAMES: [&str; 10] = [
     "instance",
     "zone",
     "caller_address",
@@ -45,6 +52,7 @@
     "peers",
     "capacity",
     "drain_ms",
+    "log_retention_ms",
 ];
 
 /// The settings of one entry daemon.
@@ -75,6 +83,10 @@
     /// How long a stop waits for requests under way, in milliseconds.
     #[serde(default = "default_drain_ms")]
     pub drain_ms: u64,
+    /// How long the platform's log keeps records, in milliseconds; checkpoints are written well
+    /// within it.
+    #[serde(default = "default_log_retention_ms")]
+    pub log_retention_ms: u64,
 }
 
 fn default_capacity() -> u32 {
@@ -85,6 +97,10 @@
     DEFAULT_DRAIN_MS
 }
 
+fn default_log_retention_ms() -> u64 {
+    DEFAULT_LOG_RETENTION_MS
+}
+
 /// Why settings were refused.
 #[derive(Debug, Error)]
 pub enum SettingsError {
@@ -152,6 +168,7 @@
     peers: Option<Vec<SocketAddr>>,
     capacity: Option<u32>,
     drain_ms: Option<u64>,
+    log_retention_ms: Option<u64>,
 }
 
 /// The command line of the entry daemon: a settings file, and a flag for each of its fields.
@@ -224,6 +241,13 @@
             .help(format!(
                 "How long a stop waits for requests under way [default: {DEFAULT_DRAIN_MS}]"
             )),
+        Arg::new("log-retention-ms")
+            .long("log-retention-ms")
+            .value_name("MILLISECONDS")
+            .value_parser(value_parser!(u64).range(LOG_RETENTION_FLOOR_MS..=LOG_RETENTION_LIMIT_MS))
+            .help(format!(
+                "How long the platform's log keeps records [default: {DEFAULT_LOG_RETENTION_MS}]"
+            )),
     ]
 }
 
@@ -239,6 +263,7 @@
         peers: matches.get_many::<SocketAddr>("peer").map(|peers| peers.copied().collect()),
         capacity: matches.get_one::<u32>("capacity").copied(),
         drain_ms: matches.get_one::<u64>("drain-ms").copied(),
+        log_retention_ms: matches.get_one::<u64>("log-retention-ms").copied(),
     }
 }
 
@@ -281,6 +306,12 @@
         peers: reader.has("peers").then_some(peers),
         capacity: capacity.and_then(|value| u32::try_from(value).ok()),
         drain_ms: reader.number("drain_ms", 1, DRAIN_LIMIT_MS, errors),
+        log_retention_ms: reader.number(
+            "log_retention_ms",
+            LOG_RETENTION_FLOOR_MS,
+            LOG_RETENTION_LIMIT_MS,
+            errors,
+        ),
     }
 }
 
@@ -317,6 +348,7 @@
         peers: flags.peers.or(file.peers),
         capacity: flags.capacity.or(file.capacity),
         drain_ms: flags.drain_ms.or(file.drain_ms),
+        log_retention_ms: flags.log_retention_ms.or(file.log_retention_ms),
     }
 }
 
@@ -338,6 +370,7 @@
         peers: layer.peers.unwrap_or_default(),
         capacity: layer.capacity.unwrap_or(DEFAULT_CAPACITY),
         drain_ms: layer.drain_ms.unwrap_or(DEFAULT_DRAIN_MS),
+        log_retention_ms: layer.log_retention_ms.unwrap_or(DEFAULT_LOG_RETENTION_MS),
     };
     check_addresses(&settings)?;
     Ok(settings)
--- a/crates/banyan-entry/src/caller.rs
+++ b/crates/banyan-entry/src/caller.rs
@@ -167,7 +167,7 @@
     if state.tables().revision == Revision(0) {
         return Err(Refusal::NoConfiguration);
     }
-    if daemon::is_isolated(state) {
+    if crate::isolation::is_isolated(state) {
         return Err(Refusal::Isolated);
     }
     Ok(())
--- a/crates/banyan-entry/src/claims.rs
+++ b/crates/banyan-entry/src/claims.rs
@@ -14,8 +14,11 @@
 use tokio::sync::watch;
 use tokio::time::Instant;
 
+use crate::claim_route;
+use crate::claim_route::PendingClaim;
 use crate::refusal::Refusal;
 use crate::state::EntryState;
+use crate::writer::QueueFull;
 use banyan_core::event::EventKind;
 use banyan_core::fold::ClaimRow;
 use banyan_core::fold::ClaimState;
@@ -36,6 +39,8 @@
 const CLAIM_WAIT: Duration = Duration::from_secs(2);
 /// The longest time to wait for the outcome of a claim that another run holds.
 const HOLDER_WAIT: Duration = Duration::from_secs(5);
+/// When to try again where too many claims wait for the log.
+const QUEUE_PAUSE: Duration = Duration::from_secs(1);
 /// Tries to claim a key whose claims land too late.
 const CLAIM_TRIES: u32 = 3;
 
@@ -74,13 +79,27 @@
     Ended(CallOutcome),
 }
 
-/// The winning claim of a key, not dispatched yet. Dropping it gives it up.
+/// The winning claim of a key. Dropping it gives it up, or leaves its outcome unknown where it was
+/// dispatched.
 #[derive(Debug)]
 pub struct HeldClaim {
     state: Arc<EntryState>,
     key: ClaimKey,
     claim: RecordId,
-    dispatched: bool,
+    phase: HeldPhase,
+}
+
+/// How far a claim of this run got, as the request that holds it knows.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum HeldPhase {
+    /// Its record cannot stand open in the log, now or later.
+    Unsent,
+    /// Its record may stand in the log.
+    Appended,
+    /// The call may have been sent.
+    Dispatched,
+    /// Its end is known and on its way to the log.
+    Closed,
 }
 
 impl ClaimLedger {
@@ -115,42 +134,60 @@
         }
     }
 
-    fn remove(&self, key: &ClaimKey, claim: &RecordId) {
+    /// Takes a claim out; requests that wait for it learn that it is over.
+    fn forget(&self, key: &ClaimKey, claim: &RecordId) {
         let mut rows = self.lock();
-        if rows.get(key).is_some_and(|row| row.claim == *claim) {
-            rows.remove(key);
+        if rows.get(key).is_none_or(|row| row.claim != *claim) {
+            return;
         }
+        let Some(row) = rows.remove(key) else { return };
+        row.phase.send_if_modified(|phase| {
+            let ended = matches!(phase, LedgerPhase::Ended(_));
+            if !ended {
+                *phase = LedgerPhase::Abandoned;
+            }
+            !ended
+        });
     }
 }
 
 impl HeldClaim {
     /// Marks the claim as dispatched. Called once, right before the first byte is sent.
     pub fn dispatch(&mut self) {
-        self.dispatched = true;
+        self.phase = HeldPhase::Dispatched;
         self.state.ledger.set_phase(&self.key, &self.claim, LedgerPhase::Dispatched);
     }
 
     /// Ends the claim with what is known, here at once and in the log as soon as it takes it.
-    pub fn close(self, outcome: CallOutcome) {
-        let state = self.state.clone();
+    pub fn close(mut self, outcome: CallOutcome) {
+        self.end(outcome);
+    }
+
+    fn end(&mut self, outcome: CallOutcome) {
+        self.phase = HeldPhase::Closed;
+        let state = &self.state;
         let memory = state.tables().declaration.policy.key_memory;
-        let memory_ms = memory.as_millis() as u64;
         let body = FactBody::Close {
             key: self.key.clone(),
             claim: self.claim.clone(),
             outcome: outcome.clone(),
-            memory_ms,
+            memory_ms: memory.as_millis() as u64,
         };
-        submit(&state, &self.key, body, None);
+        keep(state, &self.key, body);
         state.ledger.set_phase(&self.key, &self.claim, LedgerPhase::Ended(outcome));
-        tokio::spawn(forget_when_folded(state, self.key.clone(), self.claim.clone()));
+        let (key, claim) = (self.key.clone(), self.claim.clone());
+        tokio::spawn(forget_when_folded(state.clone(), key, claim));
     }
 }
 
 impl Drop for HeldClaim {
     fn drop(&mut self) {
-        if !self.dispatched {
-            abandon(&self.state, &self.key, &self.claim);
+        match self.phase {
+            HeldPhase::Unsent => self.state.ledger.forget(&self.key, &self.claim),
+            HeldPhase::Appended => abandon(&self.state, &self.key, &self.claim),
+            // The request ended without a word on the call, which may have run.
+            HeldPhase::Dispatched => self.end(CallOutcome::Unknown),
+            HeldPhase::Closed => {}
         }
     }
 }
@@ -165,11 +202,12 @@
 ) -> Result<ClaimTurn, Refusal> {
     for turn in 0..CLAIM_TRIES {
         check_key_time(state, key, turn > 0)?;
+        let seen = fold_time(state, key);
         if let Some(row) = folded_row(state, key) {
-            return wait_for_holder(state, key, content, row, deadline).await;
-        }
-        if !state.folds.tables().log_reachable() {
-            return Err(Refusal::LogAway);
+            match wait_for_holder(state, key, content, row, deadline).await? {
+                Some(outcome) => return Ok(ClaimTurn::Ended(outcome)),
+                None => continue,
+            }
         }
         let claim = state.next_record();
         if let Some(row) = state.ledger.enter(key, &claim, content) {
@@ -178,25 +216,73 @@
                 None => continue,
             }
         }
-        append_claim(state, request, key, &claim, content);
-        let verdict = read_back(state, key, &claim, deadline).await;
-        let name = request.to_string();
-        state.journal.record(EventKind::ClaimRead, &name, "", verdict_name(&verdict));
-        match verdict {
-            ClaimVerdict::Won => {
-                let (state, key) = (state.clone(), key.clone());
-                return Ok(ClaimTurn::Mine(HeldClaim { state, key, claim, dispatched: false }));
-            }
-            ClaimVerdict::Lost(_) | ClaimVerdict::Void => state.ledger.remove(key, &claim),
-            ClaimVerdict::Unseen => {
-                abandon(state, key, &claim);
-                return Err(Refusal::LogAway);
+        match claim_key(state, request, key, claim, content, deadline).await? {
+            KeyClaim::Won(held) => return Ok(ClaimTurn::Mine(held)),
+            KeyClaim::Void => wait_for_time(state, key, seen, deadline).await,
+            KeyClaim::Lost(row) => {
+                if let Some(outcome) = wait_for_holder(state, key, content, row, deadline).await? {
+                    return Ok(ClaimTurn::Ended(outcome));
+                }
             }
         }
     }
     Err(Refusal::LogAway)
 }
 
+/// What became of a claim that the ledger holds.
+enum KeyClaim {
+    Won(HeldClaim),
+    Lost(ClaimRow),
+    Void,
+}
+
+/// Brings a claim that stands in the ledger to the log and waits for the fold's verdict.
+async fn claim_key(
+    state: &Arc<EntryState>,
+    request: &RequestId,
+    key: &ClaimKey,
+    claim: RecordId,
+    content: ContentDigest,
+    deadline: Instant,
+) -> Result<KeyClaim, Refusal> {
+    // From here on, leaving this function in any way but as the winner gives the claim up.
+    let mut held = HeldClaim {
+        state: state.clone(),
+        key: key.clone(),
+        claim: claim.clone(),
+        phase: HeldPhase::Unsent,
+    };
+    if !claim_route::can_claim(state, StreamId::Claims(key.partition())) {
+        return Err(Refusal::LogAway);
+    }
+    let name = request.to_string();
+    state.journal.record(EventKind::ClaimAppended, &name, "", &key.to_string());
+    let claimant = state.incarnation.clone();
+    let seen = fold_time(state, key);
+    let pending = PendingClaim { claim, key: key.clone(), claimant, content, seen };
+    let until = deadline.min(Instant::now() + CLAIM_WAIT);
+    held.phase = HeldPhase::Appended;
+    let verdict = claim_route::settle_claim(state, &pending, until)
+        .await
+        .map_err(|QueueFull| Refusal::Overloaded { retry_after: QUEUE_PAUSE })?;
+    state.journal.record(EventKind::ClaimRead, &name, "", verdict_name(&verdict));
+    match verdict {
+        ClaimVerdict::Won => Ok(KeyClaim::Won(held)),
+        ClaimVerdict::Lost(row) => {
+            // A late copy of this record could win once an open winner is released.
+            if row.state != ClaimState::Open {
+                held.phase = HeldPhase::Unsent;
+            }
+            Ok(KeyClaim::Lost(row))
+        }
+        ClaimVerdict::Void => {
+            held.phase = HeldPhase::Unsent;
+            Ok(KeyClaim::Void)
+        }
+        ClaimVerdict::Unseen => Err(Refusal::LogAway),
+    }
+}
+
 /// A key that carries its time, as UUIDv7 does, is refused once its outcome may be forgotten.
 ///
 /// A time ahead of the log's is judged only when an entry has just told the log's time.
@@ -217,31 +303,59 @@
     folds.claims[usize::from(key.partition())].rows.get(key).cloned()
 }
 
-/// Waits for the outcome of a claim that stands in the log.
+/// Waits for the outcome of a claim that stands in the log; `None` when it was released, so that
+/// its call did not run.
 async fn wait_for_holder(
     state: &EntryState,
     key: &ClaimKey,
     content: ContentDigest,
     mut row: ClaimRow,
     deadline: Instant,
-) -> Result<ClaimTurn, Refusal> {
+) -> Result<Option<CallOutcome>, Refusal> {
     let until = deadline.min(Instant::now() + HOLDER_WAIT);
     let mut progress = state.folds.subscribe();
+    // The fold here may be behind the one that gave the row.
+    let mut seen = false;
     loop {
+        match folded_row(state, key) {
+            Some(folded) => {
+                seen = true;
+                row = folded;
+            }
+            None if seen || is_released(state, key, &row.claim) => return Ok(None),
+            None => {}
+        }
         if row.content != content {
             return Err(Refusal::KeyReused);
         }
         if let ClaimState::Closed { outcome, .. } = row.state {
-            return Ok(ClaimTurn::Ended(outcome));
+            return Ok(Some(outcome));
         }
         if tokio::time::timeout_at(until, progress.changed()).await.is_err() {
             return Err(Refusal::CallUnknown);
         }
-        // A released claim leaves no row: the call did not run, and the caller may try again.
-        row = folded_row(state, key).ok_or(Refusal::LogAway)?;
     }
 }
 
+/// Waits until the fold's time of a key's stream is later than `seen`.
+///
+/// A claim is void when the stream's time was far ahead of what its claimant had folded, as after a
+/// long silence of the stream; the next claim needs to know the time to be in time.
+async fn wait_for_time(state: &EntryState, key: &ClaimKey, seen: WallMillis, deadline: Instant) {
+    let until = deadline.min(Instant::now() + CLAIM_WAIT);
+    let mut progress = state.folds.subscribe();
+    while fold_time(state, key) <= seen {
+        if tokio::time::timeout_at(until, progress.changed()).await.is_err() {
+            return;
+        }
+    }
+}
+
+fn is_released(state: &EntryState, key: &ClaimKey, claim: &RecordId) -> bool {
+    let folds = state.folds.tables();
+    folds.claims[usize::from(key.partition())].verdict(key, claim) == ClaimVerdict::Void
+}
+
 /// Waits for a claim that another request of this run holds; `None` when it was given up.
 async fn wait_for_own(
     row: LedgerRow,
@@ -264,72 +378,35 @@
     }
 }
 
-fn append_claim(
-    state: &EntryState,
-    request: &RequestId,
-    key: &ClaimKey,
-    claim: &RecordId,
-    content: ContentDigest,
-) {
-    let seen = fold_time(state, key);
-    let claimant = state.incarnation.clone();
-    let body = FactBody::Claim { key: key.clone(), claimant, content, seen };
-    let fact = LogFact { id: claim.clone(), body };
-    let until = Instant::now() + CLAIM_WAIT;
-    state.writer.submit(StreamId::Claims(key.partition()), fact, Some(until));
-    let name = request.to_string();
-    state.journal.record(EventKind::ClaimAppended, &name, "", &key.to_string());
-}
-
-/// Waits until the fold knows a claim; `Unseen` when it does not in time or the log is lost.
-async fn read_back(
-    state: &EntryState,
-    key: &ClaimKey,
-    claim: &RecordId,
-    deadline: Instant,
-) -> ClaimVerdict {
-    let until = deadline.min(Instant::now() + CLAIM_WAIT);
-    let mut progress = state.folds.subscribe();
-    loop {
-        let (verdict, reachable) = {
-            let folds = state.folds.tables();
-            let fold = &folds.claims[usize::from(key.partition())];
-            (fold.verdict(key, claim), folds.log_reachable())
-        };
-        if verdict != ClaimVerdict::Unseen || !reachable {
-            return verdict;
-        }
-        if tokio::time::timeout_at(until, progress.changed()).await.is_err() {
-            return ClaimVerdict::Unseen;
-        }
-    }
-}
-
 /// Gives up a claim that was not dispatched: here first, then in the log.
 fn abandon(state: &Arc<EntryState>, key: &ClaimKey, claim: &RecordId) {
-    state.ledger.set_phase(key, claim, LedgerPhase::Abandoned);
-    state.ledger.remove(key, claim);
+    state.ledger.forget(key, claim);
     state.journal.record(EventKind::ClaimReleased, "", "", &key.to_string());
-    let body = FactBody::Release { key: key.clone(), claim: claim.clone() };
-    submit(state, key, body, None);
+    keep(state, key, FactBody::Release { key: key.clone(), claim: claim.clone() });
 }
 
-fn submit(state: &EntryState, key: &ClaimKey, body: FactBody, until: Option<Instant>) {
+fn keep(state: &Arc<EntryState>, key: &ClaimKey, body: FactBody) {
     let fact = LogFact { id: state.next_record(), body };
-    state.writer.submit(StreamId::Claims(key.partition()), fact, until);
+    claim_route::keep_fact(state, StreamId::Claims(key.partition()), fact);
 }
 
 /// Keeps an ended claim in the ledger until the log shows its end.
 async fn forget_when_folded(state: Arc<EntryState>, key: ClaimKey, claim: RecordId) {
     let mut progress = state.folds.subscribe();
+    let mut seen = false;
     loop {
-        let row = folded_row(&state, &key);
-        let ended = row.is_none_or(|row| row.claim != claim || row.state != ClaimState::Open);
+        let row = folded_row(&state, &key).filter(|row| row.claim == claim);
+        let ended = match &row {
+            Some(row) => row.state != ClaimState::Open,
+            // The fold here may not hold the claim yet.
+            None => seen,
+        };
+        seen |= row.is_some();
         if ended || progress.changed().await.is_err() {
             break;
         }
     }
-    state.ledger.remove(&key, &claim);
+    state.ledger.forget(&key, &claim);
 }
 
 fn verdict_name(verdict: &ClaimVerdict) -> &'static str {
--- a/crates/banyan-entry/src/daemon.rs
+++ b/crates/banyan-entry/src/daemon.rs
@@ -15,10 +15,17 @@
 
 use crate::admission::run_admission;
 use crate::caller;
+use crate::checkpoints::run_checkpoints;
+use crate::exchange::run_exchange;
 use crate::follower::all_streams;
 use crate::follower::follow;
+use crate::isolation::is_isolated;
+use crate::leaving::run_leaving;
+use crate::listing::run_listing;
 use crate::operator;
+use crate::peer_server::serve_peers;
 use crate::probes;
+use crate::relay::run_relay;
 use crate::state::EntryState;
 use crate::state::ServingPhase;
 use banyan_config::settings::EntrySettings;
@@ -87,7 +94,12 @@
     tasks.spawn(probes::watch_targets(state.clone()));
     tasks.spawn(run_ticks(state.clone()));
     tasks.spawn(announce(state.clone()));
-    drop(peers);
+    tasks.spawn(serve_peers(state.clone(), peers));
+    tasks.spawn(run_exchange(state.clone()));
+    tasks.spawn(run_listing(state.clone()));
+    tasks.spawn(run_leaving(state.clone()));
+    tasks.spawn(run_relay(state.clone()));
+    tasks.spawn(run_checkpoints(state.clone()));
     Ok(RunningEntry {
         caller_address: settings.caller_address,
         operator_address: settings.operator_address,
@@ -133,11 +145,12 @@
                 tables.admission.active.len() + tables.waiters.len()
             };
             let claims = self.state.ledger.open().len();
-            if active == 0 && claims == 0 {
+            let kept = self.state.outbox.len() + self.state.writer.kept();
+            if active == 0 && claims == 0 && kept == 0 {
                 return;
             }
             if self.state.now() >= until {
-                log::warn!("shutdown: {active} requests are still under way at the limit.");
+                log::warn!("shutdown: At the limit, {active} requests and {kept} facts are left.");
                 return;
             }
             tokio::time::sleep(DRAIN_PAUSE).await;
@@ -160,11 +173,6 @@
     ReadinessWire { ready: true, reason: SmolStr::default() }
 }
 
-/// Whether the instance hears neither the log nor any peer, although it has peers.
-pub fn is_isolated(_state: &EntryState) -> bool {
-    false
-}
-
 async fn bind(address: SocketAddr, field: &str) -> eyre::Result<TcpListener> {
     TcpListener::bind(address)
         .await
--- a/crates/banyan-entry/src/follower.rs
+++ b/crates/banyan-entry/src/follower.rs
@@ -1,6 +1,7 @@
 //! Reads the log and folds it: [`FoldHub`] and [`follow`].
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::collections::VecDeque;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -11,10 +12,13 @@
 use smol_str::SmolStr;
 use tokio::sync::watch;
 
+use crate::joining::start_stream;
 use crate::state::EntryState;
 use banyan_core::event::EventKind;
+use banyan_core::fold::CheckpointTable;
 use banyan_core::fold::ClaimFold;
 use banyan_core::fold::ConfigurationFold;
+use banyan_core::fold::FoldStep;
 use banyan_core::ids::LogOffset;
 use banyan_core::record::CLAIM_PARTITIONS;
 use banyan_core::record::LogEntry;
@@ -24,7 +28,6 @@
 use banyan_wire::log::LogWireError;
 use banyan_wire::log::decode_entry;
 use banyan_wire::platform::ReadEntry;
-use banyan_wire::platform::ReadReply;
 
 /// The longest time that a read waits for an entry.
 const READ_WAIT: Duration = Duration::from_millis(1000);
@@ -32,6 +35,8 @@
 const READ_PAUSE: Duration = Duration::from_millis(100);
 /// The most entries of one stream that are kept for peers.
 const RELAY_LIMIT: usize = 1024;
+/// How long a peer's relay counts as hearing a stream.
+const RELAY_FRESH: Duration = Duration::from_millis(1500);
 
 /// The folds, with a signal at each entry folded.
 #[derive(Debug)]
@@ -51,10 +56,40 @@
     pub recent: BTreeMap<StreamId, VecDeque<ReadEntry>>,
     /// When each stream was last read from the log itself.
     pub read_at: BTreeMap<StreamId, Moment>,
+    /// When a peer that reads the log last told all that it had of a stream.
+    pub relayed_at: BTreeMap<StreamId, Moment>,
     /// Whether the newest read of each stream succeeded.
     pub reachable: BTreeMap<StreamId, bool>,
+    /// The streams whose fold has its state, and can take the next entry.
+    pub started: BTreeSet<StreamId>,
     /// Where the state at the start came from.
     pub started_from: SmolStr,
+    /// The checkpoints seen in each stream, to know when the next is due.
+    pub checkpoints: BTreeMap<StreamId, CheckpointTable>,
+    /// The time of each stream's fold when it began, and when its newest entry was folded.
+    pub pace: BTreeMap<StreamId, StreamPace>,
+}
+
+/// How a stream's time passes.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct StreamPace {
+    /// The platform's time of the first entry that was folded here.
+    pub began: WallMillis,
+    /// The platform's time of the newest entry.
+    pub newest: WallMillis,
+    /// When that was folded.
+    pub folded: Moment,
+}
+
+/// What became of a batch of entries.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum BatchResult {
+    /// All were folded, now or before.
+    Folded,
+    /// Entries before the batch are missing.
+    Gap,
+    /// An entry of a newer format stands next: nothing more can be folded.
+    Stopped,
 }
 
 impl Default for FoldHub {
@@ -64,8 +99,12 @@
             claims: vec![ClaimFold::default(); usize::from(CLAIM_PARTITIONS)],
             recent: BTreeMap::new(),
             read_at: BTreeMap::new(),
+            relayed_at: BTreeMap::new(),
             reachable: BTreeMap::new(),
-            started_from: SmolStr::new_static("log"),
+            started: BTreeSet::new(),
+            started_from: SmolStr::new_static("nothing yet"),
+            checkpoints: BTreeMap::new(),
+            pace: BTreeMap::new(),
         };
         Self { tables: Mutex::new(tables), progress: watch::Sender::new(0) }
     }
@@ -102,41 +141,65 @@
         all_streams().all(|stream| self.reachable.get(&stream).copied().unwrap_or(false))
     }
 
+    /// Whether a stream's new entries reach this fold, from the log or through a peer.
+    pub fn is_heard(&self, stream: StreamId, now: Moment) -> bool {
+        let reachable = self.reachable.get(&stream).copied().unwrap_or(false);
+        let relayed = self.relayed_at.get(&stream);
+        let relayed = relayed.is_some_and(|at| now.since(*at) < RELAY_FRESH);
+        self.started.contains(&stream) && (reachable || relayed)
+    }
+
     /// When the configuration stream was last read from the log itself.
     pub fn configuration_read_at(&self) -> Option<Moment> {
         self.read_at.get(&StreamId::Configuration).copied()
     }
 
     /// Folds one entry that is the next one of its stream; others change nothing.
-    fn fold(&mut self, stream: StreamId, entry: &ReadEntry) -> Result<(), String> {
-        let offset = LogOffset(entry.offset);
-        if offset != self.next(stream) {
-            return Ok(());
+    fn fold(
+        &mut self,
+        stream: StreamId,
+        entry: &ReadEntry,
+        now: Moment,
+    ) -> Result<FoldStep, String> {
+        let (offset, at) = (LogOffset(entry.offset), WallMillis(entry.at_ms));
+        let next = self.next(stream);
+        if offset < next {
+            return Ok(FoldStep::Repeated);
         }
-        let at = WallMillis(entry.at_ms);
-        let decoded = match decode_entry(offset, at, entry.body.as_bytes()) {
-            Ok(decoded) => decoded,
-            Err(error @ LogWireError::Newer { .. }) => return Err(error.to_string()),
-            // An entry that no version can read holds no facts for any instance.
-            Err(error) => {
-                log::warn!("log: {stream}: {error}.");
-                LogEntry { offset, at, facts: Vec::new() }
-            }
-        };
-        match stream {
-            StreamId::Configuration => {
-                self.configuration.apply(&decoded);
-            }
-            StreamId::Claims(partition) => {
-                self.claims[usize::from(partition)].apply(&decoded);
-            }
+        if offset > next || !self.started.contains(&stream) {
+            return Ok(FoldStep::Gap { expected: next });
         }
+        let decoded = decode(stream, entry).map_err(|error| error.to_string())?;
+        let step = match stream {
+            StreamId::Configuration => self.configuration.apply(&decoded),
+            StreamId::Claims(partition) => self.claims[usize::from(partition)].apply(&decoded),
+        };
+        let watched = self.checkpoints.entry(stream).or_insert_with(CheckpointTable::for_watch);
+        watched.observe(&decoded);
+        let pace =
+            self.pace.entry(stream).or_insert(StreamPace { began: at, ..Default::default() });
+        pace.newest = pace.newest.max(at);
+        pace.folded = now;
         let recent = self.recent.entry(stream).or_default();
         recent.push_back(entry.clone());
         if recent.len() > RELAY_LIMIT {
             recent.pop_front();
         }
-        Ok(())
+        Ok(step)
+    }
+}
+
+/// An entry of a stream as facts; an error only for one of a newer format.
+pub fn decode(stream: StreamId, entry: &ReadEntry) -> Result<LogEntry, LogWireError> {
+    let (offset, at) = (LogOffset(entry.offset), WallMillis(entry.at_ms));
+    match decode_entry(offset, at, entry.body.as_bytes()) {
+        Ok(decoded) => Ok(decoded),
+        Err(error @ LogWireError::Newer { .. }) => Err(error),
+        // An entry that no version can read holds no facts for any instance.
+        Err(error) => {
+            log::warn!("log: {stream}: {error}.");
+            Ok(LogEntry { offset, at, facts: Vec::new() })
+        }
     }
 }
 
@@ -150,12 +213,21 @@
 pub async fn follow(state: Arc<EntryState>, stream: StreamId) {
     let mut wait = Duration::ZERO;
     loop {
+        if !state.folds.tables().started.contains(&stream) {
+            start_stream(&state, stream).await;
+            wait = Duration::ZERO;
+        }
         let from = state.folds.tables().next(stream);
         match state.platform.read(stream, from, wait).await {
             Ok(reply) => {
-                note_reachable(&state, stream, true);
-                take_reply(&state, stream, &reply);
                 wait = READ_WAIT;
+                let passed = reply.first > state.folds.tables().next(stream).0;
+                if passed || take_entries(&state, stream, &reply.entries) == BatchResult::Gap {
+                    log::warn!("log: {stream} no longer holds entry {from}: starting it anew.");
+                    state.folds.tables().started.remove(&stream);
+                    continue;
+                }
+                note_reachable(&state, stream, true);
             }
             Err(error) => {
                 log::debug!("log: {stream} was not read: {error}.");
@@ -167,32 +239,47 @@
     }
 }
 
-fn take_reply(state: &EntryState, stream: StreamId, reply: &ReadReply) {
-    take_entries(state, stream, &reply.entries);
-}
-
 /// Folds entries, from the log or relayed by a peer, and puts in force what they accept.
-pub fn take_entries(state: &EntryState, stream: StreamId, entries: &[ReadEntry]) {
+pub fn take_entries(state: &EntryState, stream: StreamId, entries: &[ReadEntry]) -> BatchResult {
     if entries.is_empty() {
-        return;
+        return BatchResult::Folded;
     }
+    let now = state.now();
+    let mut result = BatchResult::Folded;
     let mut tables = state.folds.tables();
     for entry in entries {
-        if let Err(message) = tables.fold(stream, entry) {
-            log::error!("log: {stream} stands still: {message}.");
-            break;
+        match tables.fold(stream, entry, now) {
+            Ok(FoldStep::Folded | FoldStep::Repeated) => {}
+            Ok(FoldStep::Gap { .. }) => {
+                result = BatchResult::Gap;
+                break;
+            }
+            Err(message) => {
+                log::error!("log: {stream} stands still: {message}.");
+                result = BatchResult::Stopped;
+                break;
+            }
         }
     }
-    let declaration = tables.configuration.declaration.clone();
-    let revision = tables.configuration.revision;
     drop(tables);
+    show_folded(state, stream);
+    result
+}
+
+/// Puts in force what a fold that changed holds, and tells subscribers.
+pub fn show_folded(state: &EntryState, stream: StreamId) {
     if stream == StreamId::Configuration {
+        let tables = state.folds.tables();
+        let declaration = tables.configuration.declaration.clone();
+        let revision = tables.configuration.revision;
+        drop(tables);
         state.put_in_force(declaration, revision);
     }
     state.folds.signal();
 }
 
-fn note_reachable(state: &EntryState, stream: StreamId, reachable: bool) {
+/// Notes whether the log answered the newest read of a stream.
+pub fn note_reachable(state: &EntryState, stream: StreamId, reachable: bool) {
     let now = state.now();
     let mut tables = state.folds.tables();
     let before = tables.log_reachable();
--- a/crates/banyan-entry/src/operator.rs
+++ b/crates/banyan-entry/src/operator.rs
@@ -13,6 +13,7 @@
 use crate::follower::FoldTables;
 use crate::follower::all_streams;
 use crate::metric;
+use crate::peers::PeerRow;
 use crate::state::EntryState;
 use banyan_core::event::HybridStamp;
 use banyan_core::fold::ProposalVerdict;
@@ -80,7 +81,7 @@
     let targets = targets.map(|(target, row)| target_status(target.as_str(), row)).collect();
     let peers = tables.peers.rows.iter().map(|(peer, row)| PeerStatus {
         peer: SmolStr::new(peer.as_str()),
-        state: SmolStr::new_static(if row.leaving { "leaving" } else { "trusted" }),
+        state: SmolStr::new_static(peer_state(row)),
         revision: row.revision.0,
         silent_ms: row.heard.map_or(u64::MAX, |heard| now.since(heard).as_millis() as u64),
     });
@@ -116,6 +117,15 @@
     }
 }
 
+fn peer_state(row: &PeerRow) -> &'static str {
+    match row {
+        _ if row.leaving() => "leaving",
+        _ if row.suspected => "suspected",
+        _ if row.heard.is_none() => "unheard",
+        _ => "trusted",
+    }
+}
+
 fn target_status(name: &str, row: &TargetRow) -> TargetStatus {
     let (state, reason) = match &row.health {
         _ if row.leaving.any() => ("leaving", SmolStr::default()),
--- /dev/null
+++ b/crates/banyan-entry/src/relay.rs
@@ -0,0 +1,82 @@
+//! Reads the log through peers while it cannot be read here: [`run_relay`].
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures::future::join_all;
+use smol_str::format_smolstr;
+use tokio::time::MissedTickBehavior;
+
+use crate::follower::BatchResult;
+use crate::follower::all_streams;
+use crate::follower::take_entries;
+use crate::joining::adopt_snapshot;
+use crate::peer_link;
+use crate::peer_link::PeerError;
+use crate::state::EntryState;
+use banyan_core::record::StreamId;
+use banyan_wire::platform::ReadEntry;
+
+/// The time between two reads of a stream through a peer.
+const RELAY_PAUSE: Duration = Duration::from_millis(250);
+/// How long a stream was not read here before it is read through a peer.
+const RELAY_AFTER: Duration = Duration::from_millis(2000);
+
+/// Reads streams through peers, as long as the log gives no answer here.
+pub async fn run_relay(state: Arc<EntryState>) {
+    let mut ticks = tokio::time::interval(RELAY_PAUSE);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        let streams = silent_streams(&state).into_iter();
+        join_all(streams.map(|stream| relay_stream(&state, stream))).await;
+    }
+}
+
+fn silent_streams(state: &EntryState) -> Vec<StreamId> {
+    let now = state.now();
+    let folds = state.folds.tables();
+    let silent = |stream: &StreamId| {
+        let lost = folds.reachable.get(stream) == Some(&false);
+        let read_at = folds.read_at.get(stream);
+        folds.started.contains(stream)
+            && (lost || read_at.is_none_or(|at| now.since(*at) > RELAY_AFTER))
+    };
+    all_streams().filter(silent).collect()
+}
+
+async fn relay_stream(state: &Arc<EntryState>, stream: StreamId) {
+    let next = state.folds.tables().next(stream).0;
+    let sources = state.tables().peers.relays(stream, next);
+    let Some(source) = sources.first() else { return };
+    match read_through(state, stream, *source, next).await {
+        Ok(()) => {
+            let now = state.now();
+            state.folds.tables().relayed_at.insert(stream, now);
+            state.folds.signal();
+        }
+        Err(error) => log::debug!("peers: {source} relayed nothing of {stream}: {error}."),
+    }
+}
+
+async fn read_through(
+    state: &Arc<EntryState>,
+    stream: StreamId,
+    source: SocketAddr,
+    next: u64,
+) -> Result<(), PeerError> {
+    let name = format_smolstr!("{stream}");
+    let reply = peer_link::relay(state, source, &name, next).await?;
+    let first = reply.first;
+    let entries = reply.entries.into_iter();
+    let entries: Vec<ReadEntry> =
+        entries.map(|(offset, at_ms, body)| ReadEntry { offset, at_ms, body }).collect();
+    if first <= next && take_entries(state, stream, &entries) != BatchResult::Gap {
+        return Ok(());
+    }
+    // The peer no longer has the entries in between, but their effect.
+    let reply = peer_link::snapshot(state, source).await?;
+    adopt_snapshot(state, &reply);
+    Ok(())
+}
--- a/crates/banyan-entry/src/state.rs
+++ b/crates/banyan-entry/src/state.rs
@@ -16,10 +16,13 @@
 use tokio::sync::oneshot;
 use tokio::sync::watch;
 
+use crate::claim_route::FactOutbox;
 use crate::claims::ClaimLedger;
 use crate::clock::RuntimeClock;
 use crate::follower::FoldHub;
 use crate::journal::EventJournal;
+use crate::leaving::LeavingTable;
+use crate::peer_link::PeerLinks;
 use crate::peers::PeerTable;
 use crate::platform::PlatformClient;
 use crate::steps::StepClient;
@@ -78,6 +81,12 @@
     pub steps: StepClient,
     /// Claims that this run holds.
     pub ledger: ClaimLedger,
+    /// Ends of claims that have not landed in the log.
+    pub outbox: FactOutbox,
+    /// The connections to peers.
+    pub links: PeerLinks,
+    /// Taken by the one stream that asks peers for their state.
+    pub joining: tokio::sync::Mutex<()>,
     /// Whether new requests are taken.
     pub phase: watch::Sender<ServingPhase>,
     tables: Mutex<EntryTables>,
@@ -107,6 +116,8 @@
     pub contents: BTreeMap<TargetId, BTreeMap<RequestId, ContentDigest>>,
     /// The other instances.
     pub peers: PeerTable,
+    /// Targets that the instance list or peers say are leaving.
+    pub leaving: LeavingTable,
 }
 
 impl EntryState {
@@ -118,6 +129,7 @@
         let platform = PlatformClient::new(settings.platform_address);
         let capacity = settings.capacity;
         let admission = AdmissionQueue { capacity, queue_limit: capacity, ..Default::default() };
+        let peers = PeerTable::greeting(&settings);
         Self {
             incarnation,
             decisions,
@@ -128,8 +140,11 @@
             folds: FoldHub::default(),
             steps: StepClient::default(),
             ledger: ClaimLedger::default(),
+            outbox: FactOutbox::default(),
+            links: PeerLinks::default(),
+            joining: tokio::sync::Mutex::new(()),
             phase: watch::Sender::new(ServingPhase::Serving),
-            tables: Mutex::new(EntryTables { admission, ..Default::default() }),
+            tables: Mutex::new(EntryTables { admission, peers, ..Default::default() }),
             counter: AtomicU64::new(0),
             settings,
         }
--- /dev/null
+++ b/crates/banyan-entry/tests/control/control_isolation.rs
@@ -0,0 +1,62 @@
+//! When an instance cannot know what is in force, and when it can go on.
+
+use crate::support::operator_status;
+use crate::support::read_status;
+use crate::support::start_booking;
+use crate::support::start_entries;
+use crate::support::start_platform;
+use crate::support::until;
+use banyan_entry::daemon::RunningEntry;
+use banyan_entry::isolation::ISOLATION_BOUND;
+use banyan_entry::isolation::is_isolated;
+use banyan_standin::fault::PlatformFault;
+
+/// Waits until the log was away for longer than the bound.
+async fn until_log_is_long_away(entry: &RunningEntry) {
+    until("a long outage", || {
+        let read_at = entry.state.folds.tables().configuration_read_at().unwrap();
+        entry.state.now().since(read_at) > ISOLATION_BOUND + ISOLATION_BOUND / 2
+    })
+    .await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_instance_that_hears_nobody_takes_no_requests_until_it_does() {
+    let platform = start_platform().await;
+    let booking = start_booking().await;
+    let mut entries = start_entries(2, platform.address, booking.address).await;
+    drop(entries.pop());
+    let entry = &entries[0];
+    platform.fault(PlatformFault::Outage { reads: true, appends: true });
+    until("isolation", || is_isolated(&entry.state)).await;
+    let (status, body) = read_status(entry).await;
+    assert_eq!((status, body["error"]["type"].as_str()), (503, Some("isolated")), "{body}");
+    assert_eq!(body["error"]["outcome"], "not-run");
+    assert_eq!(operator_status(entry).await["ready"]["ready"], false);
+    platform.fault(PlatformFault::Outage { reads: false, appends: false });
+    until("the end of it", || !is_isolated(&entry.state)).await;
+    assert_eq!(read_status(entry).await.0, 200);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn with_the_log_away_for_all_instances_that_hear_each_other_go_on() {
+    let platform = start_platform().await;
+    let booking = start_booking().await;
+    let entries = start_entries(2, platform.address, booking.address).await;
+    platform.fault(PlatformFault::Outage { reads: true, appends: true });
+    for entry in &entries {
+        until_log_is_long_away(entry).await;
+        assert!(!is_isolated(&entry.state));
+        assert_eq!(read_status(entry).await.0, 200);
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_instance_without_peers_goes_on_alone() {
+    let platform = start_platform().await;
+    let booking = start_booking().await;
+    let entries = start_entries(1, platform.address, booking.address).await;
+    platform.fault(PlatformFault::Outage { reads: true, appends: true });
+    until_log_is_long_away(&entries[0]).await;
+    assert_eq!(read_status(&entries[0]).await.0, 200);
+}
--- /dev/null
+++ b/crates/banyan-entry/tests/control/control_leaving.rs
@@ -0,0 +1,121 @@
+//! A target that is leaving by any sign gets no new work, and one that returns does again.
+
+use http::Method;
+use tokio::time::Duration;
+
+use crate::support::CutLink;
+use crate::support::events;
+use crate::support::read_status;
+use crate::support::send;
+use crate::support::start_booking;
+use crate::support::start_entries;
+use crate::support::start_entry;
+use crate::support::start_platform;
+use crate::support::until;
+use crate::support::until_revision;
+use crate::support::usable_peers;
+use banyan_core::event::EventKind;
+use banyan_entry::daemon::RunningEntry;
+use banyan_standin::fault::PlatformFault;
+use banyan_standin::platform::PlatformHandle;
+use banyan_wire::platform::InstanceRole;
+use banyan_wire::platform::InstanceState;
+use banyan_wire::platform::InstanceWire;
+
+/// The time from the first sign within which no new work may go to a leaving target.
+const LEAVING_LIMIT: Duration = Duration::from_secs(3);
+
+fn announce(platform: &PlatformHandle, state: InstanceState) {
+    platform.announce(InstanceWire {
+        name: "booking-1".into(),
+        role: InstanceRole::Target,
+        state,
+        zone: "gebze".into(),
+        caller_address: None,
+        peer_address: None,
+        operator_address: None,
+    });
+}
+
+fn is_leaving(entry: &RunningEntry) -> bool {
+    entry.state.tables().targets.rows.values().any(|row| row.leaving.any())
+}
+
+/// Waits within the limit that the need names.
+async fn until_leaving(entry: &RunningEntry) {
+    let waited = tokio::time::timeout(LEAVING_LIMIT, until("leaving", || is_leaving(entry)));
+    assert!(waited.await.is_ok(), "the target still gets work");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_target_listed_as_leaving_gets_no_work_until_it_is_listed_as_live() {
+    let platform = start_platform().await;
+    let booking = start_booking().await;
+    let entries = start_entries(1, platform.address, booking.address).await;
+    let entry = &entries[0];
+    announce(&platform, InstanceState::Live);
+    assert_eq!(read_status(entry).await.0, 200);
+    announce(&platform, InstanceState::Leaving);
+    until_leaving(entry).await;
+    let (status, body) = read_status(entry).await;
+    assert_eq!((status, body["error"]["type"].as_str()), (503, Some("no_target")), "{body}");
+    until("the event", || events(entry, EventKind::TargetLeaving).len() == 1).await;
+
+    // The list going down does not take the word back.
+    platform.fault(PlatformFault::InstanceOutage { out: true });
+    announce(&platform, InstanceState::Live);
+    assert_eq!(read_status(entry).await.0, 503);
+    platform.fault(PlatformFault::InstanceOutage { out: false });
+    until("the return", || !is_leaving(entry)).await;
+    assert_eq!(read_status(entry).await.0, 200);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_target_taken_off_the_list_is_leaving_and_one_never_listed_is_not() {
+    let platform = start_platform().await;
+    let booking = start_booking().await;
+    let entries = start_entries(1, platform.address, booking.address).await;
+    let entry = &entries[0];
+    assert_eq!(read_status(entry).await.0, 200);
+    announce(&platform, InstanceState::Live);
+    // Only what was once seen on the list can be missed there.
+    until("the list", || entry.state.tables().leaving.names("booking-1")).await;
+    let path = "/instances/booking-1";
+    send(Method::DELETE, platform.address, path, &[], String::new()).await;
+    until_leaving(entry).await;
+    announce(&platform, InstanceState::Live);
+    until("the return", || !is_leaving(entry)).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_peers_word_is_enough_for_an_instance_without_the_list() {
+    let platform = start_platform().await;
+    let booking = start_booking().await;
+    let entries = start_entries(1, platform.address, booking.address).await;
+    let link = CutLink::to(platform.address).await;
+    let cut = start_entry("e-9", link.address, &[entries[0].peer_address]).await;
+    let revision = entries[0].state.tables().revision.0;
+    until_revision(&cut.state, revision).await;
+    until("the peers", || usable_peers(&cut) == 1 && usable_peers(&entries[0]) == 1).await;
+    link.set_open(false);
+    announce(&platform, InstanceState::Leaving);
+    until_leaving(&cut).await;
+    assert_eq!(read_status(&cut).await.0, 503);
+    announce(&platform, InstanceState::Live);
+    until("the return", || !is_leaving(&cut)).await;
+    assert_eq!(read_status(&cut).await.0, 200);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_targets_own_word_wins_over_a_list_that_lags() {
+    let platform = start_platform().await;
+    let booking = start_booking().await;
+    let entries = start_entries(1, platform.address, booking.address).await;
+    announce(&platform, InstanceState::Live);
+    platform.fault(PlatformFault::InstanceLag { lag_ms: 600_000 });
+    let leaving = |leaving| banyan_standin::fault::ServiceFault::Leaving { leaving };
+    booking.fault(leaving(true));
+    until_leaving(&entries[0]).await;
+    booking.fault(leaving(false));
+    until("the return", || !is_leaving(&entries[0])).await;
+}
--- /dev/null
+++ b/crates/banyan-entry/tests/control/control_outage.rs
@@ -0,0 +1,132 @@
+//! Calls that may run at most once while the log takes no appends, loses answers or is slow.
+
+use futures::future::join_all;
+use serde_json::Value;
+
+use crate::support::book;
+use crate::support::book_at;
+use crate::support::read_status;
+use crate::support::start_booking;
+use crate::support::start_entries;
+use crate::support::start_platform;
+use crate::support::until;
+use banyan_standin::fault::LossKind;
+use banyan_standin::fault::PlatformFault;
+use banyan_standin::fault::ServiceFault;
+use banyan_standin::platform::PlatformHandle;
+use banyan_standin::service::ServiceHandle;
+
+fn runs(booking: &ServiceHandle, key: &str) -> u64 {
+    let body = serde_json::json!({ "for": key }).to_string();
+    booking.runs_by_body().get(&body).copied().unwrap_or(0)
+}
+
+fn facts(platform: &PlatformHandle, kind: &str, key: &str) -> usize {
+    let appends = platform.truth().appends;
+    let bodies = appends.iter().filter_map(|row| serde_json::from_str::<Value>(&row.body).ok());
+    let facts = bodies.flat_map(|body| body["facts"].as_array().cloned().unwrap_or_default());
+    facts.filter(|fact| fact["kind"] == kind && fact["key"] == key).count()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn during_an_append_outage_a_keyed_call_is_not_run_now_or_later() {
+    let platform = start_platform().await;
+    let booking = start_booking().await;
+    let entries = start_entries(2, platform.address, booking.address).await;
+    platform.fault(PlatformFault::Outage { reads: false, appends: true });
+    for entry in &entries {
+        let (status, body) = book(entry, "k-1", 8000).await;
+        assert_eq!((status, &body["error"]["outcome"]), (503, &Value::from("not-run")), "{body}");
+        assert_eq!(read_status(entry).await.0, 200);
+    }
+    platform.fault(PlatformFault::Outage { reads: false, appends: false });
+    until("the releases", || facts(&platform, "release", "k-1") >= 2).await;
+    assert_eq!(runs(&booking, "k-1"), 0);
+    until("no open claim", || entries.iter().all(|entry| entry.state.outbox.is_empty())).await;
+    let mut status = 503;
+    while status == 503 {
+        status = book(&entries[0], "k-1", 8000).await.0;
+    }
+    assert_eq!((status, runs(&booking, "k-1")), (200, 1));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_claim_that_lands_after_its_call_was_refused_is_never_sent() {
+    let platform = start_platform().await;
+    let booking = start_booking().await;
+    let entries = start_entries(1, platform.address, booking.address).await;
+    platform.fault(PlatformFault::LateAppends { count: 3, delay_ms: 400 });
+    let (status, body) = book(&entries[0], "k-1", 8000).await;
+    assert_eq!((status, &body["error"]["outcome"]), (503, &Value::from("not-run")), "{body}");
+    until("the late claim", || facts(&platform, "claim", "k-1") >= 1).await;
+    until("its release", || facts(&platform, "release", "k-1") >= 1).await;
+    assert_eq!(runs(&booking, "k-1"), 0);
+    let mut status = 503;
+    while status == 503 {
+        status = book(&entries[0], "k-1", 8000).await.0;
+    }
+    assert_eq!((status, runs(&booking, "k-1")), (200, 1));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_append_whose_answer_is_lost_leads_to_one_run() {
+    for how in [LossKind::Cut, LossKind::Silent] {
+        let platform = start_platform().await;
+        let booking = start_booking().await;
+        let entries = start_entries(2, platform.address, booking.address).await;
+        for (number, entry) in entries.iter().enumerate() {
+            platform.fault(PlatformFault::LoseAnswers { count: 1, how });
+            let key = format!("k-{number}");
+            let (status, body) = book(entry, &key, 8000).await;
+            assert_eq!((status, runs(&booking, &key)), (200, 1), "{body}");
+        }
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_rate_limit_delays_or_refuses_but_runs_nothing_twice() {
+    let platform = start_platform().await;
+    let booking = start_booking().await;
+    let entries = start_entries(3, platform.address, booking.address).await;
+    platform.fault(PlatformFault::AppendRate { per_second: 8 });
+    let keys: Vec<String> = (0..60).map(|number| format!("k-{number}")).collect();
+    let calls = keys.iter().enumerate();
+    let calls = calls.map(|(number, key)| book_at(entries[number % 3].caller_address, key, 8000));
+    let answers = join_all(calls).await;
+    for (key, (status, body)) in keys.iter().zip(answers) {
+        let expected = match status {
+            200 => 1,
+            _ => {
+                assert_eq!(body["error"]["outcome"], "not-run", "{body}");
+                0
+            }
+        };
+        assert_eq!(runs(&booking, key), expected, "{key}: {body}");
+    }
+    platform.fault(PlatformFault::AppendRate { per_second: 1000 });
+    until("all facts", || entries.iter().all(|entry| entry.state.outbox.is_empty())).await;
+    for key in &keys {
+        assert_eq!(facts(&platform, "close", key) >= 1, runs(&booking, key) == 1);
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stop_waits_until_the_end_of_a_call_is_in_the_log() {
+    let platform = start_platform().await;
+    let booking = start_booking().await;
+    let entry = start_entries(1, platform.address, booking.address).await.remove(0);
+    booking.fault(ServiceFault::Slow { percent: 4000 });
+    let caller = entry.caller_address;
+    let call = tokio::spawn(async move { book_at(caller, "k-1", 8000).await });
+    until("the dispatch", || {
+        !crate::support::events(&entry, banyan_core::event::EventKind::Dispatched).is_empty()
+    })
+    .await;
+    platform.fault(PlatformFault::Outage { reads: false, appends: true });
+    let stop = tokio::spawn(entry.shutdown());
+    assert_eq!(call.await.unwrap().0, 200);
+    assert_eq!(facts(&platform, "close", "k-1"), 0);
+    platform.fault(PlatformFault::Outage { reads: false, appends: false });
+    stop.await.unwrap();
+    assert!(facts(&platform, "close", "k-1") >= 1);
+}
--- /dev/null
+++ b/crates/banyan-entry/tests/control/main.rs
@@ -0,0 +1,10 @@
+//! Tests of the daemon's control plane: daemons in this process against stand-ins on loopback.
+
+mod control_checkpoints;
+mod control_claims;
+mod control_isolation;
+mod control_joining;
+mod control_leaving;
+mod control_outage;
+mod control_peers;
+mod support;
--- a/crates/banyan-wire/src/operator.rs
+++ b/crates/banyan-wire/src/operator.rs
@@ -86,7 +86,7 @@
 pub struct PeerStatus {
     /// The peer's name.
     pub peer: SmolStr,
-    /// `trusted`, `suspected` or `leaving`.
+    /// `trusted`, `suspected`, `leaving` or `unheard`.
     pub state: SmolStr,
     /// The revision in force there, as it last said.
     pub revision: u64,
--- a/crates/banyan-wire/src/peer.rs
+++ b/crates/banyan-wire/src/peer.rs
@@ -18,6 +18,8 @@
     async fn snapshot() -> SnapshotReply;
     /// Appends a claim for the caller, in a batch with others, and gives the fold's verdict.
     async fn claim(order: ClaimOrder) -> ClaimReply;
+    /// Appends facts for the caller, in a batch with others; says whether they have landed.
+    async fn deliver(order: DeliverOrder) -> bool;
 }
 
 /// What an instance tells in each exchange. Bounded in size: deltas since the last one.
@@ -117,6 +119,15 @@
     pub wait_ms: u64,
 }
 
+/// Facts to append for somebody else, which may be appended twice.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct DeliverOrder {
+    /// The stream.
+    pub stream: SmolStr,
+    /// The facts, as the body of an append holds them.
+    pub facts: Vec<u8>,
+}
+
 /// The fold's verdict on a claim, as read back from the log.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub enum ClaimReply {
