Entry: ready once every stream has its state; off the list for good at a stop

Now readiness waits up to 5 s for all streams, a stream counts as heard from its scan on, and the tasks end before the instance is taken off the list.

--- a/crates/banyan-entry/src/daemon.rs
+++ b/crates/banyan-entry/src/daemon.rs
@@ -33,6 +33,7 @@
 use banyan_core::ids::Revision;
 use banyan_core::serving::decisions::DecisionSet;
 use banyan_core::serving::health;
+use banyan_core::units::Moment;
 use banyan_http::server::serve;
 use banyan_wire::operator::ReadinessWire;
 use banyan_wire::platform::InstanceRole;
@@ -45,6 +46,9 @@
 const NOTICE_TIME: Duration = Duration::from_millis(1500);
 /// The time between two looks at whether requests are still under way.
 const DRAIN_PAUSE: Duration = Duration::from_millis(20);
+/// The time after the start for which an instance waits for the state of every stream before it is
+/// ready; calls that may be repeated need no more than the configuration.
+const JOIN_LIMIT: Duration = Duration::from_secs(5);
 /// The time between two announcements on the instance list.
 const ANNOUNCE_PAUSE: Duration = Duration::from_secs(2);
 
@@ -128,12 +132,13 @@
         self.drain().await;
         let _ = self.stop.send(true);
         let _ = (&mut self.servers).await;
+        // The announcing task must not put the instance on the list again.
+        self.tasks.shutdown().await;
         if let Err(error) = state.platform.withdraw(state.settings.instance.as_str()).await {
             log::debug!("shutdown: The instance list was not told: {error}.");
         }
         state.journal.record(EventKind::Stopped, "", "", "");
         log::info!("shutdown: The instance stopped.");
-        self.tasks.shutdown().await;
     }
 
     async fn drain(&self) {
@@ -167,12 +172,22 @@
     if state.tables().revision == Revision(0) {
         return not_ready("no configuration is in force");
     }
+    if is_joining(state) {
+        return not_ready("the log is still being read");
+    }
     if is_isolated(state) {
         return not_ready("neither the log nor any peer is heard");
     }
     ReadinessWire { ready: true, reason: SmolStr::default() }
 }
 
+/// Whether an instance that has just started may still get the state of every stream.
+fn is_joining(state: &EntryState) -> bool {
+    let folds = state.folds.tables();
+    let started = all_streams().all(|stream| folds.started.contains(&stream));
+    !started && state.now() < Moment::default() + JOIN_LIMIT
+}
+
 async fn bind(address: SocketAddr, field: &str) -> eyre::Result<TcpListener> {
     TcpListener::bind(address)
         .await
--- a/crates/banyan-entry/src/joining.rs
+++ b/crates/banyan-entry/src/joining.rs
@@ -55,7 +55,10 @@
     loop {
         match scan_log(state, stream).await {
             Ok(scan) => match start_from_log(state, stream, scan) {
-                Ok(source) => return note_started(state, stream, &source),
+                Ok(source) => {
+                    note_reachable(state, stream, true);
+                    return note_started(state, stream, &source);
+                }
                 Err(reason) => {
                     log::error!("log: {stream} cannot be started: {reason}.");
                     note_waiting(state, stream, &reason);
--- a/crates/banyan-entry/tests/control/control_claims.rs
+++ b/crates/banyan-entry/tests/control/control_claims.rs
@@ -98,6 +98,7 @@
 
     let again = start_entry("e-1", platform.address, &[]).await;
     until_revision(&again.state, revision).await;
+    until("all streams", || banyan_entry::daemon::readiness(&again.state).ready).await;
     let (status, body) = book(&again, "k-1", 800).await;
     assert_eq!(status, 502, "{body}");
     assert_eq!(body["error"]["outcome"], "unknown");
--- a/crates/banyan-entry/tests/control/support.rs
+++ b/crates/banyan-entry/tests/control/support.rs
@@ -22,6 +22,7 @@
 use banyan_core::event::HybridStamp;
 use banyan_core::serving::decisions::DecisionSet;
 use banyan_entry::daemon::RunningEntry;
+use banyan_entry::daemon::readiness;
 use banyan_entry::daemon::start;
 use banyan_entry::state::EntryState;
 use banyan_http::client::plain_client;
@@ -185,6 +186,7 @@
     for entry in &entries {
         until_revision(&entry.state, revision).await;
         until("the peers", || usable_peers(entry) + 1 == count).await;
+        until("all streams", || readiness(&entry.state).ready).await;
     }
     entries
 }
