--- a/crates/banyan-entry/src/lib.rs
+++ b/crates/banyan-entry/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod claims;
 pub mod clock;
 pub mod completion;
+pub mod counted;
 pub mod crashes;
 pub mod daemon;
 pub mod exchange;
--- a/crates/banyan-entry/src/peer_link.rs
+++ b/crates/banyan-entry/src/peer_link.rs
@@ -27,6 +27,7 @@
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 
+use crate::counted::CountedStream;
 use crate::state::EntryState;
 use banyan_wire::peer::ClaimOrder;
 use banyan_wire::peer::ClaimReply;
@@ -68,6 +69,8 @@
 pub struct PeerLinks {
     rows: Mutex<BTreeMap<SocketAddr, PeerLink>>,
     made: AtomicU64,
+    /// Bytes sent to peers and received from them.
+    bytes: Arc<AtomicU64>,
 }
 
 #[derive(Clone, Debug)]
@@ -169,7 +172,7 @@
         let connect = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
         let stream = connect.await.map_err(io::Error::other)??;
         stream.set_nodelay(true)?;
-        let framed = Framed::new(stream, codec());
+        let framed = Framed::new(self.count(stream), codec());
         let transport = serde_transport::new(framed, Bincode::default());
         let client = PeerServiceClient::new(client::Config::default(), transport).spawn();
         let number = self.made.fetch_add(1, Ordering::Relaxed);
@@ -178,6 +181,16 @@
         Ok(link)
     }
 
+    /// Bytes exchanged with peers so far.
+    pub fn bytes(&self) -> u64 {
+        self.bytes.load(Ordering::Relaxed)
+    }
+
+    /// The same connection, with its bytes counted.
+    pub fn count(&self, stream: TcpStream) -> CountedStream {
+        CountedStream::new(stream, self.bytes.clone())
+    }
+
     fn drop_link(&self, address: SocketAddr, number: u64) {
         let mut rows = self.lock();
         if rows.get(&address).is_some_and(|link| link.number == number) {
--- a/crates/banyan-entry/src/peer_server.rs
+++ b/crates/banyan-entry/src/peer_server.rs
@@ -69,7 +69,8 @@
     if let Err(error) = stream.set_nodelay(true) {
         log::debug!("peers: The connection of {address} keeps its delay: {error}.");
     }
-    let transport = serde_transport::new(Framed::new(stream, codec()), Bincode::default());
+    let framed = Framed::new(state.links.count(stream), codec());
+    let transport = serde_transport::new(framed, Bincode::default());
     let channel = BaseChannel::with_defaults(transport);
     let mut answers = Box::pin(channel.execute(PeerAnswerer { state }.serve()));
     let mut calls = JoinSet::new();
