Entry: a slow log is read with more patience

Cause: a read had 700 ms beyond its waiting; with a log that takes 1.5 s for each call, no read ever ended and a configuration never came into force (test red: not in force within 9 s).

--- a/crates/banyan-entry/src/follower.rs
+++ b/crates/banyan-entry/src/follower.rs
@@ -11,6 +11,7 @@
 
 use smol_str::SmolStr;
 use tokio::sync::watch;
+use tokio::time::Instant;
 
 use crate::joining::start_stream;
 use crate::state::EntryState;
@@ -25,12 +26,17 @@
 use banyan_core::record::StreamId;
 use banyan_core::units::Moment;
 use banyan_core::units::WallMillis;
+use banyan_http::client::CallError;
 use banyan_wire::log::LogWireError;
 use banyan_wire::log::decode_entry;
 use banyan_wire::platform::ReadEntry;
 
 /// The longest time that a read waits for an entry.
 const READ_WAIT: Duration = Duration::from_millis(1000);
+/// The time beyond its waiting that a read may take at first.
+const SLACK_FLOOR: Duration = Duration::from_millis(700);
+/// The longest time beyond its waiting that a read may take.
+const SLACK_LIMIT: Duration = Duration::from_millis(4000);
 /// The pause after a failed read.
 const READ_PAUSE: Duration = Duration::from_millis(100);
 /// The most entries of one stream that are kept for peers.
@@ -209,17 +215,54 @@
     std::iter::once(StreamId::Configuration).chain(claims)
 }
 
+/// How long a read may take beyond its waiting: longer, where the log is slow rather than down.
+#[derive(Clone, Copy, Debug)]
+pub struct ReadPatience {
+    /// Invariant: between [`SLACK_FLOOR`] and [`SLACK_LIMIT`].
+    slack: Duration,
+}
+
+impl Default for ReadPatience {
+    fn default() -> Self {
+        Self { slack: SLACK_FLOOR }
+    }
+}
+
+impl ReadPatience {
+    /// The time beyond its waiting that the next read may take.
+    pub fn slack(&self) -> Duration {
+        self.slack
+    }
+
+    /// Takes in a read that was answered.
+    pub fn note_answer(&mut self, wait: Duration, took: Duration) {
+        if took < wait + self.slack / 4 {
+            self.slack = (self.slack / 2).max(SLACK_FLOOR);
+        }
+    }
+
+    /// Takes in a read that was not.
+    pub fn note_failure(&mut self, error: &CallError) {
+        if matches!(error, CallError::Timeout { .. }) {
+            self.slack = (self.slack * 2).min(SLACK_LIMIT);
+        }
+    }
+}
+
 /// Reads and folds one stream for as long as the daemon runs.
 pub async fn follow(state: Arc<EntryState>, stream: StreamId) {
     let mut wait = Duration::ZERO;
+    let mut patience = ReadPatience::default();
     loop {
         if !state.folds.tables().started.contains(&stream) {
             start_stream(&state, stream).await;
             wait = Duration::ZERO;
         }
         let from = state.folds.tables().next(stream);
-        match state.platform.read(stream, from, wait).await {
+        let asked = Instant::now();
+        match state.platform.read(stream, from, wait, patience.slack()).await {
             Ok(reply) => {
+                patience.note_answer(wait, asked.elapsed());
                 wait = READ_WAIT;
                 let passed = reply.first > state.folds.tables().next(stream).0;
                 if passed || take_entries(&state, stream, &reply.entries) == BatchResult::Gap {
@@ -231,6 +274,7 @@
             }
             Err(error) => {
                 log::debug!("log: {stream} was not read: {error}.");
+                patience.note_failure(&error);
                 note_reachable(&state, stream, false);
                 wait = Duration::ZERO;
                 tokio::time::sleep(READ_PAUSE).await;
--- a/crates/banyan-entry/src/joining.rs
+++ b/crates/banyan-entry/src/joining.rs
@@ -12,6 +12,7 @@
 use thiserror::Error;
 
 use crate::follower::FoldTables;
+use crate::follower::ReadPatience;
 use crate::follower::decode;
 use crate::follower::note_reachable;
 use crate::follower::show_folded;
@@ -52,8 +53,9 @@
 
 /// Gives the fold of a stream its state, trying until it has one.
 pub async fn start_stream(state: &Arc<EntryState>, stream: StreamId) {
+    let mut patience = ReadPatience::default();
     loop {
-        match scan_log(state, stream).await {
+        match scan_log(state, stream, patience.slack()).await {
             Ok(scan) => match start_from_log(state, stream, scan) {
                 Ok(source) => {
                     note_reachable(state, stream, true);
@@ -66,6 +68,7 @@
             },
             Err(error) => {
                 log::debug!("log: {stream} was not read: {error}.");
+                patience.note_failure(&error);
                 note_reachable(state, stream, false);
             }
         }
@@ -97,11 +100,15 @@
     adopted
 }
 
-async fn scan_log(state: &EntryState, stream: StreamId) -> Result<LogScan, CallError> {
+async fn scan_log(
+    state: &EntryState,
+    stream: StreamId,
+    slack: Duration,
+) -> Result<LogScan, CallError> {
     let mut scan = LogScan { first: LogOffset(0), table: CheckpointTable::for_start() };
     let mut from = LogOffset(0);
     loop {
-        let reply = state.platform.read(stream, from, Duration::ZERO).await?;
+        let reply = state.platform.read(stream, from, Duration::ZERO, slack).await?;
         scan.first = LogOffset(reply.first);
         for entry in &reply.entries {
             // Nothing behind an entry of a newer format can be folded, so nothing there is of use.
--- a/crates/banyan-entry/src/platform.rs
+++ b/crates/banyan-entry/src/platform.rs
@@ -19,9 +19,7 @@
 /// The time that one append may take.
 const APPEND_TIMEOUT: Duration = Duration::from_millis(1000);
 /// The time that a call to the instance list may take.
-const LIST_TIMEOUT: Duration = Duration::from_millis(1000);
-/// The time beyond its waiting that a read may take.
-const READ_SLACK: Duration = Duration::from_millis(700);
+const LIST_TIMEOUT: Duration = Duration::from_millis(2500);
 /// The most entries that one read asks for.
 const READ_LIMIT: u32 = 500;
 
@@ -49,14 +47,16 @@
         Ok(LogOffset(reply.offset))
     }
 
-    /// Reads from an offset on and waits up to `wait` for the first entry.
+    /// Reads from an offset on and waits up to `wait` for the first entry; the platform may take
+    /// `slack` beyond that.
     pub async fn read(
         &self,
         stream: StreamId,
         from: LogOffset,
         wait: Duration,
+        slack: Duration,
     ) -> Result<ReadReply, CallError> {
-        let client = self.client.with_timeout(wait + READ_SLACK);
+        let client = self.client.with_timeout(wait + slack);
         let wait_ms = wait.as_millis();
         let path = format!("/log/{stream}?from={from}&limit={READ_LIMIT}&wait_ms={wait_ms}");
         client.get(self.address, &path).await
--- a/crates/banyan-entry/tests/control/control_joining.rs
+++ b/crates/banyan-entry/tests/control/control_joining.rs
@@ -4,8 +4,10 @@
 
 use serde_json::json;
 
+use crate::support::CutLink;
 use crate::support::append;
 use crate::support::declaration;
+use crate::support::events;
 use crate::support::operator_status;
 use crate::support::propose;
 use crate::support::start_booking;
@@ -13,16 +15,21 @@
 use crate::support::start_platform;
 use crate::support::until;
 use crate::support::until_revision;
+use banyan_core::event::EventKind;
 use banyan_core::fold::ConfigurationFold;
 use banyan_core::fold::checkpoint_facts;
 use banyan_core::ids::LogOffset;
 use banyan_core::record::StreamId;
 use banyan_core::units::WallMillis;
+use banyan_entry::checkpoints::write_checkpoint;
 use banyan_standin::fault::PlatformFault;
 use banyan_wire::checkpoint::encode_configuration;
 use banyan_wire::log::decode_entry;
 use banyan_wire::log::encode_facts;
 
+/// The time within which an accepted configuration must be in force.
+const IN_FORCE_LIMIT: Duration = Duration::from_secs(9);
+
 /// Folds what the platform took of the configuration stream below `end` into a checkpoint's body.
 fn folded_body(truth: &banyan_standin::truth::PlatformTruth, end: u64) -> Vec<u8> {
     let mut fold = ConfigurationFold::new(banyan_config::merge_files);
@@ -82,7 +89,7 @@
     let platform = start_platform().await;
     let booking = start_booking().await;
     let text = declaration(booking.address);
-    let link = crate::support::CutLink::to(platform.address).await;
+    let link = CutLink::to(platform.address).await;
     let ahead = start_entry("e-1", platform.address, &[]).await;
     let behind = start_entry("e-2", link.address, &[]).await;
     let offset = propose(platform.address, "p-1", 0, &text).await;
@@ -103,6 +110,45 @@
     until_revision(&behind.state, last).await;
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn an_instance_that_retention_passed_goes_on_from_a_checkpoint() {
+    let platform = start_platform().await;
+    let booking = start_booking().await;
+    let text = declaration(booking.address);
+    let link = CutLink::to(platform.address).await;
+    platform.fault(PlatformFault::InstanceOutage { out: true });
+    let writer = start_entry("e-1", platform.address, &[]).await;
+    let behind = start_entry("e-2", link.address, &[]).await;
+    let mut base = propose(platform.address, "p-1", 0, &text).await + 1;
+    until_revision(&behind.state, base).await;
+    link.set_open(false);
+    for id in ["p-2", "p-3"] {
+        base = propose(platform.address, id, base, &text).await + 1;
+    }
+    until_revision(&writer.state, base).await;
+    write_checkpoint(&writer.state, StreamId::Configuration).await.unwrap();
+    platform.fault(PlatformFault::Trim { stream: "configuration".into(), first: base });
+    link.set_open(true);
+    until_revision(&behind.state, base).await;
+    assert_eq!(operator_status(&behind).await["log"]["started_from"], "checkpoint");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_configuration_comes_into_force_in_time_although_the_log_is_slow() {
+    let platform = start_platform().await;
+    let booking = start_booking().await;
+    let entry = start_entry("e-1", platform.address, &[]).await;
+    let first = propose(platform.address, "p-1", 0, &declaration(booking.address)).await + 1;
+    until_revision(&entry.state, first).await;
+    platform.fault(PlatformFault::Slow { delay_ms: 1_500 });
+    // From here on no read began before the log was slow.
+    until("a read that failed", || !events(&entry, EventKind::LogLost).is_empty()).await;
+    let text = declaration(booking.address);
+    let second = propose(platform.address, "p-2", first, &text).await + 1;
+    let in_force = tokio::time::timeout(IN_FORCE_LIMIT, until_revision(&entry.state, second));
+    assert!(in_force.await.is_ok(), "it is not in force in time");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn all_instances_restarted_at_once_after_retention_find_the_checkpoints() {
     let platform = start_platform().await;
@@ -114,9 +160,7 @@
     }
     let entry = start_entry("e-1", platform.address, &[]).await;
     until_revision(&entry.state, base).await;
-    banyan_entry::checkpoints::write_checkpoint(&entry.state, StreamId::Configuration)
-        .await
-        .unwrap();
+    write_checkpoint(&entry.state, StreamId::Configuration).await.unwrap();
     drop(entry);
     platform.fault(PlatformFault::Trim { stream: "configuration".into(), first: base });
 
