--- a/crates/banyan-entry/src/claim_route.rs
+++ b/crates/banyan-entry/src/claim_route.rs
@@ -39,6 +39,8 @@
 use banyan_wire::peer::ClaimReply;
 use banyan_wire::peer::DeliverOrder;
 
+/// The time between two looks at whether a stream is heard.
+const HEARD_PAUSE: Duration = Duration::from_millis(100);
 /// The longest time that the owner has to answer a claim.
 const OWNER_WAIT: Duration = Duration::from_millis(700);
 /// The most peers that one claim is tried through.
@@ -243,6 +245,8 @@
         tokio::select! {
             _ = progress.changed() => {}
             () = appended => {}
+            // Whether the stream is heard changes with time alone.
+            () = tokio::time::sleep(HEARD_PAUSE) => {}
             () = tokio::time::sleep_until(until) => return ClaimVerdict::Unseen,
         }
     }
--- a/crates/banyan-entry/src/follower.rs
+++ b/crates/banyan-entry/src/follower.rs
@@ -41,6 +41,8 @@
 const READ_PAUSE: Duration = Duration::from_millis(100);
 /// The most entries of one stream that are kept for peers.
 const RELAY_LIMIT: usize = 1024;
+/// How long a stream still counts as heard after its reads began to fail.
+const LOSS_GRACE: Duration = Duration::from_millis(600);
 /// How long a peer's relay counts as hearing a stream.
 const RELAY_FRESH: Duration = Duration::from_millis(1500);
 
@@ -64,6 +66,8 @@
     pub read_at: BTreeMap<StreamId, Moment>,
     /// When a peer that reads the log last told all that it had of a stream.
     pub relayed_at: BTreeMap<StreamId, Moment>,
+    /// When the reads of a stream began to fail after one that succeeded.
+    pub lost_at: BTreeMap<StreamId, Moment>,
     /// Whether the newest read of each stream succeeded.
     pub reachable: BTreeMap<StreamId, bool>,
     /// The streams whose fold has its state, and can take the next entry.
@@ -106,6 +110,7 @@
             recent: BTreeMap::new(),
             read_at: BTreeMap::new(),
             relayed_at: BTreeMap::new(),
+            lost_at: BTreeMap::new(),
             reachable: BTreeMap::new(),
             started: BTreeSet::new(),
             started_from: SmolStr::new_static("nothing yet"),
@@ -152,7 +157,10 @@
         let reachable = self.reachable.get(&stream).copied().unwrap_or(false);
         let relayed = self.relayed_at.get(&stream);
         let relayed = relayed.is_some_and(|at| now.since(*at) < RELAY_FRESH);
-        self.started.contains(&stream) && (reachable || relayed)
+        // A single read that failed may be the fault of its connection alone.
+        let lost = self.lost_at.get(&stream);
+        let just_lost = lost.is_some_and(|at| now.since(*at) < LOSS_GRACE);
+        self.started.contains(&stream) && (reachable || relayed || just_lost)
     }
 
     /// When the configuration stream was last read from the log itself.
@@ -327,7 +335,10 @@
     let now = state.now();
     let mut tables = state.folds.tables();
     let before = tables.log_reachable();
-    tables.reachable.insert(stream, reachable);
+    let was_reachable = tables.reachable.insert(stream, reachable);
+    if was_reachable == Some(true) && !reachable {
+        tables.lost_at.insert(stream, now);
+    }
     if reachable {
         tables.read_at.insert(stream, now);
     }
--- a/crates/banyan-entry/src/platform.rs
+++ b/crates/banyan-entry/src/platform.rs
@@ -1,10 +1,15 @@
 //! The platform as the daemon uses it: [`PlatformClient`].
 
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
 use std::time::Duration;
 
 use bytes::Bytes;
 use http::Method;
+use serde::de::DeserializeOwned;
 
 use banyan_core::ids::LogOffset;
 use banyan_core::record::StreamId;
@@ -24,26 +29,26 @@
 const READ_LIMIT: u32 = 500;
 
 /// Calls to the platform's log and instance list.
+///
+/// When a call was not answered in time, all connections may have gone silent: they are given up
+/// together, so that the next call does not meet another one of them.
 #[derive(Clone, Debug)]
 pub struct PlatformClient {
     address: SocketAddr,
-    client: JsonClient,
+    client: Arc<Mutex<JsonClient>>,
 }
 
 impl PlatformClient {
     /// A client of the platform at `address`.
     pub fn new(address: SocketAddr) -> Self {
-        Self { address, client: JsonClient::new(LIST_TIMEOUT) }
+        Self { address, client: Arc::new(Mutex::new(JsonClient::new(LIST_TIMEOUT))) }
     }
 
     /// Appends a body. An error other than a refused connection says nothing about its effect.
     pub async fn append(&self, stream: StreamId, body: Bytes) -> Result<LogOffset, CallError> {
-        let client = self.client.with_timeout(APPEND_TIMEOUT);
         let path = format!("/log/{stream}");
-        let answer = client.send(Method::POST, self.address, &path, body).await?;
-        let reply: AppendReply = serde_json::from_slice(&answer).map_err(|error| {
-            CallError::Malformed { address: self.address, reason: error.to_string() }
-        })?;
+        let answer = self.send(APPEND_TIMEOUT, Method::POST, &path, body).await?;
+        let reply: AppendReply = self.decode(&answer)?;
         Ok(LogOffset(reply.offset))
     }
 
@@ -56,26 +61,54 @@
         wait: Duration,
         slack: Duration,
     ) -> Result<ReadReply, CallError> {
-        let client = self.client.with_timeout(wait + slack);
         let wait_ms = wait.as_millis();
         let path = format!("/log/{stream}?from={from}&limit={READ_LIMIT}&wait_ms={wait_ms}");
-        client.get(self.address, &path).await
+        let answer = self.send(wait + slack, Method::GET, &path, Bytes::new()).await?;
+        self.decode(&answer)
     }
 
     /// The list of instances, which may lag.
     pub async fn instances(&self) -> Result<InstancesReply, CallError> {
-        self.client.get(self.address, "/instances").await
+        let answer = self.send(LIST_TIMEOUT, Method::GET, "/instances", Bytes::new()).await?;
+        self.decode(&answer)
     }
 
     /// Announces an instance on the list.
     pub async fn announce(&self, instance: &InstanceWire) -> Result<(), CallError> {
         let path = format!("/instances/{}", instance.name);
-        self.client.send(Method::PUT, self.address, &path, encode(instance)).await.map(|_| ())
+        self.send(LIST_TIMEOUT, Method::PUT, &path, encode(instance)).await.map(|_| ())
     }
 
     /// Takes an instance off the list.
     pub async fn withdraw(&self, name: &str) -> Result<(), CallError> {
         let path = format!("/instances/{name}");
-        self.client.send(Method::DELETE, self.address, &path, Bytes::new()).await.map(|_| ())
+        self.send(LIST_TIMEOUT, Method::DELETE, &path, Bytes::new()).await.map(|_| ())
+    }
+
+    async fn send(
+        &self,
+        timeout: Duration,
+        method: Method,
+        path: &str,
+        body: Bytes,
+    ) -> Result<Bytes, CallError> {
+        let client = self.lock().with_timeout(timeout);
+        let result = client.send(method, self.address, path, body).await;
+        if matches!(result, Err(CallError::Timeout { .. })) {
+            // Calls that are under way keep their connections.
+            *self.lock() = JsonClient::new(LIST_TIMEOUT);
+        }
+        result
+    }
+
+    fn decode<T: DeserializeOwned>(&self, answer: &[u8]) -> Result<T, CallError> {
+        serde_json::from_slice(answer).map_err(|error| CallError::Malformed {
+            address: self.address,
+            reason: error.to_string(),
+        })
+    }
+
+    fn lock(&self) -> MutexGuard<'_, JsonClient> {
+        self.client.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
--- a/crates/banyan-entry/tests/control/control_joining.rs
+++ b/crates/banyan-entry/tests/control/control_joining.rs
@@ -11,6 +11,7 @@
 use crate::support::operator_status;
 use crate::support::propose;
 use crate::support::start_booking;
+use crate::support::start_entries;
 use crate::support::start_entry;
 use crate::support::start_platform;
 use crate::support::until;
@@ -22,6 +23,7 @@
 use banyan_core::record::StreamId;
 use banyan_core::units::WallMillis;
 use banyan_entry::checkpoints::write_checkpoint;
+use banyan_standin::fault::ConnectionFault;
 use banyan_standin::fault::PlatformFault;
 use banyan_wire::checkpoint::encode_configuration;
 use banyan_wire::log::decode_entry;
@@ -149,6 +151,23 @@
     assert!(in_force.await.is_ok(), "it is not in force in time");
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_configuration_comes_into_force_in_time_although_connections_went_silent() {
+    let platform = start_platform().await;
+    let booking = start_booking().await;
+    let entries = start_entries(2, platform.address, booking.address).await;
+    let mut base = entries[0].state.folds.tables().configuration.revision.0;
+    for id in ["p-2", "p-3"] {
+        platform.fault(PlatformFault::Connection(ConnectionFault::Silence));
+        base = propose(platform.address, id, base, &declaration(booking.address)).await + 1;
+        for entry in &entries {
+            let in_force = until_revision(&entry.state, base);
+            let in_force = tokio::time::timeout(IN_FORCE_LIMIT, in_force).await;
+            assert!(in_force.is_ok(), "it is not in force in time");
+        }
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn all_instances_restarted_at_once_after_retention_find_the_checkpoints() {
     let platform = start_platform().await;
--- a/crates/banyan-entry/tests/control/control_outage.rs
+++ b/crates/banyan-entry/tests/control/control_outage.rs
@@ -10,6 +10,7 @@
 use crate::support::start_entries;
 use crate::support::start_platform;
 use crate::support::until;
+use banyan_standin::fault::ConnectionFault;
 use banyan_standin::fault::LossKind;
 use banyan_standin::fault::PlatformFault;
 use banyan_standin::fault::ServiceFault;
@@ -130,3 +131,21 @@
     stop.await.unwrap();
     assert!(facts(&platform, "close", "k-1") >= 1);
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_keyed_call_is_served_although_all_connections_to_the_log_went_silent() {
+    let platform = start_platform().await;
+    let booking = start_booking().await;
+    let entries = start_entries(2, platform.address, booking.address).await;
+    // Many claims at once leave many connections to the log behind.
+    let keys: Vec<String> = (0..100).map(|number| format!("k-{number}")).collect();
+    let calls = keys.iter().enumerate();
+    let calls = calls.map(|(number, key)| book_at(entries[number % 2].caller_address, key, 8000));
+    assert!(join_all(calls).await.iter().all(|(status, _)| *status == 200));
+    platform.fault(PlatformFault::Connection(ConnectionFault::Silence));
+    for number in 0..16 {
+        let key = format!("after-{number}");
+        let (status, body) = book(&entries[number % 2], &key, 8000).await;
+        assert_eq!((status, runs(&booking, &key)), (200, 1), "{key}: {body}");
+    }
+}
