--- a/crates/banyan-load/src/bench.rs
+++ b/crates/banyan-load/src/bench.rs
@@ -211,14 +211,20 @@
     }
 
     async fn wait_in_force(&self) -> eyre::Result<()> {
-        let until = Instant::now() + IN_FORCE_LIMIT;
         for entry in &self.entries {
-            while !self.is_in_force(entry).await {
-                if Instant::now() > until {
-                    bail!("{} has no declaration in force: see its log", entry.process.name);
-                }
-                sleep(LOOK_PAUSE).await;
+            self.wait_entry(entry).await?;
+        }
+        Ok(())
+    }
+
+    /// Waits until an entry has the declaration in force.
+    pub async fn wait_entry(&self, entry: &BenchEntry) -> eyre::Result<()> {
+        let until = Instant::now() + IN_FORCE_LIMIT;
+        while !self.is_in_force(entry).await {
+            if Instant::now() > until {
+                bail!("{} has no declaration in force: see its log", entry.process.name);
             }
+            sleep(LOOK_PAUSE).await;
         }
         Ok(())
     }
--- a/crates/banyan-load/src/lib.rs
+++ b/crates/banyan-load/src/lib.rs
@@ -1,7 +1,7 @@
 //! Load and experiments: open loop, deterministic by seed, with every answer checked.
 //!
 //! An experiment starts a [`bench`] of real processes on loopback, offers it a [`schedule`] of
-//! requests through [`load`], reads what really ran from the engines' [`ground_truth`], and reports
+//! requests through [`load`] (a [`session`] plays faults beside it), reads what really ran from the engines' [`ground_truth`], and reports
 //! one [`report::ExperimentLine`]. [`experiments`] holds one module each. The control work alone is
 //! measured by [`control`].
 
@@ -15,4 +15,5 @@
 pub mod process;
 pub mod report;
 pub mod schedule;
+pub mod session;
 pub mod tally;
