--- a/crates/banyan-load/src/experiments.rs
+++ b/crates/banyan-load/src/experiments.rs
@@ -1,6 +1,9 @@
 //! The experiments by name: [`run_experiment`].
 
+mod overload;
+mod poison;
 mod recovery;
+mod silent;
 mod throughput;
 
 use eyre::bail;
@@ -18,9 +21,12 @@
 }
 
 /// The experiments with what each measures, in the order in which they matter.
-pub const EXPERIMENTS: [(&str, &str); 3] = [
+pub const EXPERIMENTS: [(&str, &str); 6] = [
     ("throughput", "share of the engines' bound reached at saturation"),
     ("recovery", "time until requests are served as before, after each of several failures"),
+    ("overload", "three times the bound, one large workspace against nine small ones"),
+    ("poison", "a request that kills each engine that runs it, sent again and again"),
+    ("silent", "connections that go silent without a sign"),
     ("control", "cost of the control work alone at growing sizes"),
 ];
 
@@ -29,6 +35,9 @@
     match name {
         "throughput" => throughput::run(order).await,
         "recovery" => recovery::run(order).await,
+        "overload" => overload::run(order).await,
+        "poison" => poison::run(order).await,
+        "silent" => silent::run(order).await,
         "control" => control::run(order.seed).await,
         _ => bail!("no experiment '{name}': see banyan-load experiment --help"),
     }
--- a/crates/banyan-load/src/experiments/recovery.rs
+++ b/crates/banyan-load/src/experiments/recovery.rs
@@ -23,9 +23,9 @@
 use crate::schedule::StreamShape;
 use crate::session::SessionResult;
 use crate::session::run_session;
+use crate::tally::longest_stall;
 use crate::tally::report_ends;
 use banyan_core::event::EventKind;
-use banyan_naive::draws::DrawSource;
 use banyan_standin::fault::ConnectionFault;
 use banyan_standin::fault::EngineFault;
 use banyan_standin::fault::PlatformFault;
@@ -134,19 +134,8 @@
     let step_times = vec![Duration::from_millis(20); 3];
     let mut plan = BenchPlan { decisions, step_times, ..BenchPlan::default() };
     plan.capacity = plan.full_capacity();
-    let mut shape = StreamShape {
-        workspace: 0,
-        rate: 0.0,
-        from: Duration::ZERO,
-        until: WARM_TIME + WINDOW * FAILURES.len() as u32,
-        tokens: (16, 48),
-        prompt_tokens: 50,
-        deadline: Duration::from_secs(20),
-        entries: plan.entries,
-    };
-    shape.rate = LOAD * plan.request_bound(shape.mean_tokens(), shape.prompt_tokens as f64);
-    let mut schedule = LoadSchedule::default();
-    schedule.add_stream(&shape, &mut DrawSource::new(seed));
+    let shape = StreamShape::at_load(&plan, LOAD, WARM_TIME + WINDOW * FAILURES.len() as u32);
+    let schedule = LoadSchedule::of_stream(&shape, seed);
     eprintln!("recovery: {name}, {} requests through 5 failures", schedule.requests.len());
     let result = run_session(plan, schedule, play_failures).await?;
     line.add(format!("{name}_steps_run_again"), result.ledger.steps_run_again() as f64);
@@ -260,25 +249,6 @@
     ended.filter(|record| record.end != CallEnd::Complete).collect()
 }
 
-/// The longest time between `from` and `until` for which a stream waited for its next token.
-///
-/// A stream that was cut never went on and counts up to `until`.
-fn longest_stall(records: &[CallRecord], from: Duration, until: Duration) -> Duration {
-    records.iter().map(|record| stall_of(record, from, until)).max().unwrap_or_default()
-}
-
-fn stall_of(record: &CallRecord, from: Duration, until: Duration) -> Duration {
-    let mut longest = Duration::ZERO;
-    let mut before = record.at;
-    let overlap = |begin: Duration, end: Duration| end.min(until).saturating_sub(begin.max(from));
-    for at in &record.tokens {
-        longest = longest.max(overlap(before, *at));
-        before = *at;
-    }
-    let cut = record.end != CallEnd::Complete && record.ended > from && record.ended < until;
-    if cut { longest.max(overlap(before, until)) } else { longest }
-}
-
 /// The stretches without any failure.
 fn calm_spans() -> Vec<(Duration, Duration)> {
     let repaired = FAILURES.iter().map(|failure| failure.at() + REPAIR_AFTER);
--- a/crates/banyan-load/src/experiments/throughput.rs
+++ b/crates/banyan-load/src/experiments/throughput.rs
@@ -5,25 +5,20 @@
 
 use std::time::Duration;
 
-use tokio::time::Instant;
-
-use crate::bench::LoadBench;
 use crate::caller::CallEnd;
 use crate::experiments::ExperimentOrder;
 use crate::load::CallRecord;
-use crate::load::EntryList;
-use crate::load::run_load;
 use crate::plan::BenchPlan;
 use crate::plan::DecisionChoice;
 use crate::report::ExperimentLine;
 use crate::report::rounded;
 use crate::schedule::LoadSchedule;
 use crate::schedule::StreamShape;
+use crate::session::run_session;
 use crate::tally::first_token_latencies;
 use crate::tally::report_ends;
 use crate::tally::token_gaps;
 use crate::tally::tokens_between;
-use banyan_naive::draws::DrawSource;
 
 /// The share of the bound under which latencies are taken.
 const EASY_LOAD: f64 = 0.8;
@@ -70,21 +65,6 @@
     plan
 }
 
-fn shape(plan: &BenchPlan, load: f64, time: Duration) -> StreamShape {
-    let mut shape = StreamShape {
-        workspace: 0,
-        rate: 0.0,
-        from: Duration::ZERO,
-        until: time,
-        tokens: (16, 48),
-        prompt_tokens: 50,
-        deadline: Duration::from_secs(20),
-        entries: plan.entries,
-    };
-    shape.rate = load * plan.request_bound(shape.mean_tokens(), shape.prompt_tokens as f64);
-    shape
-}
-
 async fn offer(
     seed: u64,
     decisions: DecisionChoice,
@@ -92,17 +72,13 @@
     time: Duration,
 ) -> eyre::Result<(Vec<CallRecord>, f64)> {
     let plan = plan(decisions);
-    let shape = shape(&plan, load, time);
-    let bound = plan.request_bound(shape.mean_tokens(), shape.prompt_tokens as f64);
-    let mut schedule = LoadSchedule::default();
-    schedule.add_stream(&shape, &mut DrawSource::new(seed));
+    let shape = StreamShape::at_load(&plan, load, time);
+    let bound = shape.bound(&plan) * shape.mean_tokens();
+    let schedule = LoadSchedule::of_stream(&shape, seed);
     let count = schedule.requests.len();
     eprintln!("throughput: {} at {load} of the bound, {count} requests", decisions.name());
-    let mut bench = LoadBench::start(plan).await?;
-    let entries = EntryList::new(bench.caller_addresses());
-    let records = run_load(&bench.plan, &entries, schedule, Instant::now()).await;
-    bench.stop().await?;
-    Ok((records, bound * shape.mean_tokens()))
+    let result = run_session(plan, schedule, async |_, _, _| Ok(())).await?;
+    Ok((result.records, bound))
 }
 
 /// The share of the bound reached at saturation.
--- a/crates/banyan-load/src/process.rs
+++ b/crates/banyan-load/src/process.rs
@@ -56,6 +56,22 @@
         matches!(self.child.try_wait(), Ok(Some(_)))
     }
 
+    /// Asks the process to stop in order.
+    pub async fn terminate(&self) -> eyre::Result<()> {
+        let Some(id) = self.child.id() else { return Ok(()) };
+        let status = Command::new("kill").arg("-TERM").arg(id.to_string()).status().await?;
+        if !status.success() {
+            bail!("{} cannot be asked to stop", self.name);
+        }
+        Ok(())
+    }
+
+    /// Waits until the process has ended by itself.
+    pub async fn wait(&mut self) -> eyre::Result<()> {
+        self.child.wait().await.wrap_err_with(|| format!("{} has no end", self.name))?;
+        Ok(())
+    }
+
     /// Ends the process at once and waits for its end.
     pub async fn kill(&mut self) -> eyre::Result<()> {
         self.child.kill().await.wrap_err_with(|| format!("{} cannot be ended", self.name))
--- a/crates/banyan-load/src/schedule.rs
+++ b/crates/banyan-load/src/schedule.rs
@@ -3,8 +3,16 @@
 use std::time::Duration;
 
 use crate::plan::BYTES_PER_TOKEN;
+use crate::plan::BenchPlan;
 use banyan_naive::draws::DrawSource;
 
+/// The fewest and the most tokens that an ordinary request asks for.
+const USUAL_TOKENS: (u64, u64) = (16, 48);
+/// The prompt tokens of an ordinary request.
+const USUAL_PROMPT_TOKENS: u64 = 50;
+/// The deadline of an ordinary request.
+const USUAL_DEADLINE: Duration = Duration::from_secs(20);
+
 /// One request of a schedule.
 #[derive(Clone, Debug)]
 pub struct PlannedRequest {
@@ -51,6 +59,27 @@
 }
 
 impl StreamShape {
+    /// A stream of ordinary requests that offers a share of the bound of a plan's engines.
+    pub fn at_load(plan: &BenchPlan, load: f64, until: Duration) -> Self {
+        let mut shape = Self {
+            workspace: 0,
+            rate: 0.0,
+            from: Duration::ZERO,
+            until,
+            tokens: USUAL_TOKENS,
+            prompt_tokens: USUAL_PROMPT_TOKENS,
+            deadline: USUAL_DEADLINE,
+            entries: plan.entries,
+        };
+        shape.rate = load * shape.bound(plan);
+        shape
+    }
+
+    /// The most requests of this shape that a plan's engines can serve a second.
+    pub fn bound(&self, plan: &BenchPlan) -> f64 {
+        plan.request_bound(self.mean_tokens(), self.prompt_tokens as f64)
+    }
+
     /// The mean number of tokens of an answer.
     pub fn mean_tokens(&self) -> f64 {
         (self.tokens.0 + self.tokens.1) as f64 / 2.0
@@ -58,6 +87,13 @@
 }
 
 impl LoadSchedule {
+    /// A schedule of one stream.
+    pub fn of_stream(shape: &StreamShape, seed: u64) -> Self {
+        let mut schedule = Self::default();
+        schedule.add_stream(shape, &mut DrawSource::new(seed));
+        schedule
+    }
+
     /// Adds a stream of requests that arrive as a Poisson process.
     pub fn add_stream(&mut self, shape: &StreamShape, draws: &mut DrawSource) {
         let mut at = shape.from.as_micros() as u64;
--- a/crates/banyan-load/src/session.rs
+++ b/crates/banyan-load/src/session.rs
@@ -48,6 +48,8 @@
     pub ledger: RunLedger,
     /// Events of the kinds that [`is_wanted`] names, of all entries.
     pub events: Vec<SeenEvent>,
+    /// The wall clock at the start of the load, in milliseconds of the Unix epoch.
+    pub start_ms: u64,
 }
 
 /// Starts a bench, offers the schedule while the script runs, and stops the bench.
@@ -63,7 +65,8 @@
     let entries = EntryList::new(bench.caller_addresses());
     let plan = bench.plan.clone();
     let start = Instant::now();
-    let watch = EventWatch::start(&bench);
+    let start_ms = wall_ms();
+    let watch = EventWatch::start(&bench, start_ms);
     let load = run_load(&plan, &entries, schedule, start);
     let (records, scripted) = tokio::join!(load, script(&mut bench, &entries, start));
     scripted?;
@@ -71,7 +74,7 @@
     let events = watch.stop();
     bench.stop().await?;
     let ledger = RunLedger::read(&bench)?;
-    Ok(SessionResult { records, ledger, events })
+    Ok(SessionResult { records, ledger, events, start_ms })
 }
 
 /// Whether an event is kept.
@@ -93,9 +96,8 @@
 }
 
 impl EventWatch {
-    fn start(bench: &LoadBench) -> Self {
+    fn start(bench: &LoadBench, start_ms: u64) -> Self {
         let events = Arc::new(Mutex::new(Vec::new()));
-        let start_ms = wall_ms();
         let addresses = bench.entries.iter().map(|entry| entry.ready.operator_address);
         let tasks = addresses
             .map(|address| tokio::spawn(watch_entry(address, start_ms, Arc::clone(&events))));
--- a/crates/banyan-load/src/tally.rs
+++ b/crates/banyan-load/src/tally.rs
@@ -113,3 +113,22 @@
         line.notes.push(format!("{prefix}{count} times: {why}"));
     }
 }
+
+/// The longest time between `from` and `until` for which a stream waited for its next token.
+///
+/// A stream that was cut never went on and counts up to `until`.
+pub fn longest_stall(records: &[CallRecord], from: Duration, until: Duration) -> Duration {
+    records.iter().map(|record| stall_of(record, from, until)).max().unwrap_or_default()
+}
+
+fn stall_of(record: &CallRecord, from: Duration, until: Duration) -> Duration {
+    let mut longest = Duration::ZERO;
+    let mut before = record.at;
+    let overlap = |begin: Duration, end: Duration| end.min(until).saturating_sub(begin.max(from));
+    for at in &record.tokens {
+        longest = longest.max(overlap(before, *at));
+        before = *at;
+    }
+    let cut = record.end != CallEnd::Complete && record.ended > from && record.ended < until;
+    if cut { longest.max(overlap(before, until)) } else { longest }
+}
