--- a/crates/banyan-spec/src/main.rs
+++ b/crates/banyan-spec/src/main.rs
@@ -32,7 +32,9 @@
         chosen.iter().for_each(list);
         return ExitCode::SUCCESS;
     }
-    let kept = chosen.iter().map(report).fold(true, |all, one| all && one);
+    // Every report is printed, also behind one that is not as it must be.
+    let verdicts: Vec<bool> = chosen.iter().map(report).collect();
+    let kept = verdicts.into_iter().all(|kept| kept);
     println!("{}", if kept { "all hold, all mutants caught" } else { "NOT as specified" });
     if kept { ExitCode::SUCCESS } else { ExitCode::FAILURE }
 }
