Only a list that was read proves that a revision is in force everywhere

And apply read the whole status of every entry in each round, and in-force the texts of all files from every entry, which at 470 entries, 5,300 targets and 2.3 MB of declarations is hundreds of megabytes a round.

Ruled out: a field filter on the status call; a call of its own is plainer.

Now: GET /operator/revision gives three fields; only one entry is asked for texts; an instance that reached the revision is not asked again; a list that cannot be read is named as missing.

--- a/crates/banyan-ctl/src/apply.rs
+++ b/crates/banyan-ctl/src/apply.rs
@@ -20,6 +20,7 @@
 use crate::check::union_of;
 use crate::error::CtlError;
 use crate::fleet::EntryAddress;
+use crate::fleet::EntryAnswer;
 use crate::fleet::EntryFleet;
 use crate::log_stream::LogClient;
 use crate::report::CommandReport;
@@ -30,6 +31,7 @@
 use banyan_core::record::FactBody;
 use banyan_core::record::LogFact;
 use banyan_wire::operator::FileWire;
+use banyan_wire::operator::RevisionReply;
 use banyan_wire::operator::VerdictReply;
 
 /// The time between two rounds of asking.
@@ -121,7 +123,7 @@
     log: &LogClient,
     order: ApplyOrder,
 ) -> Result<CommandReport, CtlError> {
-    let entries = fleet.entries().await?;
+    let entries = fleet.find().await?.entries;
     let in_force = fleet.newest_in_force(entries.clone()).await?;
     let current = in_force.files.iter().find(|file| file.file == order.file.name.as_str());
     if let Err(errors) = validate_files(&union_of(slice::from_ref(&order.file), &in_force.files)) {
@@ -189,8 +191,8 @@
             }
         }
         // Where the platform is away, its list is too; the entries that it listed before still answer.
-        if let Ok(entries) = fleet.entries().await {
-            known = entries;
+        if let Ok(found) = fleet.find().await {
+            known = found.entries;
         }
         let verdict = fleet.verdict(known.clone(), order.record.as_str()).await;
         if verdict.is_some() || Instant::now() >= deadline {
@@ -210,53 +212,63 @@
 /// Waits until every live instance of the newest list has `revision` or a later one in force.
 async fn wait_everywhere(fleet: &EntryFleet, revision: Revision, timeout: Duration) -> WaitResult {
     let deadline = Instant::now() + timeout;
-    let mut noted = 0;
+    let mut reached: Vec<InstanceRow> = Vec::new();
     loop {
-        let wait = ask_everywhere(fleet, revision).await;
-        if wait.reached.len() > noted {
-            noted = wait.reached.len();
-            let all = noted + wait.missing.len();
-            note(&format!("{noted} of {all} instances have revision {revision} in force"));
+        let before = reached.len();
+        let missing = ask_remaining(fleet, revision, &mut reached).await;
+        if reached.len() > before {
+            let (count, all) = (reached.len(), reached.len() + missing.len());
+            note(&format!("{count} of {all} instances have revision {revision} in force"));
         }
-        if wait.missing.is_empty() || Instant::now() >= deadline {
-            return wait;
+        if missing.is_empty() || Instant::now() >= deadline {
+            return WaitResult { reached, missing };
         }
         sleep(POLL_PAUSE).await;
     }
 }
 
-async fn ask_everywhere(fleet: &EntryFleet, revision: Revision) -> WaitResult {
-    let entries: Vec<EntryAddress> = match fleet.entries().await {
-        Ok(entries) => entries,
-        Err(error) => {
-            let row = InstanceRow {
-                instance: SmolStr::new_static("instance list"),
-                revision: None,
-                reason: format_smolstr!("{error}"),
-            };
-            return WaitResult { reached: Vec::new(), missing: vec![row] };
-        }
+/// Asks the instances that have not reached the revision yet, and gives those that still have not.
+///
+/// A list that cannot be read counts as one of them: an instance that nobody knows of may be behind.
+async fn ask_remaining(
+    fleet: &EntryFleet,
+    revision: Revision,
+    reached: &mut Vec<InstanceRow>,
+) -> Vec<InstanceRow> {
+    let (entries, list_fault) = match fleet.find().await {
+        Ok(found) => (found.entries, found.list_fault.map(|fault| format_smolstr!("{fault}"))),
+        Err(error) => (Vec::new(), Some(format_smolstr!("{error}"))),
     };
-    let mut wait = WaitResult::default();
-    for answer in fleet.statuses(entries).await {
-        let instance = answer.entry.name;
-        match answer.result {
-            Ok(status) if status.revision >= revision.0 => {
-                let has = Some(status.revision);
-                wait.reached.push(InstanceRow { instance, revision: has, reason: "".into() });
-            }
-            Ok(status) => {
-                let reason = behind_reason(status.log.reachable);
-                let has = Some(status.revision);
-                wait.missing.push(InstanceRow { instance, revision: has, reason });
-            }
-            Err(error) => {
-                let reason = format_smolstr!("{error}");
-                wait.missing.push(InstanceRow { instance, revision: None, reason });
-            }
+    let is_open = |entry: &EntryAddress| !reached.iter().any(|row| row.instance == entry.name);
+    let open: Vec<EntryAddress> = entries.into_iter().filter(is_open).collect();
+    let mut missing: Vec<InstanceRow> = list_fault.map(list_row).into_iter().collect();
+    for answer in fleet.revisions(open).await {
+        let row = revision_row(answer, revision);
+        match row.reason.is_empty() {
+            true => reached.push(row),
+            false => missing.push(row),
+        }
+    }
+    missing
+}
+
+/// The row that stands for an instance list that cannot be read.
+pub(crate) fn list_row(reason: SmolStr) -> InstanceRow {
+    InstanceRow { instance: SmolStr::new_static("instance list"), revision: None, reason }
+}
+
+/// An instance's row; its reason is empty where it has `revision` or a later one in force.
+fn revision_row(answer: EntryAnswer<RevisionReply>, revision: Revision) -> InstanceRow {
+    let instance = answer.entry.name;
+    match answer.result {
+        Ok(reply) => {
+            let is_reached = reply.revision >= revision.0;
+            let reason =
+                if is_reached { SmolStr::default() } else { behind_reason(reply.log_reachable) };
+            InstanceRow { instance, revision: Some(reply.revision), reason }
         }
+        Err(error) => InstanceRow { instance, revision: None, reason: format_smolstr!("{error}") },
     }
-    wait
 }
 
 fn behind_reason(log_reachable: bool) -> SmolStr {
--- a/crates/banyan-ctl/src/error.rs
+++ b/crates/banyan-ctl/src/error.rs
@@ -49,9 +49,9 @@
         /// What became of the last call.
         last: SmolStr,
     },
-    /// The platform does not answer as it should.
-    #[error("the platform gave no answer: {0}")]
-    Platform(#[from] CallError),
+    /// The platform or an entry does not answer as it should.
+    #[error("no answer came: {0}")]
+    NoAnswer(#[from] CallError),
 }
 
 impl CtlError {
@@ -64,7 +64,7 @@
             | CtlError::NoPlatformGiven => ExitKind::Usage,
             CtlError::NoEntryListed { .. }
             | CtlError::NoEntryAnswers { .. }
-            | CtlError::Platform(_) => ExitKind::Unknown,
+            | CtlError::NoAnswer(_) => ExitKind::Unknown,
         }
     }
 }
--- a/crates/banyan-ctl/src/fleet.rs
+++ b/crates/banyan-ctl/src/fleet.rs
@@ -12,6 +12,7 @@
 use banyan_http::client::CallError;
 use banyan_http::client::JsonClient;
 use banyan_wire::operator::InForceReply;
+use banyan_wire::operator::RevisionReply;
 use banyan_wire::operator::StatusReply;
 use banyan_wire::operator::VerdictReply;
 use banyan_wire::platform::InstanceRole;
@@ -30,6 +31,15 @@
     pub address: SocketAddr,
 }
 
+/// The entries that were found.
+#[derive(Debug)]
+pub struct FoundEntries {
+    /// The entries.
+    pub entries: Vec<EntryAddress>,
+    /// Why the instance list could not be read, so that entries may be missing.
+    pub list_fault: Option<CallError>,
+}
+
 /// An entry's answer to a call.
 #[derive(Debug)]
 pub struct EntryAnswer<T> {
@@ -61,26 +71,26 @@
     /// The live entries as of now.
     ///
     /// A list that cannot be read is an error only where no entry is given by address.
-    pub async fn entries(&self) -> Result<Vec<EntryAddress>, CtlError> {
+    pub async fn find(&self) -> Result<FoundEntries, CtlError> {
         if !self.is_given() {
             return Err(CtlError::NoEntryGiven);
         }
-        let mut entries = match self.listed().await {
-            Ok(entries) => entries,
-            Err(_) if !self.given.is_empty() => Vec::new(),
-            Err(error) => return Err(error.into()),
+        let mut found = match self.listed().await {
+            Ok(entries) => FoundEntries { entries, list_fault: None },
+            Err(error) if self.given.is_empty() => return Err(error.into()),
+            Err(error) => FoundEntries { entries: Vec::new(), list_fault: Some(error) },
         };
         for address in &self.given {
-            if !entries.iter().any(|entry| entry.address == *address) {
-                entries
-                    .push(EntryAddress { name: format_smolstr!("{address}"), address: *address });
+            if !found.entries.iter().any(|entry| entry.address == *address) {
+                let name = format_smolstr!("{address}");
+                found.entries.push(EntryAddress { name, address: *address });
             }
         }
         match self.platform {
-            Some(platform) if entries.is_empty() => {
+            Some(platform) if found.entries.is_empty() => {
                 Err(CtlError::NoEntryListed { platform: format_smolstr!("{platform}") })
             }
-            _ => Ok(entries),
+            _ => Ok(found),
         }
     }
 
@@ -103,29 +113,32 @@
         self.ask_all(entries, "/operator/status").await
     }
 
-    /// What each of these entries has in force.
-    pub async fn in_force(&self, entries: Vec<EntryAddress>) -> Vec<EntryAnswer<InForceReply>> {
-        self.ask_all(entries, "/operator/in-force").await
+    /// The revision that each of these entries has in force.
+    pub async fn revisions(&self, entries: Vec<EntryAddress>) -> Vec<EntryAnswer<RevisionReply>> {
+        self.ask_all(entries, "/operator/revision").await
     }
 
     /// The newest configuration that any of the entries has in force.
+    ///
+    /// Only one entry is asked for the texts, since these are long and the entries may be many.
     pub async fn newest_in_force(
         &self,
         entries: Vec<EntryAddress>,
     ) -> Result<InForceReply, CtlError> {
         let count = entries.len();
-        let mut newest: Option<InForceReply> = None;
+        let mut newest: Option<(u64, EntryAddress)> = None;
         let mut last = SmolStr::default();
-        for answer in self.in_force(entries).await {
+        for answer in self.revisions(entries).await {
             match answer.result {
-                Ok(reply) if newest.as_ref().is_none_or(|old| old.revision < reply.revision) => {
-                    newest = Some(reply);
+                Ok(reply) if newest.as_ref().is_none_or(|(old, _)| *old < reply.revision) => {
+                    newest = Some((reply.revision, answer.entry));
                 }
                 Ok(_) => {}
                 Err(error) => last = format_smolstr!("{error}"),
             }
         }
-        newest.ok_or(CtlError::NoEntryAnswers { count, last })
+        let (_, entry) = newest.ok_or(CtlError::NoEntryAnswers { count, last })?;
+        Ok(self.client.get(entry.address, "/operator/in-force").await?)
     }
 
     /// The verdict on a proposal, as the first of these entries that has read it knows it.
--- a/crates/banyan-ctl/src/history.rs
+++ b/crates/banyan-ctl/src/history.rs
@@ -119,7 +119,7 @@
 }
 
 async fn ask_verdicts(fleet: &EntryFleet, result: &mut HistoryResult) {
-    let entries = fleet.entries().await.unwrap_or_default();
+    let entries = fleet.find().await.map(|found| found.entries).unwrap_or_default();
     for row in &mut result.proposals {
         if let Some(verdict) = fleet.verdict(entries.clone(), &row.record).await {
             row.verdict = verdict;
--- a/crates/banyan-ctl/src/in_force.rs
+++ b/crates/banyan-ctl/src/in_force.rs
@@ -5,13 +5,15 @@
 use smol_str::format_smolstr;
 
 use crate::apply::InstanceRow;
+use crate::apply::list_row;
 use crate::error::CtlError;
+use crate::fleet::EntryAnswer;
 use crate::fleet::EntryFleet;
 use crate::report::CommandReport;
 use crate::report::ExitKind;
 use banyan_core::ids::FileId;
 use banyan_wire::operator::FileWire;
-use banyan_wire::operator::InForceReply;
+use banyan_wire::operator::RevisionReply;
 
 /// What is in force, as programs read it.
 #[derive(Debug, Serialize)]
@@ -29,36 +31,28 @@
     fleet: &EntryFleet,
     file: Option<&FileId>,
 ) -> Result<CommandReport, CtlError> {
-    let entries = fleet.entries().await?;
-    let count = entries.len();
-    let mut instances = Vec::new();
-    let mut newest: Option<InForceReply> = None;
-    for answer in fleet.in_force(entries).await {
-        let instance = answer.entry.name;
-        match answer.result {
-            Ok(reply) => {
-                let revision = Some(reply.revision);
-                instances.push(InstanceRow { instance, revision, reason: SmolStr::default() });
-                if newest.as_ref().is_none_or(|old| old.revision < reply.revision) {
-                    newest = Some(reply);
-                }
-            }
-            Err(error) => {
-                let reason = format_smolstr!("{error}");
-                instances.push(InstanceRow { instance, revision: None, reason });
-            }
-        }
-    }
-    let Some(newest) = newest else {
-        let last = instances.pop().map(|row| row.reason).unwrap_or_default();
-        return Err(CtlError::NoEntryAnswers { count, last });
-    };
+    let found = fleet.find().await?;
+    let newest = fleet.newest_in_force(found.entries.clone()).await?;
+    let mut instances: Vec<InstanceRow> =
+        fleet.revisions(found.entries).await.into_iter().map(instance_row).collect();
+    instances.extend(found.list_fault.map(|fault| list_row(format_smolstr!("{fault}"))));
     let everywhere = instances.iter().all(|row| row.revision == Some(newest.revision));
     let result =
         InForceResult { revision: newest.revision, everywhere, files: newest.files, instances };
     Ok(in_force_report(result, file))
 }
 
+fn instance_row(answer: EntryAnswer<RevisionReply>) -> InstanceRow {
+    let instance = answer.entry.name;
+    match answer.result {
+        Ok(reply) => {
+            let revision = Some(reply.revision);
+            InstanceRow { instance, revision, reason: SmolStr::default() }
+        }
+        Err(error) => InstanceRow { instance, revision: None, reason: format_smolstr!("{error}") },
+    }
+}
+
 fn in_force_report(mut result: InForceResult, file: Option<&FileId>) -> CommandReport {
     let exit = if result.everywhere { ExitKind::Done } else { ExitKind::NotEverywhere };
     let Some(file) = file else {
--- a/crates/banyan-ctl/src/run.rs
+++ b/crates/banyan-ctl/src/run.rs
@@ -82,7 +82,7 @@
     let local = local?;
     let fleet = context_of(matches).fleet;
     let in_force = match fleet.is_given() {
-        true => fleet.newest_in_force(fleet.entries().await?).await?.files,
+        true => fleet.newest_in_force(fleet.find().await?.entries).await?.files,
         false => Vec::new(),
     };
     Ok(check_files(&local, &in_force))
--- a/crates/banyan-ctl/src/status.rs
+++ b/crates/banyan-ctl/src/status.rs
@@ -26,10 +26,10 @@
 
 /// Shows what each entry is and sees; `is_long` adds targets, peers, claims and quarantines.
 pub async fn show_status(fleet: &EntryFleet, is_long: bool) -> Result<CommandReport, CtlError> {
-    let entries = fleet.entries().await?;
-    let count = entries.len();
+    let found = fleet.find().await?;
+    let count = found.entries.len();
     let mut result = StatusResult { instances: Vec::new(), silent: Vec::new() };
-    for answer in fleet.statuses(entries).await {
+    for answer in fleet.statuses(found.entries).await {
         match answer.result {
             Ok(status) => result.instances.push(status),
             Err(error) => {
@@ -38,6 +38,10 @@
             }
         }
     }
+    result.silent.extend(found.list_fault.map(|fault| SilentRow {
+        instance: SmolStr::new_static("instance list"),
+        reason: format_smolstr!("{fault}"),
+    }));
     if result.instances.is_empty() {
         let last = result.silent.pop().map(|row| row.reason).unwrap_or_default();
         return Err(CtlError::NoEntryAnswers { count, last });
--- a/crates/banyan-ctl/tests/support/mod.rs
+++ b/crates/banyan-ctl/tests/support/mod.rs
@@ -29,6 +29,7 @@
 use banyan_wire::log::decode_entry;
 use banyan_wire::operator::FileWire;
 use banyan_wire::operator::InForceReply;
+use banyan_wire::operator::RevisionReply;
 use banyan_wire::operator::StatusReply;
 use banyan_wire::operator::VerdictReply;
 use banyan_wire::platform::AppendReply;
@@ -177,8 +178,8 @@
         let limit = limit();
         folded(&state.lock().unwrap().log, limit)
     };
-    let (fold_status, fold_files) = (fold.clone(), fold.clone());
-    let name_files = name.clone();
+    let (fold_status, fold_files, fold_revision) = (fold.clone(), fold.clone(), fold.clone());
+    let (name_files, name_revision) = (name.clone(), name.clone());
     let status = warp::path!("operator" / "status").map(move || {
         let revision = fold_status().revision.0;
         json(&StatusReply { instance: name.clone(), revision, ..StatusReply::default() })
@@ -195,9 +196,13 @@
         let files = fold.files.iter().map(file).collect();
         json(&InForceReply { instance: name_files.clone(), revision: fold.revision.0, files })
     });
+    let revision = warp::path!("operator" / "revision").map(move || {
+        let revision = fold_revision().revision.0;
+        json(&RevisionReply { instance: name_revision.clone(), revision, log_reachable: true })
+    });
     let verdict = warp::path!("operator" / "verdict" / String)
         .map(move |record: String| json(&verdict_of(&fold(), &record)));
-    status.or(in_force).unify().or(verdict).unify()
+    status.or(in_force).unify().or(revision).unify().or(verdict).unify()
 }
 
 fn folded(log: &[String], limit: usize) -> ConfigurationFold {
--- a/crates/banyan-ctl/tests/whole_system.rs
+++ b/crates/banyan-ctl/tests/whole_system.rs
@@ -257,3 +257,30 @@
     let losers = reports.iter().filter(|report| report.exit == ExitKind::Refused);
     assert_eq!(losers.filter(|report| report.text.contains(&told)).count(), 3, "{reports:?}");
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn instances_that_cannot_be_listed_are_not_taken_as_having_it() {
+    let system = SmallSystem::start("list").await;
+    assert_eq!(system.apply().await.exit, ExitKind::Done);
+    system.platform.fault(PlatformFault::InstanceOutage { out: true });
+    let entry = system.entries[0].operator_address.to_string();
+    let words = ["in-force", "--entry", &entry];
+    let report = system.run(&words).await.unwrap();
+    assert_eq!(report.exit, ExitKind::NotEverywhere, "{}", report.text);
+    assert!(report.text.contains("instance list does not answer"), "{}", report.text);
+    assert!(system.run(&["in-force"]).await.is_none());
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn history_asks_the_entries_where_the_log_has_forgotten_the_beginning() {
+    let system = SmallSystem::start("history").await;
+    assert_eq!(system.apply().await.exit, ExitKind::Done);
+    let text = std::fs::read_to_string(system.path()).unwrap();
+    system.write(&text.replacen("\"share\": 4", "\"share\": 5", 1));
+    assert_eq!(system.apply().await.exit, ExitKind::Done);
+    let trim = PlatformFault::Trim { stream: "configuration".into(), first: 1 };
+    system.platform.fault(trim);
+    let report = system.run(&["history"]).await.unwrap();
+    assert!(report.text.contains("older proposals are gone"), "{}", report.text);
+    assert!(report.text.contains("accepted as revision 2"), "{}", report.text);
+}
--- a/crates/banyan-entry/src/operator.rs
+++ b/crates/banyan-entry/src/operator.rs
@@ -27,6 +27,7 @@
 use banyan_wire::operator::LogStatus;
 use banyan_wire::operator::PeerStatus;
 use banyan_wire::operator::QuarantineStatus;
+use banyan_wire::operator::RevisionReply;
 use banyan_wire::operator::StatusReply;
 use banyan_wire::operator::TargetStatus;
 use banyan_wire::operator::VerdictReply;
@@ -49,6 +50,9 @@
     let in_force = warp::path!("operator" / "in-force")
         .and(shared.clone())
         .map(|state: Arc<EntryState>| warp::reply::json(&in_force(&state)).into_response());
+    let revision = warp::path!("operator" / "revision")
+        .and(shared.clone())
+        .map(|state: Arc<EntryState>| warp::reply::json(&revision(&state)).into_response());
     let verdict = warp::path("operator")
         .and(warp::path("verdict"))
         .and(warp::path::tail())
@@ -69,7 +73,8 @@
         drop(tables);
         metrics.as_ref().map(PrometheusHandle::render).unwrap_or_default().into_response()
     });
-    let all = status.or(in_force).unify().or(verdict).unify().or(events).unify();
+    let all =
+        status.or(in_force).unify().or(revision).unify().or(verdict).unify().or(events).unify();
     warp::get().and(all.or(metrics).unify())
 }
 
@@ -158,6 +163,16 @@
     }
 }
 
+fn revision(state: &EntryState) -> RevisionReply {
+    // The revision that requests are decided by, which follows the fold's.
+    let revision = state.tables().revision.0;
+    RevisionReply {
+        instance: SmolStr::new(state.settings.instance.as_str()),
+        revision,
+        log_reachable: state.folds.tables().log_reachable(),
+    }
+}
+
 fn verdict(state: &EntryState, id: &str) -> VerdictReply {
     let Ok(id) = id.parse::<RecordId>() else { return VerdictReply::Unseen };
     let folds = state.folds.tables();
--- a/crates/banyan-wire/src/operator.rs
+++ b/crates/banyan-wire/src/operator.rs
@@ -4,6 +4,7 @@
 //! |---|---|
 //! | `GET /operator/status` | [`StatusReply`] |
 //! | `GET /operator/in-force` | [`InForceReply`] |
+//! | `GET /operator/revision` | [`RevisionReply`]: small, to be asked often and of many |
 //! | `GET /operator/verdict/{record id}` | [`VerdictReply`] |
 //! | `GET /operator/events?after=STAMP` | [`EventsReply`] |
 //! | `GET /metrics` | metrics in the usual text format |
@@ -125,6 +126,17 @@
     pub files: Vec<FileWire>,
 }
 
+/// The revision in force on one instance.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct RevisionReply {
+    /// The instance's name.
+    pub instance: SmolStr,
+    /// The revision in force here.
+    pub revision: u64,
+    /// Whether the newest read of the log succeeded.
+    pub log_reachable: bool,
+}
+
 /// A declaration file in force.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct FileWire {
