No text in the log may bring an instance down

Cause: every instance merges whatever was appended, so a text that makes the merge fail badly, take long or leave a long message would hit all of them at once. Messages repeated names of any length, and the check for repeated fields compared each field of an object with all before it.

Ruled out: a limit on the size of a file, since a user's file may grow with its targets.

Now: messages have at most 8 KiB and say where to see the rest; long names are cut in paths; the check for repeated fields takes one pass.

--- a/crates/banyan-config/src/declaration.rs
+++ b/crates/banyan-config/src/declaration.rs
@@ -32,14 +32,31 @@
 use banyan_core::ids::WorkspaceId;
 use banyan_core::ids::ZoneId;
 
+/// The longest message about invalid files, in bytes, since every instance keeps it in its verdicts.
+const MESSAGE_LIMIT_BYTES: usize = 8192;
+
 /// The union of all files, validated, or a text that says what is wrong and how to mend it.
 ///
 /// A pure function of the texts, so that every instance comes to the same verdict.
 pub fn merge_files(files: &BTreeMap<FileId, Arc<str>>) -> Result<Declaration, String> {
-    validate_files(files).map_err(|errors| {
-        let lines: Vec<String> = errors.iter().map(ToString::to_string).collect();
-        lines.join("\n")
-    })
+    validate_files(files).map_err(|errors| bounded_message(&errors))
+}
+
+/// The errors, one a line, as far as the limit allows.
+fn bounded_message(errors: &[DeclarationError]) -> String {
+    let mut message = String::new();
+    for error in errors {
+        let line = error.to_string();
+        if !message.is_empty() {
+            message.push('\n');
+        }
+        if message.len() + line.len() > MESSAGE_LIMIT_BYTES {
+            message.push_str("further errors do not fit here; see them all with banyanctl check");
+            return message;
+        }
+        message.push_str(&line);
+    }
+    message
 }
 
 /// The union of all files, validated, or everything that is wrong with it, in order of place.
--- a/crates/banyan-config/src/reader.rs
+++ b/crates/banyan-config/src/reader.rs
@@ -128,8 +128,8 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             FieldPath::Root => f.write_str("file"),
-            FieldPath::Field(FieldPath::Root, name) => f.write_str(name),
-            FieldPath::Field(parent, name) => write!(f, "{parent}.{name}"),
+            FieldPath::Field(FieldPath::Root, name) => f.write_str(&shown_text(name)),
+            FieldPath::Field(parent, name) => write!(f, "{parent}.{}", shown_text(name)),
             FieldPath::Element(parent, index) => write!(f, "{parent}[{index}]"),
         }
     }
@@ -214,18 +214,21 @@
 
     /// Notes every field that is not `allowed` and every one that stands twice.
     pub(crate) fn check_names(&self, allowed: &[&str], errors: &mut ErrorList<'_>) {
-        for (index, prop) in self.object.properties.iter().enumerate() {
+        // One bit for each allowed name: an object may have very many fields.
+        let mut seen = 0u32;
+        for prop in &self.object.properties {
             let name = prop.name.as_str();
             let path = FieldPath::Field(&self.path, name);
             let place = TextPlace { file: self.file, offset: prop.range.start };
-            if !allowed.contains(&name) {
+            let Some(index) = allowed.iter().position(|other| *other == name) else {
                 let allowed = SmolStr::from(allowed.join(", "));
                 errors.add(place, path, DeclarationErrorKind::UnknownField { allowed });
-            }
-            let earlier = &self.object.properties[..index];
-            if earlier.iter().any(|other| other.name.as_str() == name) {
+                continue;
+            };
+            if seen & (1 << index) != 0 {
                 errors.add(place, path, DeclarationErrorKind::RepeatedField);
             }
+            seen |= 1 << index;
         }
     }
 
--- a/crates/banyan-ctl/src/command.rs
+++ b/crates/banyan-ctl/src/command.rs
@@ -14,7 +14,7 @@
 /// How long calls may take in all where the command line does not say, in milliseconds.
 const DEFAULT_TIMEOUT_MS: &str = "20000";
 
-const EXIT_CODES: &str = "Exit codes:\n  0  done; for apply: in force on every live instance\n  \
+const EXIT_CODES: &str = "Exit codes:\n  0  done; for apply: in force on every live instance; for try: whole\n  \
      1  refused: the file is invalid or another operator was first; nothing was changed\n  \
      2  the command line or a local file is wrong; nobody was asked\n  \
      3  not known: nobody answered in time, or the verdict is still open\n  \
@@ -34,7 +34,7 @@
         .after_help(format!(
             "Examples:\n  banyanctl check examples/quickstart.jsonc\n  banyanctl apply --platform \
              10.0.0.2:8300 sedlar.jsonc\n  banyanctl in-force --platform 10.0.0.2:8300 --file \
-             sedlar.jsonc > sedlar.jsonc\n\n{EXIT_CODES}"
+             sedlar.jsonc > in-force.jsonc\n\n{EXIT_CODES}"
         ))
         .subcommand_required(true)
         .arg_required_else_help(true)
