--- a/crates/banyan-config/tests/settings.rs
+++ b/crates/banyan-config/tests/settings.rs
@@ -17,7 +17,7 @@
   "platform_address": "127.0.0.1:9",
 }"#;
 
-const FLAGS: [&str; 18] = [
+const FLAGS: [&str; 20] = [
     "--instance",
     "e2",
     "--zone",
@@ -36,6 +36,8 @@
     "7",
     "--drain-ms",
     "8",
+    "--log-retention-ms",
+    "60001",
 ];
 
 fn matches(flags: &[&str]) -> Result<ArgMatches, clap::Error> {
@@ -56,6 +58,7 @@
     assert_eq!(settings.platform_address.port(), 4);
     assert_eq!(settings.peers.len(), 1);
     assert_eq!((settings.capacity, settings.drain_ms), (7, 8));
+    assert_eq!(settings.log_retention_ms, 60_001);
 }
 
 #[test]
