--- a/crates/banyan-core/src/serving/budget.rs
+++ b/crates/banyan-core/src/serving/budget.rs
@@ -24,7 +24,7 @@
 
 /// The accounts of one instance, in hundredths of a retry.
 ///
-/// Invariant: from any moment on, a group's retries are at most [`GROUP_SAVINGS_LIMIT`] and the
+/// Invariant: from any moment on, a group's retries are at most `GROUP_SAVINGS_LIMIT` and the
 /// paid percentage of its requests.
 #[derive(Clone, Debug, Default)]
 pub struct RetryBudget {
--- a/crates/banyan-core/src/serving/poison.rs
+++ b/crates/banyan-core/src/serving/poison.rs
@@ -40,7 +40,7 @@
 /// The contents under suspicion.
 #[derive(Clone, Debug, Default)]
 pub struct SuspectTable {
-    /// The suspects. Invariant: at most [`SUSPECT_LIMIT`].
+    /// The suspects. Invariant: at most `SUSPECT_LIMIT`.
     pub rows: BTreeMap<ContentDigest, SuspectRow>,
     /// Suspects running now, with their target.
     pub probation: BTreeMap<ContentDigest, TargetId>,
--- a/crates/banyan-entry/src/writer.rs
+++ b/crates/banyan-entry/src/writer.rs
@@ -1,7 +1,7 @@
 //! Appends facts to the log: [`LogWriter`].
 //!
 //! Facts for one stream go out together, at most one append at a time and no more often than
-//! [`APPEND_PACE`], since the log takes only several hundred a second. An append that fails or whose
+//! `APPEND_PACE`, since the log takes only several hundred a second. An append that fails or whose
 //! answer is lost is sent again with the same record ids, so that the copies fold to nothing.
 
 use std::collections::BTreeMap;
--- a/crates/banyan-standin/src/engine.rs
+++ b/crates/banyan-standin/src/engine.rs
@@ -1,7 +1,7 @@
 //! The stand-in of a model engine that holds a range of layers. See [`start`].
 //!
-//! [`lineage`] decides what becomes of a step, [`prefix`] holds the prefix cache, [`runner`] runs
-//! the batches and [`routes`] speaks HTTP.
+//! `lineage` decides what becomes of a step, `prefix` holds the prefix cache, `runner` runs
+//! the batches and `routes` speaks HTTP.
 
 mod lineage;
 mod prefix;
