--- a/crates/banyan-load/src/session.rs
+++ b/crates/banyan-load/src/session.rs
@@ -46,7 +46,7 @@
     pub records: Vec<CallRecord>,
     /// What the engines really ran.
     pub ledger: RunLedger,
-    /// Events of the kinds that [`is_wanted`] names, of all entries.
+    /// Events of the kinds that `is_wanted` names, of all entries.
     pub events: Vec<SeenEvent>,
     /// The wall clock at the start of the load, in milliseconds of the Unix epoch.
     pub start_ms: u64,
