--- a/crates/banyan-entry/src/daemon.rs
+++ b/crates/banyan-entry/src/daemon.rs
@@ -15,10 +15,17 @@
 
 use crate::admission::run_admission;
 use crate::caller;
+use crate::checkpoints::run_checkpoints;
+use crate::exchange::run_exchange;
 use crate::follower::all_streams;
 use crate::follower::follow;
+use crate::isolation::is_isolated;
+use crate::leaving::run_leaving;
+use crate::listing::run_listing;
 use crate::operator;
+use crate::peer_server::serve_peers;
 use crate::probes;
+use crate::relay::run_relay;
 use crate::state::EntryState;
 use crate::state::ServingPhase;
 use banyan_config::settings::EntrySettings;
@@ -26,6 +33,7 @@
 use banyan_core::ids::Revision;
 use banyan_core::serving::decisions::DecisionSet;
 use banyan_core::serving::health;
+use banyan_core::units::Moment;
 use banyan_http::server::serve;
 use banyan_wire::operator::ReadinessWire;
 use banyan_wire::platform::InstanceRole;
@@ -38,6 +46,9 @@
 const NOTICE_TIME: Duration = Duration::from_millis(1500);
 /// The time between two looks at whether requests are still under way.
 const DRAIN_PAUSE: Duration = Duration::from_millis(20);
+/// The time after the start for which an instance waits for the state of every stream before it is
+/// ready; calls that may be repeated need no more than the configuration.
+const JOIN_LIMIT: Duration = Duration::from_secs(5);
 /// The time between two announcements on the instance list.
 const ANNOUNCE_PAUSE: Duration = Duration::from_secs(2);
 
@@ -87,7 +98,12 @@
     tasks.spawn(probes::watch_targets(state.clone()));
     tasks.spawn(run_ticks(state.clone()));
     tasks.spawn(announce(state.clone()));
-    drop(peers);
+    tasks.spawn(serve_peers(state.clone(), peers));
+    tasks.spawn(run_exchange(state.clone()));
+    tasks.spawn(run_listing(state.clone()));
+    tasks.spawn(run_leaving(state.clone()));
+    tasks.spawn(run_relay(state.clone()));
+    tasks.spawn(run_checkpoints(state.clone()));
     Ok(RunningEntry {
         caller_address: settings.caller_address,
         operator_address: settings.operator_address,
@@ -116,12 +132,13 @@
         self.drain().await;
         let _ = self.stop.send(true);
         let _ = (&mut self.servers).await;
+        // The announcing task must not put the instance on the list again.
+        self.tasks.shutdown().await;
         if let Err(error) = state.platform.withdraw(state.settings.instance.as_str()).await {
             log::debug!("shutdown: The instance list was not told: {error}.");
         }
         state.journal.record(EventKind::Stopped, "", "", "");
         log::info!("shutdown: The instance stopped.");
-        self.tasks.shutdown().await;
     }
 
     async fn drain(&self) {
@@ -133,11 +150,12 @@
                 tables.admission.active.len() + tables.waiters.len()
             };
             let claims = self.state.ledger.open().len();
-            if active == 0 && claims == 0 {
+            let kept = self.state.outbox.len() + self.state.writer.kept();
+            if active == 0 && claims == 0 && kept == 0 {
                 return;
             }
             if self.state.now() >= until {
-                log::warn!("shutdown: {active} requests are still under way at the limit.");
+                log::warn!("shutdown: At the limit, {active} requests and {kept} facts are left.");
                 return;
             }
             tokio::time::sleep(DRAIN_PAUSE).await;
@@ -154,15 +172,20 @@
     if state.tables().revision == Revision(0) {
         return not_ready("no configuration is in force");
     }
+    if is_joining(state) {
+        return not_ready("the log is still being read");
+    }
     if is_isolated(state) {
         return not_ready("neither the log nor any peer is heard");
     }
     ReadinessWire { ready: true, reason: SmolStr::default() }
 }
 
-/// Whether the instance hears neither the log nor any peer, although it has peers.
-pub fn is_isolated(_state: &EntryState) -> bool {
-    false
+/// Whether an instance that has just started may still get the state of every stream.
+fn is_joining(state: &EntryState) -> bool {
+    let folds = state.folds.tables();
+    let started = all_streams().all(|stream| folds.started.contains(&stream));
+    !started && state.now() < Moment::default() + JOIN_LIMIT
 }
 
 async fn bind(address: SocketAddr, field: &str) -> eyre::Result<TcpListener> {
--- a/crates/banyan-entry/src/operator.rs
+++ b/crates/banyan-entry/src/operator.rs
@@ -13,6 +13,7 @@
 use crate::follower::FoldTables;
 use crate::follower::all_streams;
 use crate::metric;
+use crate::peers::PeerRow;
 use crate::state::EntryState;
 use banyan_core::event::HybridStamp;
 use banyan_core::fold::ProposalVerdict;
@@ -27,6 +28,7 @@
 use banyan_wire::operator::LogStatus;
 use banyan_wire::operator::PeerStatus;
 use banyan_wire::operator::QuarantineStatus;
+use banyan_wire::operator::RevisionReply;
 use banyan_wire::operator::StatusReply;
 use banyan_wire::operator::TargetStatus;
 use banyan_wire::operator::VerdictReply;
@@ -49,6 +51,9 @@
     let in_force = warp::path!("operator" / "in-force")
         .and(shared.clone())
         .map(|state: Arc<EntryState>| warp::reply::json(&in_force(&state)).into_response());
+    let revision = warp::path!("operator" / "revision")
+        .and(shared.clone())
+        .map(|state: Arc<EntryState>| warp::reply::json(&revision(&state)).into_response());
     let verdict = warp::path("operator")
         .and(warp::path("verdict"))
         .and(warp::path::tail())
@@ -69,7 +74,8 @@
         drop(tables);
         metrics.as_ref().map(PrometheusHandle::render).unwrap_or_default().into_response()
     });
-    let all = status.or(in_force).unify().or(verdict).unify().or(events).unify();
+    let all =
+        status.or(in_force).unify().or(revision).unify().or(verdict).unify().or(events).unify();
     warp::get().and(all.or(metrics).unify())
 }
 
@@ -80,7 +86,7 @@
     let targets = targets.map(|(target, row)| target_status(target.as_str(), row)).collect();
     let peers = tables.peers.rows.iter().map(|(peer, row)| PeerStatus {
         peer: SmolStr::new(peer.as_str()),
-        state: SmolStr::new_static(if row.leaving { "leaving" } else { "trusted" }),
+        state: SmolStr::new_static(peer_state(row)),
         revision: row.revision.0,
         silent_ms: row.heard.map_or(u64::MAX, |heard| now.since(heard).as_millis() as u64),
     });
@@ -116,6 +122,15 @@
     }
 }
 
+fn peer_state(row: &PeerRow) -> &'static str {
+    match row {
+        _ if row.leaving() => "leaving",
+        _ if row.suspected => "suspected",
+        _ if row.heard.is_none() => "unheard",
+        _ => "trusted",
+    }
+}
+
 fn target_status(name: &str, row: &TargetRow) -> TargetStatus {
     let (state, reason) = match &row.health {
         _ if row.leaving.any() => ("leaving", SmolStr::default()),
@@ -158,6 +173,16 @@
     }
 }
 
+fn revision(state: &EntryState) -> RevisionReply {
+    // The revision that requests are decided by, which follows the fold's.
+    let revision = state.tables().revision.0;
+    RevisionReply {
+        instance: SmolStr::new(state.settings.instance.as_str()),
+        revision,
+        log_reachable: state.folds.tables().log_reachable(),
+    }
+}
+
 fn verdict(state: &EntryState, id: &str) -> VerdictReply {
     let Ok(id) = id.parse::<RecordId>() else { return VerdictReply::Unseen };
     let folds = state.folds.tables();
