--- a/crates/banyan-load/src/control.rs
+++ b/crates/banyan-load/src/control.rs
@@ -5,11 +5,13 @@
 //! unit, units a second, memory and bytes a second. The naive counterpart asks every target, tells
 //! every peer everything and looks at every target for each request.
 
+mod claims;
 mod costs;
 mod fleet;
 mod meter;
 mod traffic;
 
+use crate::control::claims::ClaimCost;
 use crate::control::costs::ControlCosts;
 use crate::control::fleet::FleetSize;
 use crate::control::fleet::SyntheticDaemon;
@@ -53,7 +55,13 @@
     }
     print_slopes(&reports);
     let Some(largest) = reports.last() else { eyre::bail!("no size was measured: add one") };
-    Ok(line(seed, largest))
+    let claim = ClaimCost::measure()?;
+    let ClaimCost { micros, bytes } = claim;
+    eprintln!("control: a call that may run at most once: {micros:.2} us, {bytes:.0} bytes");
+    let mut line = line(seed, largest);
+    line.add("claim_micros", claim.micros);
+    line.add("claim_bytes", claim.bytes);
+    Ok(line)
 }
 
 fn print(report: &SizeReport) {
