--- a/crates/banyan-core/src/serving/capacity.rs
+++ b/crates/banyan-core/src/serving/capacity.rs
@@ -9,7 +9,7 @@
 
 /// The streams let in for each stream that the engines need to be busy without any queueing, in
 /// percent. Steps arrive unevenly, so that some have to wait for a batch to be full.
-const HEADROOM_PERCENT: f64 = 200.0;
+const HEADROOM_PERCENT: f64 = 250.0;
 /// The calls of a plain service that are let in at once for each replica.
 const CALLS_PER_REPLICA: u64 = 64;
 
--- a/crates/banyan-core/tests/serving_choice.rs
+++ b/crates/banyan-core/tests/serving_choice.rs
@@ -12,6 +12,7 @@
 use banyan_core::ids::LayerRange;
 use banyan_core::ids::ServiceId;
 use banyan_core::ids::TargetId;
+use banyan_core::serving::capacity::capacity_share;
 use banyan_core::serving::choice::ChainQuery;
 use banyan_core::serving::choice::choose_chain;
 use banyan_core::serving::choice::choose_replica;
@@ -28,6 +29,7 @@
 use banyan_core::units::Moment;
 use banyan_naive::batch_model::BatchModel;
 use banyan_naive::batch_model::ModelInput;
+use banyan_naive::batch_model::ModelOutput;
 use banyan_naive::choice;
 use banyan_naive::fixtures::EngineKind;
 use banyan_naive::fixtures::add_engine;
@@ -228,8 +230,8 @@
     assert!(chain.is_some());
 }
 
-#[test]
-fn mixed_splits_are_filled_to_the_bound_and_better_than_the_naive_choices() {
+/// A run on mixed splits with this demand, as a multiple of the engines' bound, and the bound.
+fn mixed_run(demand: f64, stream_limit: u32) -> (ModelInput, f64) {
     let declaration = mixed_splits(4);
     let model = model_name(0);
     let cuts = [LayerRange { first: 0, end: 24 }, LayerRange { first: 24, end: 48 }];
@@ -238,16 +240,23 @@
         declaration,
         model,
         instances: 7,
-        rate: bound * 1.1 / 50.0,
+        rate: bound * demand / 50.0,
         tokens: 50,
         report_every: Duration::from_millis(200),
         report_lag: Duration::from_millis(250),
         duration: Duration::from_secs(8),
         warm_up: Duration::from_secs(4),
         slow_links: Vec::new(),
+        stream_limit,
         prompts: None,
         seed: 11,
     };
+    (input, bound)
+}
+
+#[test]
+fn mixed_splits_are_filled_to_the_bound_and_better_than_the_naive_choices() {
+    let (input, bound) = mixed_run(1.1, u32::MAX);
     let product = BatchModel::run(input.clone(), DecisionSet::product()).token_rate;
     assert!(product > bound * 0.95, "{product} of {bound} tokens a second");
     for naive in [choice::random(), choice::round_robin(), choice::least_reported()] {
@@ -255,3 +264,15 @@
         assert!(product > naive, "{product} against {naive} tokens a second");
     }
 }
+
+#[test]
+fn as_many_streams_as_the_engines_can_take_keep_them_busy_and_tokens_quick() {
+    let (input, bound) = mixed_run(3.0, capacity_share(&mixed_splits(4), 7));
+    let limited = BatchModel::run(input, DecisionSet::product());
+    let (input, _) = mixed_run(3.0, u32::MAX);
+    let unlimited = BatchModel::run(input, DecisionSet::product());
+    let rate = limited.token_rate;
+    assert!(rate > bound * 0.9, "{rate} of {bound} tokens a second");
+    let between = |output: &ModelOutput| ModelOutput::percentile(&output.between_tokens, 95);
+    assert!(between(&limited) * 2 < between(&unlimited));
+}
--- a/crates/banyan-naive/examples/choice.rs
+++ b/crates/banyan-naive/examples/choice.rs
@@ -43,6 +43,7 @@
         duration: Duration::from_secs(20),
         warm_up: Duration::from_secs(6),
         slow_links: if slow_links { slow.collect() } else { Vec::new() },
+        stream_limit: u32::MAX,
         prompts: None,
         seed,
     };
--- a/crates/banyan-naive/src/batch_model.rs
+++ b/crates/banyan-naive/src/batch_model.rs
@@ -49,6 +49,8 @@
     pub warm_up: Duration,
     /// Links that become slower: target, when, and by which factor.
     pub slow_links: Vec<(TargetId, Moment, u64)>,
+    /// The most streams that run at each instance; further ones are turned away.
+    pub stream_limit: u32,
     /// Prompts with shared beginnings, if they are modelled.
     pub prompts: Option<PromptInput>,
     /// The seed of arrivals and draws.
@@ -138,6 +140,8 @@
     tables: Vec<TargetTable>,
     engines: Vec<Engine>,
     streams: Vec<Stream>,
+    /// Streams under way at each instance.
+    active: Vec<u32>,
     agenda: BinaryHeap<Reverse<(u64, u64)>>,
     occurrences: BTreeMap<u64, Occurrence>,
     planned: u64,
@@ -198,6 +202,7 @@
             tables: vec![table; input.instances],
             engines: engines.collect(),
             streams: Vec::new(),
+            active: vec![0; input.instances],
             agenda: BinaryHeap::new(),
             occurrences: BTreeMap::new(),
             planned: 0,
@@ -282,7 +287,11 @@
             excluded: &BTreeSet::new(),
             draw,
         };
+        if self.active[instance] >= self.input.stream_limit {
+            return;
+        }
         let Some(chain) = (self.decisions.choose_chain)(table, &query) else { return };
+        self.active[instance] += 1;
         for stage in &chain {
             table.note_assigned(&stage.target);
             *self.output.streams.entry(stage.target.clone()).or_default() += 1;
@@ -430,6 +439,7 @@
             samples.push(took);
         }
         if row.made == self.input.tokens {
+            self.active[row.instance] -= 1;
             let table = &mut self.tables[row.instance];
             for engine in &row.chain {
                 self.engines[*engine].streams -= 1;
