Peers tell each other of slow links

Cause: every instance found a link that became slow for itself, with 60 instances some streams each.

Change: a load in a digest carries the time that answers of that target took beyond the step at the teller, if some came within 5 s and it is more than two steps; it is believed for 5 s and not told on.

--- a/crates/banyan-core/src/serving/exchange.rs
+++ b/crates/banyan-core/src/serving/exchange.rs
@@ -44,8 +44,8 @@
 const USAGE_BYTES: usize = 300;
 /// The bytes of a piece of news beside its names.
 const NEWS_BYTES: usize = 8;
-/// The bytes of a load: a place in the list of targets, two counts and an age.
-const LOAD_BYTES: usize = 7;
+/// The bytes of a load: a place in the list of targets, two counts, an age, and a link's time and age.
+const LOAD_BYTES: usize = 11;
 /// News that are older than this are dropped.
 const NEWS_LIFE: Duration = Duration::from_secs(5);
 /// The crashes of one suspect that are told.
@@ -86,6 +86,17 @@
     pub streams: u32,
     /// How long ago that was measured.
     pub age: Duration,
+    /// The time beyond the step that answers took at the teller lately, if there were any.
+    pub link: Option<LinkNews>,
+}
+
+/// What answers of a target took beyond the step.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct LinkNews {
+    /// The time beyond the step.
+    pub excess: Duration,
+    /// How long ago that was observed.
+    pub age: Duration,
 }
 
 /// Where the next digest goes on, and what peers said of leaving targets.
@@ -262,13 +273,16 @@
 }
 
 fn load_news(table: &TargetTable, target: &TargetId, now: Moment) -> Option<LoadNews> {
-    let report = table.rows.get(target)?.report.as_ref()?;
+    let row = table.rows.get(target)?;
+    let report = row.report.as_ref()?;
     let age = now.since(report.measured);
     if age > NEWS_LIFE {
         return None;
     }
     let place = table.listing.targets.binary_search(target).ok()? as u32;
-    Some(LoadNews { place, load: report.load, streams: report.streams, age })
+    let observed = row.link.own_excess(row.expected_step(), now);
+    let link = observed.map(|(excess, at)| LinkNews { excess, age: now.since(at) });
+    Some(LoadNews { place, load: report.load, streams: report.streams, age, link })
 }
 
 fn take_loads(table: &mut TargetTable, loads: &[LoadNews], now: Moment) {
@@ -284,6 +298,9 @@
             measured: earlier(now, news.age),
         };
         table.note_peer_report(&target, report);
+        if let (Some(row), Some(link)) = (table.rows.get_mut(&target), news.link) {
+            row.link.note_told(link.excess, earlier(now, link.age));
+        }
     }
 }
 
--- a/crates/banyan-core/src/serving/load.rs
+++ b/crates/banyan-core/src/serving/load.rs
@@ -16,6 +16,11 @@
 /// The number of answers over which the fastest is taken as the time without queueing.
 const WINDOW_ANSWERS: u32 = 8;
 
+/// The steps that even the fastest of some answers may wait in an overload.
+const QUEUE_STEPS: u32 = 2;
+/// The time for which a peer's word of a link counts.
+const WORD_LIFE: Duration = Duration::from_secs(5);
+
 /// What this instance had under way at a target over the last while.
 #[derive(Clone, Debug, Default)]
 pub struct LoadHistory {
@@ -72,12 +77,17 @@
     answers: u32,
     /// Whether an answer came since the last report.
     fresh: bool,
+    /// When the last answer came.
+    answered: Option<Moment>,
+    /// The time beyond the step that a peer observed, and when.
+    told: Option<(Duration, Moment)>,
 }
 
 impl LinkEstimate {
     /// Notes the time that an answer took.
-    pub fn record(&mut self, took: Duration) {
+    pub fn record(&mut self, took: Duration, now: Moment) {
         self.fresh = true;
+        self.answered = Some(now);
         self.fastest = Some(self.fastest.map_or(took, |fastest| fastest.min(took)));
         self.answers += 1;
         if self.answers == WINDOW_ANSWERS {
@@ -108,6 +118,31 @@
     }
 }
 
+impl LinkEstimate {
+    /// Takes in the time beyond the step that a peer observed at some moment.
+    pub fn note_told(&mut self, excess: Duration, observed: Moment) {
+        if self.told.is_none_or(|(_, at)| at < observed) {
+            self.told = Some((excess, observed));
+        }
+    }
+
+    /// The time beyond a step of this length: as observed here, or as a peer observed lately where
+    /// that is more.
+    pub fn excess(&self, step: Duration, now: Moment) -> Duration {
+        let own = self.fastest().map_or(Duration::ZERO, |fastest| fastest.saturating_sub(step));
+        let told = self.told.filter(|(_, at)| now.since(*at) <= WORD_LIFE);
+        own.max(told.map_or(Duration::ZERO, |(excess, _)| excess))
+    }
+
+    /// The time beyond a step that was observed here lately, with when, where it is worth telling
+    /// peers: more than a queue of some batches makes.
+    pub fn own_excess(&self, step: Duration, now: Moment) -> Option<(Duration, Moment)> {
+        let answered = self.answered.filter(|at| now.since(*at) <= WORD_LIFE)?;
+        let excess = self.fastest()?.saturating_sub(step);
+        (excess > step * QUEUE_STEPS).then_some((excess, answered))
+    }
+}
+
 fn fade_once(estimate: Duration) -> Duration {
     estimate * 31 / 32
 }
--- a/crates/banyan-core/src/serving/price.rs
+++ b/crates/banyan-core/src/serving/price.rs
@@ -74,7 +74,7 @@
     // A step waits for the rest of the running batch and for the full batches before its own.
     let queued = u64::from(row.expected_load());
     let wait = step * queued.min(batch) / batch / 2 + step * (queued / batch);
-    let link = link_time(row, query.handoff, *link_bytes_per_second);
+    let link = link_time(table, row, query.handoff, *link_bytes_per_second);
     let distance = distance(table, query.zone, &row.spec.zone);
     let peak = step * (u64::from(row.expected_streams()) + 1) / batch;
     let doubt = if is_suspected(row) { SUSPECT_MICROS } else { 0 };
@@ -88,10 +88,14 @@
 }
 
 /// The time that the hand-off needs: as declared, or as observed where the link has become slower.
-fn link_time(row: &TargetRow, handoff: ByteCount, bytes_per_second: u64) -> u64 {
+fn link_time(
+    table: &TargetTable,
+    row: &TargetRow,
+    handoff: ByteCount,
+    bytes_per_second: u64,
+) -> u64 {
     let declared = handoff.0 * 1_000_000 / bytes_per_second.max(1);
-    let Some(fastest) = row.link.fastest() else { return declared };
-    let observed = fastest.saturating_sub(row.expected_step()).as_micros() as u64;
+    let observed = row.link.excess(row.expected_step(), table.now).as_micros() as u64;
     declared.max(observed)
 }
 
--- a/crates/banyan-core/src/serving/targets.rs
+++ b/crates/banyan-core/src/serving/targets.rs
@@ -298,7 +298,7 @@
         row.remember_load(now);
         let Some(took) = took else { return };
         row.hear(now);
-        row.link.record(took);
+        row.link.record(took, now);
         row.latency = smooth(row.latency, took);
     }
 
--- a/crates/banyan-core/tests/serving_choice.rs
+++ b/crates/banyan-core/tests/serving_choice.rs
@@ -247,6 +247,7 @@
         duration: Duration::from_secs(8),
         warm_up: Duration::from_secs(4),
         slow_links: Vec::new(),
+        exchange: true,
         stream_limit,
         prompts: None,
         seed: 11,
--- a/crates/banyan-core/tests/serving_exchange.rs
+++ b/crates/banyan-core/tests/serving_exchange.rs
@@ -157,3 +157,22 @@
     run_round(&mut instances, 1, seconds(1));
     assert!(instances[1].table.rows.values().all(|row| row.report.is_none()));
 }
+
+#[test]
+fn a_slow_link_is_told_and_believed_for_a_while() {
+    let mut instances = instances(2, 1);
+    let target = target_name(0);
+    let step = instances[0].table.rows[&target].expected_step();
+    for answer in 0..16 {
+        let now = seconds(1) + Duration::from_millis(answer);
+        instances[0].table.note_ended(&target, Some(step + Duration::from_millis(90)), now);
+    }
+    let report = ReportedLoad { step_time: step, measured: seconds(1), ..ReportedLoad::default() };
+    instances[0].table.note_report(&target, report, seconds(1));
+    run_round(&mut instances, 1, seconds(2));
+    let link = &instances[1].table.rows[&target].link;
+    assert_eq!(link.excess(step, seconds(2)), Duration::from_millis(90));
+    assert_eq!(link.excess(step, seconds(8)), Duration::ZERO);
+    // Hearsay is not told on, or it would never end.
+    assert_eq!(link.own_excess(step, seconds(2)), None);
+}
--- a/crates/banyan-core/tests/serving_prefix.rs
+++ b/crates/banyan-core/tests/serving_prefix.rs
@@ -121,6 +121,7 @@
         duration: Duration::from_secs(10),
         warm_up: Duration::from_secs(4),
         slow_links: Vec::new(),
+        exchange: true,
         stream_limit: u32::MAX,
         prompts: Some(prompts),
         seed: 3,
--- a/crates/banyan-naive/examples/affinity.rs
+++ b/crates/banyan-naive/examples/affinity.rs
@@ -42,6 +42,7 @@
         duration: Duration::from_secs(20),
         warm_up: Duration::from_secs(6),
         slow_links: Vec::new(),
+        exchange: true,
         stream_limit: u32::MAX,
         prompts: Some(prompts),
         seed,
--- a/crates/banyan-naive/examples/capacity.rs
+++ b/crates/banyan-naive/examples/capacity.rs
@@ -34,6 +34,7 @@
             duration: Duration::from_secs(20),
             warm_up: Duration::from_secs(6),
             slow_links: Vec::new(),
+            exchange: true,
             stream_limit,
             prompts: None,
             seed,
--- a/crates/banyan-naive/examples/choice.rs
+++ b/crates/banyan-naive/examples/choice.rs
@@ -43,6 +43,7 @@
         duration: Duration::from_secs(20),
         warm_up: Duration::from_secs(6),
         slow_links: if slow_links { slow.collect() } else { Vec::new() },
+        exchange: true,
         stream_limit: u32::MAX,
         prompts: None,
         seed,
@@ -50,6 +51,8 @@
     let links = if slow_links { "; a sixth of the links a hundred times slower" } else { "" };
     println!("load {percent}% of {bound:.0} tokens/s{links}");
     print("product", bound, BatchModel::run(input.clone(), DecisionSet::product()));
+    let alone = ModelInput { exchange: false, ..input.clone() };
+    print("product alone", bound, BatchModel::run(alone, DecisionSet::product()));
     print("random", bound, BatchModel::run(input.clone(), choice::random()));
     print("round robin", bound, BatchModel::run(input.clone(), choice::round_robin()));
     print("least reported", bound, BatchModel::run(input, choice::least_reported()));
--- a/crates/banyan-naive/src/batch_model.rs
+++ b/crates/banyan-naive/src/batch_model.rs
@@ -49,6 +49,8 @@
     pub warm_up: Duration,
     /// Links that become slower: target, when, and by which factor.
     pub slow_links: Vec<(TargetId, Moment, u64)>,
+    /// Whether instances tell two peers each second what they observe of links.
+    pub exchange: bool,
     /// The most streams that run at each instance; further ones are turned away.
     pub stream_limit: u32,
     /// Prompts with shared beginnings, if they are modelled.
@@ -105,6 +107,7 @@
     Answer { stream: usize },
     Measure { engine: usize },
     Report { engine: usize, load: u32, streams: u32, measured: Moment },
+    Exchange { instance: usize },
     CacheEvent { engine: usize, event: PrefixEvent },
 }
 
@@ -160,6 +163,9 @@
         let mut model = Self::new(input, decisions);
         for instance in 0..model.input.instances {
             model.plan_arrival(instance);
+            if model.input.exchange {
+                model.plan(1_000_000, Occurrence::Exchange { instance });
+            }
         }
         for engine in 0..model.engines.len() {
             let offset = model.draws.below(model.input.report_every.as_micros() as u64);
@@ -260,6 +266,7 @@
             Occurrence::Report { engine, load, streams, measured } => {
                 self.take_report(engine, load, streams, measured);
             }
+            Occurrence::Exchange { instance } => self.exchange(instance),
             Occurrence::CacheEvent { engine, event } => {
                 let target = &self.engines[engine].target;
                 let incarnation = SmolStr::new_static("run-1");
@@ -469,6 +476,22 @@
         }
     }
 
+    fn exchange(&mut self, instance: usize) {
+        let now = Moment(self.now);
+        for _ in 0..2 {
+            let peer = self.draws.below(self.tables.len() as u64) as usize;
+            for engine in &self.engines {
+                let row = &self.tables[instance].rows[&engine.target];
+                let observed = row.link.own_excess(row.expected_step(), now);
+                let told = self.tables[peer].rows.get_mut(&engine.target);
+                if let (Some((excess, at)), Some(row)) = (observed, told) {
+                    row.link.note_told(excess, at);
+                }
+            }
+        }
+        self.plan(1_000_000, Occurrence::Exchange { instance });
+    }
+
     fn engine_of(&self, stream: usize) -> usize {
         let row = &self.streams[stream];
         row.chain[row.stage]
