Affinity is tested over four seeds, and a claim's time by the thousand

One short run at one seed says less than the scatter. It is replaced by one as strict: the sum over seeds 1 to 4 must not be lower at all (before: 3% lower was let pass), and each seed must find a tenth more prompts cached.

--- a/crates/banyan-core/tests/serving_prefix.rs
+++ b/crates/banyan-core/tests/serving_prefix.rs
@@ -14,6 +14,7 @@
 use banyan_core::serving::prefix::PrefixIndex;
 use banyan_naive::batch_model::BatchModel;
 use banyan_naive::batch_model::ModelInput;
+use banyan_naive::batch_model::ModelOutput;
 use banyan_naive::batch_model::PromptInput;
 use banyan_naive::fixtures::mixed_splits;
 use banyan_naive::fixtures::model_name;
@@ -102,8 +103,8 @@
     assert_eq!(index.cached_percent(&target_name(0), &[0]), 0);
 }
 
-#[test]
-fn shared_beginnings_are_found_more_often_at_no_loss_of_balance() {
+/// A run with shared beginnings of prompts.
+fn shared_run(seed: u64, decisions: DecisionSet) -> ModelOutput {
     let declaration = mixed_splits(4);
     let model = model_name(0);
     let cuts = [LayerRange { first: 0, end: 24 }, LayerRange { first: 24, end: 48 }];
@@ -124,17 +125,27 @@
         exchange: true,
         stream_limit: u32::MAX,
         prompts: Some(prompts),
-        seed: 3,
+        seed,
     };
+    BatchModel::run(input, decisions)
+}
+
+#[test]
+fn shared_beginnings_are_found_more_often_at_no_loss_of_balance() {
     let without = DecisionSet {
         choose_chain: |table, query| {
             choice::choose_chain(table, &ChainQuery { prefixes: &[], ..query.clone() })
         },
         ..DecisionSet::product()
     };
-    let product = BatchModel::run(input.clone(), DecisionSet::product());
-    let without = BatchModel::run(input, without);
-    let found = |prompts: (u64, u64)| prompts.1 as f64 / prompts.0 as f64;
-    assert!(found(product.prompts) > found(without.prompts) * 1.1);
-    assert!(product.token_rate > without.token_rate * 0.97);
+    let found = |output: &ModelOutput| output.prompts.1 as f64 / output.prompts.0 as f64;
+    let (mut rate, mut rate_without) = (0.0, 0.0);
+    for seed in 1..=4 {
+        let product = shared_run(seed, DecisionSet::product());
+        let without = shared_run(seed, without);
+        assert!(found(&product) > found(&without) * 1.1, "seed {seed}");
+        rate += product.token_rate;
+        rate_without += without.token_rate;
+    }
+    assert!(rate > rate_without, "{rate} against {rate_without} tokens over four seeds");
 }
--- a/crates/banyan-load/src/control/claims.rs
+++ b/crates/banyan-load/src/control/claims.rs
@@ -1,5 +1,7 @@
 //! What a claim costs a daemon that folds it: [`ClaimCost`].
 
+use std::time::Duration;
+
 use smol_str::format_smolstr;
 
 use crate::control::fleet::workspace_name;
@@ -18,6 +20,8 @@
 
 /// The claims that are folded.
 const CLAIMS: u64 = 100_000;
+/// The claims between two looks at the clock, which is too coarse for a single one.
+const CHUNK: u64 = 1_000;
 /// The time of the first claim, in milliseconds of the Unix epoch.
 const FIRST_MILLIS: u64 = 1_767_225_600_000;
 /// How long an outcome is remembered, in milliseconds.
@@ -37,22 +41,22 @@
     pub fn measure() -> eyre::Result<Self> {
         let mut fold = ClaimFold::default();
         let before = resident_bytes()?;
-        let mut spent = std::time::Duration::ZERO;
-        for number in 0..CLAIMS {
-            let entry = entry(number)?;
-            let start = if number % 64 == 0 { Some(thread_time()?) } else { None };
-            fold.apply(&entry);
-            if let Some(start) = start {
-                spent += thread_time()? - start;
+        let mut spent = Duration::ZERO;
+        for first in (0..CLAIMS).step_by(CHUNK as usize) {
+            let chunk = first..first + CHUNK;
+            let entries: Vec<LogEntry> = chunk.map(entry).collect::<Result<_, _>>()?;
+            let start = thread_time()?;
+            for entry in &entries {
+                fold.apply(entry);
             }
+            spent += thread_time()? - start;
         }
         eyre::ensure!(
             fold.rows.len() as u64 == CLAIMS,
             "claims were void: check the synthetic log"
         );
         let bytes = (resident_bytes()? - before) / CLAIMS as f64;
-        let samples = CLAIMS.div_ceil(64) as f64;
-        Ok(Self { micros: spent.as_secs_f64() * 1e6 / samples, bytes })
+        Ok(Self { micros: spent.as_secs_f64() * 1e6 / CLAIMS as f64, bytes })
     }
 }
 
