--- a/crates/banyan-spec/src/catalogue.rs
+++ b/crates/banyan-spec/src/catalogue.rs
@@ -232,10 +232,11 @@
         pause: 1,
         delay: 1,
     };
-    let full = LeasesBounds { time: 7, grants: 3, orders: 3, ..small };
+    let long = LeasesBounds { time: 7, ..small };
+    let more = LeasesBounds { time: 5, grants: 3, ..small };
     let all = match size {
         SearchSize::Small => vec![small],
-        SearchSize::Full => vec![small, full],
+        SearchSize::Full => vec![small, long, more],
     };
     let mutants = [
         LeasesMutant::NoWait,
--- a/crates/banyan-spec/src/leases.rs
+++ b/crates/banyan-spec/src/leases.rs
@@ -187,9 +187,36 @@
         if self.has(LeasesMutant::TargetForgets) && state.greatest > 0 {
             steps.push((LeaseStep::Forget, LeaseState { greatest: 0, ..state.clone() }));
         }
+        for (_, state) in &mut steps {
+            self.normalise(state);
+        }
         steps
     }
 
+    /// Makes states equal that differ only in what can have no effect any more.
+    fn normalise(&self, state: &mut LeaseState) {
+        let time = state.time;
+        for holder in &mut state.holders {
+            if time >= holder.latest.1 + self.wait() {
+                holder.latest.1 = 0;
+            }
+            let ended = holder.held.is_some_and(|(_, until)| time >= until);
+            if ended && !self.has(LeasesMutant::CheckOnce) {
+                holder.held = None;
+            }
+            if !self.has(LeasesMutant::OwnNumbers) {
+                holder.own = 0;
+            }
+            if let Some((_, at)) = holder.checked.as_mut().filter(|_| self.bounds.target_checks) {
+                *at = 0;
+            }
+        }
+        if self.bounds.target_checks {
+            state.orders.iter_mut().for_each(|order| order.sent = 0);
+            state.orders.sort_unstable();
+        }
+    }
+
     /// Whether time cannot pass without breaking what is assumed of pauses and delays.
     fn is_overdue(&self, state: &LeaseState) -> bool {
         if self.bounds.target_checks {
