--- a/crates/banyan-spec/src/catalogue.rs
+++ b/crates/banyan-spec/src/catalogue.rs
@@ -111,6 +111,7 @@
         (ClaimsMutant::LastClaimWins, small),
         (ClaimsMutant::ReleaseForAnother, small),
         (ClaimsMutant::CloseForAnother, ClaimsBounds { retries: 1, ..small }),
+        (ClaimsMutant::ClaimWhenForgotten, ClaimsBounds { gives_up: false, ..small }),
     ];
     claims_of("claims", all, &mutants)
 }
--- a/crates/banyan-spec/src/claims.rs
+++ b/crates/banyan-spec/src/claims.rs
@@ -45,6 +45,8 @@
     AcceptOldKeys,
     /// The outcome of a key that carries a time is forgotten within its window.
     ForgetAtMemory,
+    /// Who waits for another's claim takes a key that is free again for one that was released.
+    ClaimWhenForgotten,
 }
 
 /// How far the search goes.
@@ -73,6 +75,8 @@
 pub enum ClaimStage {
     /// It has not been made.
     Idle,
+    /// The key was held by another claim, and the caller waits for how that ends.
+    Behind(u8),
     /// The claim was sent to the log.
     Waiting,
     /// The claim was read back as the winner; nothing is sent yet.
@@ -143,6 +147,10 @@
     LandOther,
     /// A caller makes an attempt at an instance, which sees the key free and sends a claim.
     Attempt(u8, u8),
+    /// A caller makes an attempt at an instance, which sees that the key is held.
+    Wait(u8, u8),
+    /// The instance sees that the claim it waited for was released, and sends a claim.
+    Continue(u8),
     /// The claim is sent again, its answer being lost.
     SendAgain(u8),
     /// A copy of the claim lands.
@@ -239,14 +247,16 @@
             reader.next -= read_by_all;
         }
         for attempt in &mut state.attempts {
-            let acts = matches!(attempt.stage, ClaimStage::Waiting | ClaimStage::Decided);
-            if attempt.stage != ClaimStage::Waiting && attempt.stage != ClaimStage::Idle {
+            if matches!(
+                attempt.stage,
+                ClaimStage::Decided | ClaimStage::Dispatched | ClaimStage::Ended
+            ) {
                 attempt.retries = 0;
             }
             if attempt.copies == 0 && attempt.retries == 0 {
                 attempt.seen = 0;
             }
-            if !acts && self.mutant.is_none() {
+            if !is_underway(attempt.stage) && self.mutant.is_none() {
                 attempt.instance = 0;
             }
             if attempt.stage == ClaimStage::Ended && attempt.dispatches == 0 {
@@ -300,15 +310,20 @@
         };
         let known = &reader.known;
         // All instances are alike, so the first attempt may as well come to the first one.
-        if known.holder.is_some() || idle == 0 && instance > 0 {
+        if idle == 0 && instance > 0 {
             return;
         }
         let mut next = state.clone();
         let attempt = &mut next.attempts[idle];
-        attempt.stage = ClaimStage::Waiting;
         attempt.instance = instance;
-        attempt.seen = known.time;
         attempt.generation = known.forgotten;
+        if let Some(holder) = known.holder {
+            attempt.stage = ClaimStage::Behind(holder.claim);
+            steps.push((ClaimsStep::Wait(idle as u8, instance), next));
+            return;
+        }
+        attempt.stage = ClaimStage::Waiting;
+        attempt.seen = known.time;
         attempt.copies = 1;
         steps.push((ClaimsStep::Attempt(idle as u8, instance), next));
     }
@@ -325,7 +340,7 @@
         }
         next.readers[instance as usize] = reader;
         for attempt in next.attempts.iter_mut().filter(|a| a.instance == instance) {
-            if matches!(attempt.stage, ClaimStage::Waiting | ClaimStage::Decided) {
+            if is_underway(attempt.stage) {
                 attempt.stage = ClaimStage::Ended;
             }
         }
@@ -380,6 +395,18 @@
             alter(&mut next.attempts[index]);
             steps.push((step, next));
         };
+        let known = &state.readers[attempt.instance as usize].known;
+        if let ClaimStage::Behind(holder) = attempt.stage
+            && known.holder.is_none()
+            && (known.verdict(holder) == KeyVerdict::Void
+                || self.mutant == Some(ClaimsMutant::ClaimWhenForgotten))
+        {
+            change(ClaimsStep::Continue(claim), &|a| {
+                a.stage = ClaimStage::Waiting;
+                a.seen = known.time;
+                a.copies = 1;
+            });
+        }
         let waiting = attempt.stage == ClaimStage::Waiting;
         if waiting && attempt.retries > 0 {
             change(ClaimsStep::SendAgain(claim), &|a| {
@@ -388,7 +415,7 @@
             });
         }
         if waiting {
-            match state.readers[attempt.instance as usize].known.verdict(claim) {
+            match known.verdict(claim) {
                 KeyVerdict::Won => {
                     change(ClaimsStep::Decide(claim), &|a| a.stage = ClaimStage::Decided);
                 }
@@ -471,3 +498,8 @@
         (released && attempt.ended).then_some("a released claim never holds its key again")
     }
 }
+
+/// Whether an attempt still does something of its own accord.
+fn is_underway(stage: ClaimStage) -> bool {
+    matches!(stage, ClaimStage::Behind(_) | ClaimStage::Waiting | ClaimStage::Decided)
+}
