A repeat that slept past its outcome's memory is told unknown, not not-run

Cause: a repeat that waits for another's claim took a key that was free again for one whose claim had been released. When the end of the claim and all that made the fold forget it are read at once, as after a long pause, the key is free although its call ran; the repeat then claimed it anew, or was told not-run. The time at which the key was seen free was read anew after the look at it, too, so a pause between the two would have escaped the window of claims. Ruled out: a check of the deadline alone, since callers choose it. Conclusion: only a claim that is known to be released frees its key for those that wait.

--- a/crates/banyan-entry/src/claims.rs
+++ b/crates/banyan-entry/src/claims.rs
@@ -202,6 +202,7 @@
 ) -> Result<ClaimTurn, Refusal> {
     for turn in 0..CLAIM_TRIES {
         check_key_time(state, key, turn > 0)?;
+        // The time is read first, so that it is never later than the look at the key.
         let seen = fold_time(state, key);
         if let Some(row) = folded_row(state, key) {
             match wait_for_holder(state, key, content, row, deadline).await? {
@@ -216,7 +217,7 @@
                 None => continue,
             }
         }
-        match claim_key(state, request, key, claim, content, deadline).await? {
+        match claim_key(state, request, key, claim, content, seen, deadline).await? {
             KeyClaim::Won(held) => return Ok(ClaimTurn::Mine(held)),
             KeyClaim::Void => wait_for_time(state, key, seen, deadline).await,
             KeyClaim::Lost(row) => {
@@ -243,6 +244,7 @@
     key: &ClaimKey,
     claim: RecordId,
     content: ContentDigest,
+    seen: WallMillis,
     deadline: Instant,
 ) -> Result<KeyClaim, Refusal> {
     // From here on, leaving this function in any way but as the winner gives the claim up.
@@ -258,7 +260,6 @@
     let name = request.to_string();
     state.journal.record(EventKind::ClaimAppended, &name, "", &key.to_string());
     let claimant = state.incarnation.clone();
-    let seen = fold_time(state, key);
     let pending = PendingClaim { claim, key: key.clone(), claimant, content, seen };
     let until = deadline.min(Instant::now() + CLAIM_WAIT);
     held.phase = HeldPhase::Appended;
@@ -304,7 +305,7 @@
 }
 
 /// Waits for the outcome of a claim that stands in the log; `None` when it was released, so that
-/// its call did not run.
+/// its call did not run. One that is gone and was not released may have run.
 async fn wait_for_holder(
     state: &EntryState,
     key: &ClaimKey,
@@ -322,7 +323,9 @@
                 seen = true;
                 row = folded;
             }
-            None if seen || is_released(state, key, &row.claim) => return Ok(None),
+            None if is_released(state, key, &row.claim) => return Ok(None),
+            // Its end was read together with what made the fold forget it.
+            None if seen => return Err(Refusal::CallUnknown),
             None => {}
         }
         if row.content != content {
--- /dev/null
+++ b/crates/banyan-entry/tests/control/control_forgotten.rs
@@ -0,0 +1,66 @@
+//! Keys whose outcome is forgotten while a repeat waits for it.
+
+use std::pin::pin;
+
+use futures::poll;
+use tokio::time::Duration;
+use tokio::time::Instant;
+
+use crate::support::start_booking;
+use crate::support::start_entries;
+use crate::support::start_platform;
+use banyan_core::fold::ClaimFold;
+use banyan_core::ids::IncarnationId;
+use banyan_core::record::CallOutcome;
+use banyan_core::record::ClaimKey;
+use banyan_core::record::ContentDigest;
+use banyan_core::record::FactBody;
+use banyan_core::record::LogEntry;
+use banyan_core::record::LogFact;
+use banyan_core::units::WallMillis;
+use banyan_entry::claims::acquire;
+use banyan_entry::refusal::Refusal;
+
+fn append(fold: &mut ClaimFold, at: u64, bodies: Vec<FactBody>) {
+    let fact = |body| LogFact { id: "test-record".parse().unwrap(), body };
+    let facts = bodies.into_iter().map(fact).collect();
+    fold.apply(&LogEntry { offset: fold.next, at: WallMillis(at), facts });
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_repeat_that_slept_past_the_memory_of_the_outcome_is_told_unknown() {
+    let platform = start_platform().await;
+    let booking = start_booking().await;
+    let entry = start_entries(1, platform.address, booking.address).await.remove(0);
+    let key = ClaimKey { workspace: "stable-visits".parse().unwrap(), key: "k-1".parse().unwrap() };
+    let partition = usize::from(key.partition());
+    let claimant: IncarnationId = "e-9.gone".parse().unwrap();
+    let content = ContentDigest(7);
+    {
+        let mut folds = entry.state.folds.tables();
+        let fold = &mut folds.claims[partition];
+        let seen = fold.time;
+        let claim = FactBody::Claim { key: key.clone(), claimant, content, seen };
+        append(fold, seen.0, vec![claim]);
+    }
+    let request = entry.state.next_request();
+    let deadline = Instant::now() + Duration::from_secs(10);
+    let mut repeat = pin!(acquire(&entry.state, &request, &key, content, deadline));
+    assert!(poll!(repeat.as_mut()).is_pending(), "the key is held");
+    {
+        // It wakes when the whole of this was read, as after a long pause of the process.
+        let mut folds = entry.state.folds.tables();
+        let fold = &mut folds.claims[partition];
+        let claim = "test-record".parse().unwrap();
+        let outcome = CallOutcome::Answered { status: 200, body: Vec::new() };
+        let memory_ms = 3_600_000;
+        let time = fold.time.0;
+        append(fold, time, vec![FactBody::Close { key: key.clone(), claim, outcome, memory_ms }]);
+        append(fold, time + 2 * memory_ms, Vec::new());
+        append(fold, time + 2 * memory_ms, Vec::new());
+        assert!(!fold.rows.contains_key(&key));
+    }
+    entry.state.folds.signal();
+    let turn = repeat.await;
+    assert!(matches!(turn, Err(Refusal::CallUnknown)), "{turn:?}");
+}
--- a/crates/banyan-entry/tests/control/main.rs
+++ b/crates/banyan-entry/tests/control/main.rs
@@ -2,6 +2,7 @@
 
 mod control_checkpoints;
 mod control_claims;
+mod control_forgotten;
 mod control_isolation;
 mod control_joining;
 mod control_leaving;
