--- a/crates/banyan-core/examples/fold_cost.rs
+++ b/crates/banyan-core/examples/fold_cost.rs
@@ -1,18 +1,18 @@
 //! Measures what the folds cost for each entry, as a function of what they hold.
 //!
-//! `cargo run --release -p banyan-core --example fold_cost` prints one JSON line a size. Memory is
-//! this process's resident set as the operating system reports it.
+//! `cargo run --release -p banyan-core --example fold_cost -- claims 100000` prints one JSON line;
+//! `configuration 8000` measures proposals of a file with so many workspaces. Memory is what the
+//! resident set grew by, as the operating system reports it, so each size has its own run.
 
-use std::collections::BTreeMap;
 use std::hint::black_box;
-use std::sync::Arc;
 use std::time::Duration;
 use std::time::SystemTime;
 
-use banyan_core::declaration::Declaration;
+use banyan_config::merge_files;
 use banyan_core::fold::ClaimFold;
 use banyan_core::fold::ConfigurationFold;
-use banyan_core::ids::FileId;
+use banyan_core::ids::IdempotencyKey;
+use banyan_core::ids::LogOffset;
 use banyan_core::ids::RecordId;
 use banyan_core::ids::Revision;
 use banyan_core::record::CallOutcome;
@@ -22,6 +22,9 @@
 use banyan_core::record::LogEntry;
 use banyan_core::record::LogFact;
 use banyan_core::units::WallMillis;
+use banyan_wire::checkpoint::encode_configuration;
+use banyan_wire::log::decode_entry;
+use banyan_wire::log::encode_facts;
 
 /// The entries over which a cost is averaged.
 const SAMPLE: u64 = 2_000;
@@ -29,13 +32,17 @@
 const MEMORY_MS: u64 = 1_000_000_000;
 /// The size of a remembered answer, in bytes.
 const ANSWER_BYTES: usize = 200;
+/// The proposals over which a cost is averaged.
+const PROPOSALS: u64 = 10;
 
 fn main() {
-    for rows in [1_000, 10_000, 100_000] {
-        measure_claims(rows);
-    }
-    for workspaces in [10, 1_000, 8_000] {
-        measure_proposals(workspaces);
+    let mut words = std::env::args().skip(1);
+    let fold = words.next().unwrap_or_default();
+    let size: u64 = words.next().and_then(|word| word.parse().ok()).unwrap_or(1_000);
+    match fold.as_str() {
+        "claims" => measure_claims(size),
+        "configuration" => measure_proposals(size),
+        _ => eprintln!("say which fold, claims or configuration, and its size in rows"),
     }
 }
 
@@ -72,7 +79,7 @@
     append(fold, number, claim, closed);
 }
 
-fn parse_key(name: &str) -> banyan_core::ids::IdempotencyKey {
+fn parse_key(name: &str) -> IdempotencyKey {
     name.parse().expect("a name")
 }
 
@@ -83,38 +90,58 @@
 
 fn measure_proposals(workspaces: u64) {
     let text = declaration_text(workspaces);
-    let mut fold = ConfigurationFold::new(accept);
-    let sample = 200;
-    let elapsed = timed(|| (0..sample).for_each(|number| propose(&mut fold, number, &text)));
-    let snapshot = timed(|| drop(black_box(fold.snapshot())));
+    let resident = resident_bytes();
+    let mut fold = ConfigurationFold::new(merge_files);
+    let bodies: Vec<Vec<u8>> = (0..PROPOSALS).map(|number| proposal_body(number, &text)).collect();
+    let body_bytes = bodies[0].len();
+    let mut entries = Vec::new();
+    let decode = timed(|| {
+        for (offset, body) in (0..).zip(&bodies) {
+            let entry = decode_entry(LogOffset(offset), WallMillis(offset), body);
+            entries.push(entry.expect("an entry of ours"));
+        }
+    });
+    drop(bodies);
+    let apply = timed(|| {
+        for entry in &entries {
+            fold.apply(entry);
+        }
+    });
+    assert_eq!(fold.revision, Revision(PROPOSALS), "every proposal is accepted");
+    drop(entries);
+    let resident = resident_bytes().saturating_sub(resident);
+    let encode = timed(|| drop(black_box(encode_configuration(fold.snapshot()))));
     println!(
         "{{\"fold\":\"configuration\",\"workspaces\":{workspaces},\"text_bytes\":{},\
-         \"us_per_proposal_without_merge\":{:.2},\"snapshot_us\":{:.1}}}",
+         \"entry_bytes\":{body_bytes},\"decode_ms\":{:.3},\"fold_ms\":{:.3},\
+         \"checkpoint_ms\":{:.3},\"resident_kb\":{}}}",
         text.len(),
-        elapsed.as_secs_f64() * 1e6 / sample as f64,
-        snapshot.as_secs_f64() * 1e6,
+        decode.as_secs_f64() * 1e3 / PROPOSALS as f64,
+        apply.as_secs_f64() * 1e3 / PROPOSALS as f64,
+        encode.as_secs_f64() * 1e3,
+        resident / 1024,
     );
 }
 
-fn propose(fold: &mut ConfigurationFold, number: u64, text: &str) {
+fn proposal_body(number: u64, text: &str) -> Vec<u8> {
     let body = FactBody::Proposal {
         file: "fleet".parse().expect("a name"),
-        base: fold.revision,
+        base: Revision(number),
         author: "ana".into(),
         text: text.to_string(),
     };
-    let facts = vec![LogFact { id: format!("p-{number}").parse().expect("a name"), body }];
-    fold.apply(&LogEntry { offset: fold.next, at: WallMillis(number), facts });
-    assert_eq!(fold.revision, Revision(number + 1));
+    encode_facts(&[LogFact { id: format!("p-{number}").parse().expect("a name"), body }])
 }
 
 fn declaration_text(workspaces: u64) -> String {
-    let row = |number| format!("{{ \"name\": \"workspace-{number}\", \"share\": 10 }},\n");
-    (0..workspaces).map(row).collect()
-}
-
-fn accept(_: &BTreeMap<FileId, Arc<str>>) -> Result<Declaration, String> {
-    Ok(Declaration::default())
+    let row = |number| {
+        format!(
+            "    {{\n      \"name\": \"workspace-{number}\",\n      \"token_digests\": \
+             [\"{number:064x}\"],\n      \"share\": 10,\n      \"priority\": 5,\n    }},\n"
+        )
+    };
+    let rows: String = (0..workspaces).map(row).collect();
+    format!("{{\n  \"workspaces\": [\n{rows}  ],\n}}\n")
 }
 
 fn timed(work: impl FnOnce()) -> Duration {
--- a/crates/banyan-core/src/fold/checkpoint.rs
+++ b/crates/banyan-core/src/fold/checkpoint.rs
@@ -15,6 +15,7 @@
 use crate::record::FactBody;
 use crate::record::LogEntry;
 use crate::record::LogFact;
+use crate::record::StreamId;
 use crate::units::WallMillis;
 
 /// The number of complete checkpoints whose bodies are kept while a log is scanned for a start.
@@ -229,11 +230,21 @@
 impl CheckpointPolicy {
     /// The share of the retention after which a checkpoint is due.
     const RETENTION_SHARE: u32 = 4;
+    /// Entries of the configuration between two checkpoints. Each may be a proposal, and an instance
+    /// that starts validates the union of all files for every one of them.
+    const CONFIGURATION_ENTRIES: u64 = 100;
+    /// Entries of claims between two checkpoints. They cost little to fold, while their state is
+    /// large.
+    const CLAIM_ENTRIES: u64 = 20_000;
 
-    /// A policy for a log that keeps records for `retention`.
-    pub fn for_retention(retention: Duration) -> Self {
+    /// A policy for a stream of a log that keeps records for `retention`.
+    pub fn for_stream(stream: StreamId, retention: Duration) -> Self {
+        let entries = match stream {
+            StreamId::Configuration => Self::CONFIGURATION_ENTRIES,
+            StreamId::Claims(_) => Self::CLAIM_ENTRIES,
+        };
         let age = retention / Self::RETENTION_SHARE;
-        Self { entries: 2_000, age, stagger: (age / 16).min(Duration::from_secs(10)) }
+        Self { entries, age, stagger: (age / 16).min(Duration::from_secs(10)) }
     }
 }
 
--- a/crates/banyan-entry/src/checkpoints.rs
+++ b/crates/banyan-entry/src/checkpoints.rs
@@ -43,12 +43,12 @@
 /// Writes checkpoints whenever one is due here, for as long as the daemon runs.
 pub async fn run_checkpoints(state: Arc<EntryState>) {
     let retention = Duration::from_millis(state.settings.log_retention_ms);
-    let policy = CheckpointPolicy::for_retention(retention);
     let mut ticks = tokio::time::interval(LOOK_PAUSE);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         ticks.tick().await;
         for stream in all_streams() {
+            let policy = CheckpointPolicy::for_stream(stream, retention);
             let due = inputs(&state, stream).is_some_and(|it| when_checkpoint_due(&it, &policy));
             if !due {
                 continue;
