A late copy of a claim that ran is not taken for a released claim

Cause: the fold kept released and late claims in one table, and who waited for another's claim took either for proof that its call had not run. Ruled out: not to remember late claims; their own claimants have to be told. Conclusion: released and late claims are told apart in the fold, in checkpoints and by the daemon.

--- a/crates/banyan-core/src/fold/claims.rs
+++ b/crates/banyan-core/src/fold/claims.rs
@@ -25,11 +25,11 @@
 use crate::record::LogEntry;
 use crate::units::WallMillis;
 
-/// The time that the id of a released or void claim is kept, in milliseconds.
+/// The time that the id of a released or late claim is kept, in milliseconds.
 ///
 /// Invariant: greater than [`CLAIM_WINDOW_MS`], so that a copy of the claim that lands when the id
 /// is forgotten is void because it is late.
-const RELEASED_MEMORY_MS: u64 = 2 * CLAIM_WINDOW_MS;
+const DEAD_MEMORY_MS: u64 = 2 * CLAIM_WINDOW_MS;
 
 /// The winning claim of a key.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -82,12 +82,17 @@
     pub time: WallMillis,
     /// The winning claims by key.
     pub rows: BTreeMap<ClaimKey, ClaimRow>,
-    /// Ids of released and void claims, each kept until a time of the platform's clock.
+    /// Ids of released claims, which never ran, each kept until a time of the platform's clock.
     pub released: BTreeMap<RecordId, WallMillis>,
+    /// Ids of claims that landed too late, each kept until a time of the platform's clock. One of
+    /// them may be the copy of a claim that ran and was forgotten.
+    pub late: BTreeMap<RecordId, WallMillis>,
     /// The ends of those `rows` that have one.
     row_ends: ExpiryIndex<ClaimKey>,
     /// The ends of `released`.
     released_ends: ExpiryIndex<RecordId>,
+    /// The ends of `late`.
+    late_ends: ExpiryIndex<RecordId>,
 }
 
 /// All that a [`ClaimFold`] has to remember, for checkpoints and for peers.
@@ -101,6 +106,8 @@
     pub rows: BTreeMap<ClaimKey, ClaimRow>,
     /// See [`ClaimFold::released`].
     pub released: BTreeMap<RecordId, WallMillis>,
+    /// See [`ClaimFold::late`].
+    pub late: BTreeMap<RecordId, WallMillis>,
 }
 
 impl ClaimFold {
@@ -115,8 +122,12 @@
         for (claim, until) in &snapshot.released {
             fold.released_ends.insert(*until, claim.clone());
         }
+        for (claim, until) in &snapshot.late {
+            fold.late_ends.insert(*until, claim.clone());
+        }
         fold.rows = snapshot.rows;
         fold.released = snapshot.released;
+        fold.late = snapshot.late;
         fold
     }
 
@@ -127,6 +138,7 @@
             time: self.time,
             rows: self.rows.clone(),
             released: self.released.clone(),
+            late: self.late.clone(),
         }
     }
 
@@ -160,7 +172,7 @@
 
     /// What became of the claim `claim` of `key`.
     pub fn verdict(&self, key: &ClaimKey, claim: &RecordId) -> ClaimVerdict {
-        if self.released.contains_key(claim) {
+        if self.can_never_win(claim) {
             return ClaimVerdict::Void;
         }
         match self.rows.get(key) {
@@ -170,14 +182,26 @@
         }
     }
 
+    /// Whether `claim` is known to have been released, so that its call never ran under it.
+    ///
+    /// [`ClaimVerdict::Void`] says less of another's claim, since it may have run before.
+    pub fn is_released(&self, claim: &RecordId) -> bool {
+        self.released.contains_key(claim)
+    }
+
+    fn can_never_win(&self, claim: &RecordId) -> bool {
+        self.released.contains_key(claim) || self.late.contains_key(claim)
+    }
+
     fn apply_fact(&mut self, before: WallMillis, id: &RecordId, body: &FactBody) {
         match body {
             FactBody::Claim { key, claimant, content, seen } => {
-                if self.rows.contains_key(key) || self.released.contains_key(id) {
+                if self.rows.contains_key(key) || self.can_never_win(id) {
                     return;
                 }
                 if !self.is_in_time(before, key, *seen) {
-                    self.void(id);
+                    let until = self.dead_until();
+                    keep(&mut self.late, &mut self.late_ends, id, until);
                     return;
                 }
                 let row = ClaimRow {
@@ -224,26 +248,22 @@
     }
 
     fn release(&mut self, key: &ClaimKey, claim: &RecordId) {
-        let Some(row) = self.rows.get(key).filter(|row| row.claim == *claim) else {
-            return self.void(claim);
-        };
-        // What was closed was dispatched, and a dispatched call cannot be given up.
-        if row.state != ClaimState::Open {
-            return;
-        }
-        if let Some(end) = row_end(key, row) {
-            self.row_ends.remove(end, key);
+        if let Some(row) = self.rows.get(key).filter(|row| row.claim == *claim) {
+            // What was closed was dispatched, and a dispatched call cannot be given up.
+            if row.state != ClaimState::Open {
+                return;
+            }
+            if let Some(end) = row_end(key, row) {
+                self.row_ends.remove(end, key);
+            }
+            self.rows.remove(key);
         }
-        self.rows.remove(key);
-        self.void(claim);
+        let until = self.dead_until();
+        keep(&mut self.released, &mut self.released_ends, claim, until);
     }
 
-    fn void(&mut self, claim: &RecordId) {
-        let until = WallMillis(self.time.0.saturating_add(RELEASED_MEMORY_MS));
-        if let Some(known) = self.released.insert(claim.clone(), until) {
-            self.released_ends.remove(known, claim);
-        }
-        self.released_ends.insert(until, claim.clone());
+    fn dead_until(&self) -> WallMillis {
+        WallMillis(self.time.0.saturating_add(DEAD_MEMORY_MS))
     }
 
     fn forget_expired(&mut self) {
@@ -253,7 +273,23 @@
         while let Some(claim) = self.released_ends.pop_ended(self.time) {
             self.released.remove(&claim);
         }
+        while let Some(claim) = self.late_ends.pop_ended(self.time) {
+            self.late.remove(&claim);
+        }
+    }
+}
+
+/// Keeps the id of a claim until a time, in place of any earlier one.
+fn keep(
+    ids: &mut BTreeMap<RecordId, WallMillis>,
+    ends: &mut ExpiryIndex<RecordId>,
+    claim: &RecordId,
+    until: WallMillis,
+) {
+    if let Some(known) = ids.insert(claim.clone(), until) {
+        ends.remove(known, claim);
     }
+    ends.insert(until, claim.clone());
 }
 
 /// When a row is forgotten, if ever.
--- a/crates/banyan-core/tests/fold_claims.rs
+++ b/crates/banyan-core/tests/fold_claims.rs
@@ -99,7 +99,19 @@
     for at in (2_000..400_000).step_by(1_000) {
         assert_ne!(log.claim(at, "first", 1_000), ClaimVerdict::Won);
     }
-    assert!(log.fold.released.len() <= 1);
+    assert!(log.fold.released.len() + log.fold.late.len() <= 1);
+}
+
+#[test]
+fn a_late_copy_of_a_forgotten_claim_is_void_and_not_released() {
+    let mut log = ClaimLog::new("plain");
+    log.claim(1_000, "first", 1_000);
+    log.close(1_001, "first", 1);
+    log.release(200_000, "other");
+    assert_eq!(log.claim(200_000, "first", 1_000), ClaimVerdict::Void);
+    assert!(log.fold.rows.is_empty());
+    assert!(!log.fold.is_released(&record("first")));
+    assert!(log.fold.is_released(&record("other")));
 }
 
 #[test]
--- a/crates/banyan-entry/src/claims.rs
+++ b/crates/banyan-entry/src/claims.rs
@@ -356,7 +356,7 @@
 
 fn is_released(state: &EntryState, key: &ClaimKey, claim: &RecordId) -> bool {
     let folds = state.folds.tables();
-    folds.claims[usize::from(key.partition())].verdict(key, claim) == ClaimVerdict::Void
+    folds.claims[usize::from(key.partition())].is_released(claim)
 }
 
 /// Waits for a claim that another request of this run holds; `None` when it was given up.
--- a/crates/banyan-entry/tests/control/control_forgotten.rs
+++ b/crates/banyan-entry/tests/control/control_forgotten.rs
@@ -18,6 +18,7 @@
 use banyan_core::record::LogEntry;
 use banyan_core::record::LogFact;
 use banyan_core::units::WallMillis;
+use banyan_entry::claims::ClaimTurn;
 use banyan_entry::claims::acquire;
 use banyan_entry::refusal::Refusal;
 
@@ -27,40 +28,59 @@
     fold.apply(&LogEntry { offset: fold.next, at: WallMillis(at), facts });
 }
 
-#[tokio::test(flavor = "multi_thread")]
-async fn a_repeat_that_slept_past_the_memory_of_the_outcome_is_told_unknown() {
+/// What a repeat is told that waits for the claim of a run that is gone, when all of `rest` is read
+/// at once, as after a long pause of the process.
+async fn told_after(rest: impl Fn(&mut ClaimFold, &FactBody)) -> Result<ClaimTurn, Refusal> {
     let platform = start_platform().await;
     let booking = start_booking().await;
     let entry = start_entries(1, platform.address, booking.address).await.remove(0);
-    let key = ClaimKey { workspace: "stable-visits".parse().unwrap(), key: "k-1".parse().unwrap() };
+    let key = claim_key();
     let partition = usize::from(key.partition());
     let claimant: IncarnationId = "e-9.gone".parse().unwrap();
     let content = ContentDigest(7);
-    {
-        let mut folds = entry.state.folds.tables();
-        let fold = &mut folds.claims[partition];
-        let seen = fold.time;
-        let claim = FactBody::Claim { key: key.clone(), claimant, content, seen };
-        append(fold, seen.0, vec![claim]);
-    }
+    let seen = entry.state.folds.tables().claims[partition].time;
+    let claim = FactBody::Claim { key: key.clone(), claimant, content, seen };
+    append(&mut entry.state.folds.tables().claims[partition], seen.0, vec![claim.clone()]);
     let request = entry.state.next_request();
     let deadline = Instant::now() + Duration::from_secs(10);
     let mut repeat = pin!(acquire(&entry.state, &request, &key, content, deadline));
     assert!(poll!(repeat.as_mut()).is_pending(), "the key is held");
-    {
-        // It wakes when the whole of this was read, as after a long pause of the process.
-        let mut folds = entry.state.folds.tables();
-        let fold = &mut folds.claims[partition];
-        let claim = "test-record".parse().unwrap();
-        let outcome = CallOutcome::Answered { status: 200, body: Vec::new() };
-        let memory_ms = 3_600_000;
-        let time = fold.time.0;
-        append(fold, time, vec![FactBody::Close { key: key.clone(), claim, outcome, memory_ms }]);
-        append(fold, time + 2 * memory_ms, Vec::new());
-        append(fold, time + 2 * memory_ms, Vec::new());
-        assert!(!fold.rows.contains_key(&key));
-    }
+    rest(&mut entry.state.folds.tables().claims[partition], &claim);
     entry.state.folds.signal();
-    let turn = repeat.await;
+    repeat.await
+}
+
+/// Ends the claim and lets its memory pass.
+fn close_and_forget(fold: &mut ClaimFold) {
+    let key = claim_key();
+    let claim = "test-record".parse().unwrap();
+    let outcome = CallOutcome::Answered { status: 200, body: Vec::new() };
+    let memory_ms = 3_600_000;
+    let time = fold.time.0;
+    append(fold, time, vec![FactBody::Close { key: key.clone(), claim, outcome, memory_ms }]);
+    append(fold, time + 2 * memory_ms, Vec::new());
+    append(fold, time + 2 * memory_ms, Vec::new());
+    assert!(!fold.rows.contains_key(&key));
+}
+
+fn claim_key() -> ClaimKey {
+    ClaimKey { workspace: "stable-visits".parse().unwrap(), key: "k-1".parse().unwrap() }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_repeat_that_slept_past_the_memory_of_the_outcome_is_told_unknown() {
+    let turn = told_after(|fold, _| close_and_forget(fold)).await;
+    assert!(matches!(turn, Err(Refusal::CallUnknown)), "{turn:?}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_late_copy_of_a_forgotten_claim_is_not_taken_for_a_released_one() {
+    let turn = told_after(|fold, claim| {
+        close_and_forget(fold);
+        let time = fold.time.0;
+        append(fold, time, vec![claim.clone()]);
+        assert!(!fold.rows.contains_key(&claim_key()));
+    })
+    .await;
     assert!(matches!(turn, Err(Refusal::CallUnknown)), "{turn:?}");
 }
--- a/crates/banyan-spec/src/catalogue.rs
+++ b/crates/banyan-spec/src/catalogue.rs
@@ -94,7 +94,7 @@
     let long = ClaimsBounds { unread: 3, time: 3, crashes: 1, ..small };
     let again = ClaimsBounds { unread: 3, crashes: 1, retries: 1, ..small };
     let all = match size {
-        SearchSize::Small => vec![small],
+        SearchSize::Small => vec![small, crashes],
         SearchSize::Full => vec![small, crashes, three, long, again],
     };
     let mutants = [
@@ -112,6 +112,7 @@
         (ClaimsMutant::ReleaseForAnother, small),
         (ClaimsMutant::CloseForAnother, ClaimsBounds { retries: 1, ..small }),
         (ClaimsMutant::ClaimWhenForgotten, ClaimsBounds { gives_up: false, ..small }),
+        (ClaimsMutant::ClaimWhenVoid, ClaimsBounds { gives_up: false, ..crashes }),
     ];
     claims_of("claims", all, &mutants)
 }
--- a/crates/banyan-spec/src/claims.rs
+++ b/crates/banyan-spec/src/claims.rs
@@ -47,6 +47,8 @@
     ForgetAtMemory,
     /// Who waits for another's claim takes a key that is free again for one that was released.
     ClaimWhenForgotten,
+    /// Who waits for another's claim takes one of which a copy landed late for one that was released.
+    ClaimWhenVoid,
 }
 
 /// How far the search goes.
@@ -398,8 +400,7 @@
         let known = &state.readers[attempt.instance as usize].known;
         if let ClaimStage::Behind(holder) = attempt.stage
             && known.holder.is_none()
-            && (known.verdict(holder) == KeyVerdict::Void
-                || self.mutant == Some(ClaimsMutant::ClaimWhenForgotten))
+            && self.may_continue(known, holder)
         {
             change(ClaimsStep::Continue(claim), &|a| {
                 a.stage = ClaimStage::Waiting;
@@ -443,6 +444,15 @@
         self.landings(steps, state, claim);
     }
 
+    /// Whether the key of a claim that was waited for may be claimed anew.
+    fn may_continue(&self, known: &KeyState, holder: u8) -> bool {
+        match self.mutant {
+            Some(ClaimsMutant::ClaimWhenForgotten) => true,
+            Some(ClaimsMutant::ClaimWhenVoid) => known.verdict(holder) == KeyVerdict::Void,
+            _ => known.is_released(holder),
+        }
+    }
+
     fn may_send_again(&self, attempt: &ClaimAttempt) -> bool {
         let sent = attempt.stage == ClaimStage::Dispatched;
         sent && self.mutant == Some(ClaimsMutant::RetryAfterSend)
--- a/crates/banyan-spec/src/claims_fold.rs
+++ b/crates/banyan-spec/src/claims_fold.rs
@@ -66,6 +66,18 @@
     own: bool,
 }
 
+/// A claim that can never win.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct DeadClaim {
+    /// Which claim.
+    pub claim: u8,
+    /// Until when that is remembered.
+    pub until: u8,
+    /// Whether it was released, and so never ran. One that landed late may be a copy of one that
+    /// ran and was forgotten.
+    pub released: bool,
+}
+
 /// What an instance knows of the key after some entries.
 #[derive(Clone, Debug, Default, Eq, Hash, PartialEq)]
 pub struct KeyState {
@@ -73,8 +85,8 @@
     pub time: u8,
     /// The winning claim.
     pub holder: Option<KeyHolder>,
-    /// Claims that can never win, with the time until which that is remembered, in order.
-    pub dead: Vec<(u8, u8)>,
+    /// Claims that can never win, in order.
+    pub dead: Vec<DeadClaim>,
     /// How often the key was forgotten after its claimant had closed it.
     pub forgotten: u8,
 }
@@ -95,7 +107,7 @@
 impl KeyState {
     /// What became of `claim`.
     pub fn verdict(&self, claim: u8) -> KeyVerdict {
-        if self.dead.iter().any(|(dead, _)| *dead == claim) {
+        if self.dead.iter().any(|dead| dead.claim == claim) {
             return KeyVerdict::Void;
         }
         match self.holder {
@@ -105,6 +117,11 @@
         }
     }
 
+    /// Whether `claim` is known to have been released.
+    pub fn is_released(&self, claim: u8) -> bool {
+        self.dead.iter().any(|dead| dead.claim == claim && dead.released)
+    }
+
     /// Folds one entry.
     pub fn fold(&mut self, entry: &ClaimEntry, times: &ClaimTimes, mutant: Option<ClaimsMutant>) {
         self.forget(times, mutant);
@@ -120,7 +137,7 @@
 
     fn forget(&mut self, times: &ClaimTimes, mutant: Option<ClaimsMutant>) {
         let time = self.time;
-        self.dead.retain(|(_, until)| *until > time);
+        self.dead.retain(|dead| dead.until > time);
         let Some(holder) = self.holder else { return };
         let key_end = times.key_window.map(|window| window + 1);
         let open_end = match mutant {
@@ -149,7 +166,7 @@
         let late = before > seen + times.window && mutant != Some(ClaimsMutant::NoWindow);
         let old = times.key_window.is_some_and(|window| self.time > window);
         if late || old && mutant != Some(ClaimsMutant::AcceptOldKeys) {
-            self.bury(claim, times);
+            self.bury(claim, times, false);
             return;
         }
         self.holder = Some(KeyHolder { claim, landed: self.time, closed: None, own: false });
@@ -181,13 +198,13 @@
             self.holder = None;
         }
         if mutant != Some(ClaimsMutant::ForgetReleased) {
-            self.bury(claim, times);
+            self.bury(claim, times, true);
         }
     }
 
-    fn bury(&mut self, claim: u8, times: &ClaimTimes) {
-        self.dead.retain(|(dead, _)| *dead != claim);
-        self.dead.push((claim, self.time + times.released));
+    fn bury(&mut self, claim: u8, times: &ClaimTimes, released: bool) {
+        self.dead.retain(|dead| dead.claim != claim);
+        self.dead.push(DeadClaim { claim, until: self.time + times.released, released });
         self.dead.sort_unstable();
     }
 }
--- a/crates/banyan-spec/tests/agreement.rs
+++ b/crates/banyan-spec/tests/agreement.rs
@@ -158,6 +158,8 @@
                 ClaimVerdict::Unseen => KeyVerdict::Unseen,
             };
             assert_eq!(verdict, specified.verdict(claim), "claim {claim} after {offset}");
+            let released = fold.is_released(&record("claim", claim));
+            assert_eq!(released, specified.is_released(claim), "claim {claim} after {offset}");
         }
     }
 }
--- a/crates/banyan-wire/src/checkpoint.rs
+++ b/crates/banyan-wire/src/checkpoint.rs
@@ -111,8 +111,10 @@
     pub time: u64,
     /// The winning claims.
     pub rows: Vec<ClaimRowWire>,
-    /// The released and void claims, each with its end.
+    /// The released claims, each with its end.
     pub released: Vec<(SmolStr, u64)>,
+    /// The claims that landed too late, each with its end.
+    pub late: Vec<(SmolStr, u64)>,
 }
 
 /// The winning claim of a key.
@@ -251,12 +253,15 @@
 
 impl From<ClaimSnapshot> for ClaimsWire {
     fn from(snapshot: ClaimSnapshot) -> Self {
-        let released = snapshot.released.into_iter();
+        let ends = |claims: BTreeMap<RecordId, WallMillis>| {
+            claims.into_iter().map(|(claim, until)| (claim.into(), until.0)).collect()
+        };
         Self {
             next: snapshot.next.0,
             time: snapshot.time.0,
             rows: snapshot.rows.into_iter().map(|(key, row)| claim_row_wire(key, row)).collect(),
-            released: released.map(|(claim, until)| (claim.into(), until.0)).collect(),
+            released: ends(snapshot.released),
+            late: ends(snapshot.late),
         }
     }
 }
@@ -267,15 +272,20 @@
     fn try_from(state: ClaimsWire) -> Result<Self, CheckpointError> {
         let rows: Result<BTreeMap<ClaimKey, ClaimRow>, CheckpointError> =
             state.rows.into_iter().map(claim_row).collect();
-        let mut released = BTreeMap::new();
-        for (claim, until) in state.released {
-            released.insert(claim.try_into()?, WallMillis(until));
-        }
-        let next = LogOffset(state.next);
-        Ok(Self { next, time: WallMillis(state.time), rows: rows?, released })
+        Ok(Self {
+            next: LogOffset(state.next),
+            time: WallMillis(state.time),
+            rows: rows?,
+            released: claim_ends(state.released)?,
+            late: claim_ends(state.late)?,
+        })
     }
 }
 
+fn claim_ends(rows: Vec<(SmolStr, u64)>) -> Result<BTreeMap<RecordId, WallMillis>, IdError> {
+    rows.into_iter().map(|(claim, until)| Ok((claim.try_into()?, WallMillis(until)))).collect()
+}
+
 fn claim_row_wire(key: ClaimKey, row: ClaimRow) -> ClaimRowWire {
     let closed = match row.state {
         ClaimState::Open => None,
