Poison: one suspect a target over all instances, and innocents are cleared by their next step

Also: admission has a queue a model with its part of the model's slots, workspace limits are taken and given back, ends of service calls are on the time line, and a status read that raced the follower no longer overflows. Ruled out: reserving engines to entries by hash, which leaves some entries without any.

--- a/crates/banyan-core/src/serving/poison.rs
+++ b/crates/banyan-core/src/serving/poison.rs
@@ -77,10 +77,22 @@
             self.add_crash(*content, run.clone());
         }
         // Nobody but the suspects can be the culprit, and a single one is.
-        if let [culprit] = suspects[..] {
-            return vec![culprit];
+        let [culprit] = suspects[..] else { return Vec::new() };
+        self.explain_crashes(culprit);
+        vec![culprit]
+    }
+
+    /// Clears the other contents of the crashes that a convicted one explains.
+    fn explain_crashes(&mut self, culprit: ContentDigest) {
+        let Some(explained) = self.rows.get(&culprit).map(|row| row.crashes.clone()) else {
+            return;
+        };
+        for (content, row) in &mut self.rows {
+            if *content != culprit {
+                row.crashes.retain(|run| !explained.contains(run));
+            }
         }
-        Vec::new()
+        self.rows.retain(|_, row| !row.crashes.is_empty());
     }
 
     /// Takes in a peer's suspect; true where that convicts it.
@@ -112,12 +124,13 @@
         others.map(|(_, target)| target.clone()).collect()
     }
 
-    /// Takes a target for a suspect's step; false where another suspect is running there.
+    /// Takes a target for a suspect's step; false where another suspect is running there, or where
+    /// the same content is running for another request.
     pub fn enter(&mut self, content: ContentDigest, target: &TargetId) -> bool {
         if !self.is_suspect(content) {
             return true;
         }
-        let taken = |(other, at): (&ContentDigest, &TargetId)| *other != content && at == target;
+        let taken = |(other, at): (&ContentDigest, &TargetId)| *other == content || at == target;
         if self.probation.iter().any(taken) {
             return false;
         }
--- a/crates/banyan-entry/src/admission.rs
+++ b/crates/banyan-entry/src/admission.rs
@@ -1,5 +1,10 @@
 //! Lets requests in: [`admit`] waits for the core's verdict and gives an [`AdmissionPass`].
+//!
+//! Each model has a queue of its own in the [`AdmissionTable`], so that one model's overload neither
+//! delays nor refuses requests for another. A queue's capacity is this instance's part of what the
+//! model's engines can run at once.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -8,34 +13,100 @@
 use crate::refusal::Refusal;
 use crate::state::EntryState;
 use crate::state::EntryTables;
+use banyan_core::declaration::Declaration;
 use banyan_core::event::EventKind;
+use banyan_core::ids::ModelId;
 use banyan_core::ids::RequestId;
 use banyan_core::ids::WorkspaceId;
+use banyan_core::serving::admission::AdmissionQueue;
 use banyan_core::serving::admission::AdmissionRequest;
 use banyan_core::serving::admission::AdmissionVerdict;
+use banyan_core::serving::capacity::model_slots;
 use banyan_core::units::Moment;
 
+/// The queues of one instance.
+#[derive(Clone, Debug, Default)]
+pub struct AdmissionTable {
+    /// The queues by model.
+    pub queues: BTreeMap<ModelId, AdmissionQueue>,
+    /// What the engines of each model can run at once, for all instances together.
+    slots: BTreeMap<ModelId, u64>,
+}
+
+impl AdmissionTable {
+    /// Brings the queues in line with the declaration in force. A queue whose model is gone stays
+    /// until its requests have ended.
+    pub fn sync(&mut self, declaration: &Declaration) {
+        self.slots = model_slots(declaration);
+        for model in declaration.models.keys() {
+            let queue = self.queues.entry(model.clone()).or_default();
+            queue.queue_limit = declaration.policy.queue_limit;
+        }
+    }
+
+    /// Sets each queue's capacity: an equal part for each of `live` instances, at most `limit`.
+    pub fn set_live(&mut self, live: u64, limit: u32) {
+        for (model, queue) in &mut self.queues {
+            let slots = self.slots.get(model).copied().unwrap_or(0);
+            let part = u32::try_from(slots.div_ceil(live.max(1))).unwrap_or(u32::MAX);
+            queue.capacity = part.clamp(1, limit);
+        }
+        self.queues
+            .retain(|model, queue| self.slots.contains_key(model) || !queue.active.is_empty());
+    }
+
+    /// The number of requests under way.
+    pub fn active(&self) -> usize {
+        self.queues.values().map(|queue| queue.active.len()).sum()
+    }
+}
+
+/// What a completion asks of admission.
+#[derive(Clone, Debug)]
+pub struct AdmissionOrder {
+    /// The request.
+    pub request: RequestId,
+    /// On whose behalf.
+    pub workspace: WorkspaceId,
+    /// The model.
+    pub model: ModelId,
+    /// The tokens that it may generate at the most.
+    pub tokens: u64,
+    /// When it must have ended.
+    pub deadline: Moment,
+}
+
 /// Leave to run one request; dropping it makes room for the next.
 #[derive(Debug)]
 pub struct AdmissionPass {
     state: Arc<EntryState>,
-    request: RequestId,
+    order: AdmissionOrder,
+}
+
+impl AdmissionPass {
+    /// Gives the workspace back what the request did not use of its tokens.
+    pub fn settle(&self, used: u64) {
+        let order = &self.order;
+        let mut tables = self.state.tables();
+        if let Some(queue) = tables.admission.queues.get_mut(&order.model) {
+            queue.settle(&order.request, used);
+        }
+        let unused = order.tokens.saturating_sub(used);
+        tables.token_limits.give_back(&order.workspace, unused);
+    }
 }
 
 impl Drop for AdmissionPass {
     fn drop(&mut self) {
         let now = self.state.now();
-        let mut tables = self.state.tables();
-        tables.admission.release(&self.request, now);
-        tables.waiters.remove(&self.request);
-        run_admission(&mut tables, now);
+        end_request(&mut self.state.tables(), &self.order, now);
     }
 }
 
 /// Forgets a waiting request whose caller went away.
 struct WaitGuard<'a> {
     state: &'a EntryState,
-    request: &'a RequestId,
+    order: &'a AdmissionOrder,
     armed: bool,
 }
 
@@ -44,77 +115,121 @@
         if !self.armed {
             return;
         }
+        let now = self.state.now();
         let mut tables = self.state.tables();
-        tables.waiters.remove(self.request);
-        tables.admission.withdraw(self.request);
+        if let Some(queue) = tables.admission.queues.get_mut(&self.order.model) {
+            queue.withdraw(&self.order.request);
+        }
         // The verdict may have crossed with the caller's leaving.
-        let now = self.state.now();
-        tables.admission.release(self.request, now);
-        run_admission(&mut tables, now);
+        end_request(&mut tables, self.order, now);
     }
 }
 
-/// Waits until a request may run, or refuses it. `tokens` is the most that it may generate.
+/// Waits until a request may run, or refuses it.
 pub async fn admit(
     state: &Arc<EntryState>,
-    request: &RequestId,
-    workspace: &WorkspaceId,
-    tokens: u64,
-    deadline: Moment,
+    order: AdmissionOrder,
 ) -> Result<AdmissionPass, Refusal> {
-    let now = state.now();
-    let receiver = {
-        let mut tables = state.tables();
-        let spec = tables.declaration.workspaces.get(workspace);
-        let (share, priority) = spec.map_or((1, 5), |spec| (spec.share, spec.priority));
-        let offer = AdmissionRequest {
-            request: request.clone(),
-            workspace: workspace.clone(),
-            share,
-            priority,
-            tokens,
-            deadline,
-        };
-        match tables.admission.offer(offer, now) {
-            AdmissionVerdict::Admitted => None,
-            AdmissionVerdict::Refused { retry_after } => {
-                return Err(Refusal::Overloaded { retry_after });
+    if let Some(receiver) = offer(state, &order)? {
+        wait(state, &order, receiver).await?;
+    }
+    let name = order.request.to_string();
+    state.journal.record(EventKind::Admitted, &name, "", order.workspace.as_str());
+    Ok(AdmissionPass { state: state.clone(), order })
+}
+
+/// Carries out one round of admission.
+pub fn run_admission(tables: &mut EntryTables, now: Moment) {
+    for queue in tables.admission.queues.values_mut() {
+        let round = queue.tick(now);
+        for request in round.admitted {
+            if let Some(waiter) = tables.waiters.remove(&request) {
+                let _ = waiter.send(Ok(()));
             }
-            AdmissionVerdict::Queued => {
-                let (sender, receiver) = oneshot::channel();
-                tables.waiters.insert(request.clone(), sender);
-                Some(receiver)
+        }
+        for (request, retry_after) in round.refused {
+            if let Some(waiter) = tables.waiters.remove(&request) {
+                let _ = waiter.send(Err(retry_after));
             }
         }
-    };
-    if let Some(receiver) = receiver {
-        wait(state, request, receiver).await?;
     }
-    state.journal.record(EventKind::Admitted, &request.to_string(), "", workspace.as_str());
-    Ok(AdmissionPass { state: state.clone(), request: request.clone() })
 }
 
-/// Carries out one round of admission.
-pub fn run_admission(tables: &mut EntryTables, now: Moment) {
-    let round = tables.admission.tick(now);
-    for request in round.admitted {
-        if let Some(waiter) = tables.waiters.remove(&request) {
-            let _ = waiter.send(Ok(()));
+fn end_request(tables: &mut EntryTables, order: &AdmissionOrder, now: Moment) {
+    tables.waiters.remove(&order.request);
+    if let Some(queue) = tables.admission.queues.get_mut(&order.model) {
+        queue.release(&order.request, now);
+    }
+    run_admission(tables, now);
+}
+
+/// Takes the request off the workspace's limits and offers it to the queue of its model.
+fn offer(
+    state: &EntryState,
+    order: &AdmissionOrder,
+) -> Result<Option<oneshot::Receiver<Result<(), Duration>>>, Refusal> {
+    let now = state.now();
+    let mut tables = state.tables();
+    take_limits(&mut tables, order, now)?;
+    let spec = tables.declaration.workspaces.get(&order.workspace);
+    let (share, priority) = spec.map_or((1, 5), |spec| (spec.share, spec.priority));
+    let request = AdmissionRequest {
+        request: order.request.clone(),
+        workspace: order.workspace.clone(),
+        share,
+        priority,
+        tokens: order.tokens,
+        deadline: order.deadline,
+    };
+    let queue = tables.admission.queues.entry(order.model.clone()).or_default();
+    match queue.offer(request, now) {
+        AdmissionVerdict::Admitted => Ok(None),
+        AdmissionVerdict::Refused { retry_after } => {
+            give_back_limits(&mut tables, order);
+            Err(Refusal::Overloaded { retry_after })
+        }
+        AdmissionVerdict::Queued => {
+            let (sender, receiver) = oneshot::channel();
+            tables.waiters.insert(order.request.clone(), sender);
+            Ok(Some(receiver))
         }
     }
-    for (request, retry_after) in round.refused {
-        if let Some(waiter) = tables.waiters.remove(&request) {
-            let _ = waiter.send(Err(retry_after));
+}
+
+fn take_limits(
+    tables: &mut EntryTables,
+    order: &AdmissionOrder,
+    now: Moment,
+) -> Result<(), Refusal> {
+    let Some(spec) = tables.declaration.workspaces.get(&order.workspace).cloned() else {
+        return Ok(());
+    };
+    let refused = |retry_after| Refusal::WorkspaceLimit { retry_after };
+    if let Some(limit) = spec.request_limit {
+        tables.request_limits.take(&order.workspace, limit.0, 1, now).map_err(refused)?;
+    }
+    let Some(limit) = spec.token_limit else { return Ok(()) };
+    if let Err(retry_after) = tables.token_limits.take(&order.workspace, limit.0, order.tokens, now)
+    {
+        if spec.request_limit.is_some() {
+            tables.request_limits.give_back(&order.workspace, 1);
         }
+        return Err(refused(retry_after));
     }
+    Ok(())
+}
+
+fn give_back_limits(tables: &mut EntryTables, order: &AdmissionOrder) {
+    tables.request_limits.give_back(&order.workspace, 1);
+    tables.token_limits.give_back(&order.workspace, order.tokens);
 }
 
 async fn wait(
     state: &EntryState,
-    request: &RequestId,
+    order: &AdmissionOrder,
     receiver: oneshot::Receiver<Result<(), Duration>>,
 ) -> Result<(), Refusal> {
-    let mut guard = WaitGuard { state, request, armed: true };
+    let mut guard = WaitGuard { state, order, armed: true };
     let verdict = receiver.await;
     match verdict {
         Ok(Ok(())) => {
@@ -123,6 +238,7 @@
         }
         Ok(Err(retry_after)) => {
             guard.armed = false;
+            give_back_limits(&mut state.tables(), order);
             Err(Refusal::Overloaded { retry_after })
         }
         Err(_) => Err(Refusal::Overloaded { retry_after: Duration::from_secs(1) }),
--- a/crates/banyan-entry/src/caller.rs
+++ b/crates/banyan-entry/src/caller.rs
@@ -28,10 +28,10 @@
 use warp::sse::Event;
 
 use crate::completion::CompletionEvent;
+use crate::completion::note_end;
 use crate::completion::run_completion;
 use crate::daemon;
 use crate::lineage::AnswerOrder;
-use crate::metric;
 use crate::refusal::Refusal;
 use crate::services::ServiceOrder;
 use crate::services::run_call;
@@ -213,7 +213,10 @@
     });
     let (order, stream) = match order {
         Ok(order) => order,
-        Err(refusal) => return refuse(&refusal, &request),
+        Err(refusal) => {
+            note_end(&state, &request.to_string(), Err(&refusal));
+            return refuse(&refusal, &request);
+        }
     };
     let model = order.model.clone();
     let mut events = run_completion(state, order);
@@ -386,9 +389,13 @@
         Ok(order) => run_call(state.clone(), order).await,
         Err(refusal) => Err(refusal),
     };
+    let detail = match &result {
+        Ok(answer) => Ok(format!("status {}", answer.status)),
+        Err(refusal) => Err(refusal),
+    };
+    note_end(&state, &request.to_string(), detail);
     match result {
         Ok(answer) => {
-            metric::count_request(OutcomeWire::Complete);
             let mut response = Response::new(answer.body.into());
             *response.status_mut() =
                 StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY);
@@ -397,10 +404,7 @@
             put_header(&mut response, OUTCOME_HEADER, &OutcomeWire::Complete.to_string());
             response
         }
-        Err(refusal) => {
-            metric::count_request(refusal.outcome());
-            refuse(&refusal, &request)
-        }
+        Err(refusal) => refuse(&refusal, &request),
     }
 }
 
--- a/crates/banyan-entry/src/completion.rs
+++ b/crates/banyan-entry/src/completion.rs
@@ -7,6 +7,7 @@
 use tokio::sync::mpsc;
 use xxhash_rust::xxh3::Xxh3;
 
+use crate::admission::AdmissionOrder;
 use crate::admission::admit;
 use crate::crashes;
 use crate::lineage::AnswerOrder;
@@ -40,11 +41,14 @@
     let (sender, receiver) = mpsc::channel(EVENT_BUFFER);
     tokio::spawn(async move {
         let request = order.request.to_string();
-        let end = match complete(&state, order, &sender).await {
-            Ok(end) => CompletionEvent::End(end),
-            Err(refusal) => CompletionEvent::Failed(refusal),
-        };
-        note_end(&state, &request, &end);
+        let content = order.content;
+        let result = complete(&state, order, &sender).await;
+        if result.is_err() && state.tables().convicted.contains_key(&content) {
+            crashes::wait_until_known(&state, content).await;
+        }
+        let detail = result.as_ref().map(|end| format!("{} tokens", end.tokens));
+        note_end(&state, &request, detail);
+        let end = result.map_or_else(CompletionEvent::Failed, CompletionEvent::End);
         let _ = sender.send(end).await;
     });
     receiver
@@ -62,7 +66,17 @@
     let max_tokens = order.max_tokens;
     let request = order.request.clone();
     let content = order.content;
-    let pass = admit(state, &request, &order.workspace, max_tokens, order.deadline).await?;
+    let pass = admit(
+        state,
+        AdmissionOrder {
+            request: request.clone(),
+            workspace: order.workspace.clone(),
+            model: order.model.clone(),
+            tokens: max_tokens,
+            deadline: order.deadline,
+        },
+    )
+    .await?;
     let mut run = LineageRun::start(state.clone(), order)?;
     let mut digest = Xxh3::new();
     let mut tokens = 0;
@@ -84,6 +98,7 @@
         }
     }
     drop(run);
+    pass.settle(tokens);
     drop(pass);
     state.tables().suspects.clear(content);
     metric::count_tokens(tokens);
@@ -95,19 +110,14 @@
     })
 }
 
-fn note_end(state: &EntryState, request: &str, end: &CompletionEvent) {
+/// Counts a request that ended, logs it and puts it on the time line.
+pub fn note_end(state: &EntryState, request: &str, end: Result<String, &Refusal>) {
     let (kind, outcome, detail) = match end {
-        CompletionEvent::Token(_) => return,
-        CompletionEvent::End(end) => {
-            let detail = format!("{} tokens", end.tokens);
-            (EventKind::Completed, OutcomeWire::Complete, detail)
-        }
-        CompletionEvent::Failed(refusal) if refusal.outcome() == OutcomeWire::NotRun => {
+        Ok(detail) => (EventKind::Completed, OutcomeWire::Complete, detail),
+        Err(refusal) if refusal.outcome() == OutcomeWire::NotRun => {
             (EventKind::Refused, OutcomeWire::NotRun, refusal.to_string())
         }
-        CompletionEvent::Failed(refusal) => {
-            (EventKind::OutcomeUnknown, OutcomeWire::Unknown, refusal.to_string())
-        }
+        Err(refusal) => (EventKind::OutcomeUnknown, OutcomeWire::Unknown, refusal.to_string()),
     };
     metric::count_request(outcome);
     log::info!("request: {request} ended {outcome}: {detail}.");
--- a/crates/banyan-entry/src/daemon.rs
+++ b/crates/banyan-entry/src/daemon.rs
@@ -16,6 +16,7 @@
 use crate::admission::run_admission;
 use crate::caller;
 use crate::checkpoints::run_checkpoints;
+use crate::crashes;
 use crate::exchange::run_exchange;
 use crate::follower::all_streams;
 use crate::follower::follow;
@@ -42,6 +43,8 @@
 
 /// The time between two runs of the systems that run each tick.
 const TICK: Duration = Duration::from_millis(20);
+/// The time between two splits of capacities and limits over the live instances.
+const SPREAD_PAUSE: Duration = Duration::from_millis(1000);
 /// The time that the balancer has to notice that the instance is not ready.
 const NOTICE_TIME: Duration = Duration::from_millis(1500);
 /// The time between two looks at whether requests are still under way.
@@ -147,7 +150,7 @@
         loop {
             let active = {
                 let tables = self.state.tables();
-                tables.admission.active.len() + tables.waiters.len()
+                tables.admission.active() + tables.waiters.len()
             };
             let claims = self.state.ledger.open().len();
             let kept = self.state.outbox.len() + self.state.writer.kept();
@@ -202,11 +205,19 @@
 async fn run_ticks(state: Arc<EntryState>) {
     let mut ticks = tokio::time::interval(TICK);
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    let mut spread = state.now();
     loop {
         ticks.tick().await;
         let now = state.now();
         let mut tables = state.tables();
         tables.targets.advance(now);
+        if now.since(spread) >= SPREAD_PAUSE {
+            spread = now;
+            tables.spread_limits(state.settings.capacity);
+            tables.request_limits.tick(now);
+            tables.token_limits.tick(now);
+            crashes::tick(&mut tables, now);
+        }
         run_admission(&mut tables, now);
         let suspect_after = tables.declaration.policy.suspect_after;
         let changes = health::suspect_silent(&mut tables.targets, suspect_after, now);
--- a/crates/banyan-entry/src/exchange.rs
+++ b/crates/banyan-entry/src/exchange.rs
@@ -7,6 +7,7 @@
 use smol_str::format_smolstr;
 use tokio::time::MissedTickBehavior;
 
+use crate::crashes;
 use crate::follower::all_streams;
 use crate::peer_link;
 use crate::peers::EXCHANGE_PAUSE;
@@ -64,7 +65,7 @@
         draining,
         targets: target_digests(&tables),
         usage: Vec::new(),
-        suspects: Vec::new(),
+        suspects: crashes::told_suspects(&tables),
     }
 }
 
@@ -83,6 +84,7 @@
     let now = state.now();
     let change = state.tables().peers.note_digest(digest, address, now);
     note_change(state, change);
+    crashes::take_suspects(state, &digest.suspects);
 }
 
 async fn exchange_with(state: Arc<EntryState>, address: SocketAddr) {
--- a/crates/banyan-entry/src/lib.rs
+++ b/crates/banyan-entry/src/lib.rs
@@ -38,4 +38,5 @@
 pub mod services;
 pub mod state;
 pub mod steps;
+pub mod trials;
 pub mod writer;
--- a/crates/banyan-entry/src/lineage.rs
+++ b/crates/banyan-entry/src/lineage.rs
@@ -97,6 +97,10 @@
     failed: BTreeSet<TargetId>,
     /// Every target that may keep state of this request.
     touched: BTreeSet<TargetId>,
+    /// The target that has a step of this answer under way.
+    running_on: Option<TargetId>,
+    /// The stage and token of the step in which a target crashed, until it has run elsewhere.
+    crashed_in: Option<(usize, u64)>,
     token: u64,
     next_input: HandOff,
 }
@@ -124,6 +128,8 @@
             prefixes,
             failed: BTreeSet::new(),
             touched: BTreeSet::new(),
+            running_on: None,
+            crashed_in: None,
             token: 0,
             next_input,
         };
@@ -152,26 +158,28 @@
     }
 
     fn choose(&mut self) -> bool {
-        let draw = rand::random();
         let now = self.state.now();
+        let draw = rand::random();
         let mut tables = self.state.tables();
         tables.targets.advance(now);
-        let excluded = self.excluded(&tables);
-        let query = self.query(&excluded, draw);
         let choose_chain = self.state.decisions.choose_chain;
-        let Some(chain) = choose_chain(&tables.targets, &query) else { return false };
+        let excluded = self.excluded(&tables);
+        let chain = choose_chain(&tables.targets, &self.query(&excluded, draw));
+        let Some(chain) = chain else { return false };
         for stage in &chain {
             tables.targets.note_assigned(&stage.target);
         }
         drop(tables);
         let names: Vec<&str> = chain.iter().map(|stage| stage.target.as_str()).collect();
-        let detail = names.join(" > ");
-        self.state.journal.record(EventKind::Routed, &self.order.request.to_string(), "", &detail);
+        let name = self.order.request.to_string();
+        self.state.journal.record(EventKind::Routed, &name, "", &names.join(" > "));
         let stage = |choice| RunningStage { choice, inputs: Vec::new() };
         self.stages = chain.into_iter().map(stage).collect();
         true
     }
 
+    /// The targets that may not be chosen: those that failed this answer and, for a suspect, those
+    /// that have another suspect right now.
     fn excluded(&self, tables: &EntryTables) -> BTreeSet<TargetId> {
         let mut excluded = self.failed.clone();
         if tables.suspects.is_suspect(self.order.content) {
@@ -196,9 +204,13 @@
     async fn run_stage(&mut self, stage: usize, input: HandOff) -> Result<StepAnswer, Refusal> {
         self.stages[stage].inputs.push(input);
         let mut rebuild = false;
-        for _ in 0..TARGETS_PER_STEP {
+        let mut given_up = 0;
+        while given_up < TARGETS_PER_STEP {
             match self.try_target(stage, rebuild).await? {
-                StepVerdict::Answered(answer) => return Ok(answer),
+                StepVerdict::Answered(answer) => {
+                    self.note_survived(stage);
+                    return Ok(answer);
+                }
                 StepVerdict::GiveUp(reason) => {
                     let target = self.stages[stage].choice.target.clone();
                     log::info!(
@@ -206,6 +218,7 @@
                         self.order.request
                     );
                     self.failed.insert(target);
+                    given_up += 1;
                 }
                 StepVerdict::Unwilling(reason) => {
                     log::debug!("steps: Request {} moves on: {reason}.", self.order.request);
@@ -256,9 +269,14 @@
                     overdue_turns += 1;
                     self.note_retry(&target, "its answer is overdue");
                 }
+                Err(StepError::Occupied) => {
+                    // Suspects take turns; the one that runs there may soon be done.
+                    tokio::time::sleep(FULL_PAUSE).await;
+                    return Ok(StepVerdict::Unwilling(format_smolstr!("{target} has a suspect")));
+                }
                 Err(error) => {
                     let reason = error.to_string();
-                    crashes::note_crash(&self.state, &target, &reason);
+                    self.note_failure(stage, &target, &error, tries + overdue_turns > 0);
                     return Ok(StepVerdict::GiveUp(SmolStr::new(reason)));
                 }
             }
@@ -286,9 +304,17 @@
             let reason = SmolStr::new_static("it is no longer declared");
             return Ok(Err(StepError::Connect(reason)));
         };
-        self.touched.insert(target.clone());
         let request = self.order.request.clone();
-        crashes::note_running(&self.state, &target, &request, self.order.content);
+        // A step that is tried again holds its place on the target.
+        if self.running_on.is_none() {
+            let content = self.order.content;
+            if !crashes::note_running(&self.state, &target, &request, content).await {
+                self.state.tables().targets.note_ended(&target, None, now);
+                return Ok(Err(StepError::Occupied));
+            }
+            self.running_on = Some(target.clone());
+        }
+        self.touched.insert(target.clone());
         let name = request.to_string();
         let detail = format_smolstr!("token {} stage {stage}", self.token);
         self.state.journal.record(EventKind::StepSent, &name, target.as_str(), &detail);
@@ -302,8 +328,10 @@
         let ended = self.state.now();
         let took = result.is_ok().then(|| ended.since(now));
         self.state.tables().targets.note_ended(&target, took, ended);
-        if !matches!(result, Err(StepError::Broken(_) | StepError::Silent)) {
-            crashes::note_idle(&self.state, &target, &request);
+        // A step whose connection broke is still counted as running there: the target may have
+        // crashed of it, which the next try shows.
+        if !matches!(result, Err(StepError::Broken(_) | StepError::Connect(_))) {
+            self.note_idle();
         }
         if result.is_ok() {
             self.state.journal.record(EventKind::StepAnswered, &name, target.as_str(), &detail);
@@ -348,10 +376,10 @@
                 let now = self.state.now();
                 let mut tables = self.state.tables();
                 tables.targets.advance(now);
-                let excluded = self.excluded(&tables);
-                let query = self.query(&excluded, rand::random());
                 let choose_stage = self.state.decisions.choose_stage;
-                let choice = choose_stage(&tables.targets, &query, layers);
+                let draw = rand::random();
+                let excluded = self.excluded(&tables);
+                let choice = choose_stage(&tables.targets, &self.query(&excluded, draw), layers);
                 if let Some(choice) = &choice {
                     tables.targets.note_unassigned(&self.stages[stage].choice.target);
                     tables.targets.note_assigned(&choice.target);
@@ -377,6 +405,39 @@
         self.state.journal.record(EventKind::StageReplaced, &name, choice.target.as_str(), &detail);
     }
 
+    /// Suspects a target that failed a step; `sent` says whether an earlier try reached it.
+    fn note_failure(&mut self, stage: usize, target: &TargetId, error: &StepError, sent: bool) {
+        let reason = error.to_string();
+        match error {
+            StepError::Silent => crashes::note_silence(&self.state, target, &reason),
+            StepError::Connect(_) if !sent => {
+                // The step never got there, so it was not under way when the target crashed.
+                self.note_idle();
+                crashes::note_crash(&self.state, target, &reason);
+            }
+            _ => {
+                crashes::note_crash(&self.state, target, &reason);
+                self.crashed_in = Some((stage, self.token));
+            }
+        }
+        self.note_idle();
+    }
+
+    /// Clears the content where the very step that a target crashed in has run on another one: a
+    /// content that crashes targets would have crashed that one too.
+    fn note_survived(&mut self, stage: usize) {
+        if self.crashed_in == Some((stage, self.token)) {
+            self.crashed_in = None;
+            self.state.tables().suspects.clear(self.order.content);
+        }
+    }
+
+    /// Notes that no step of this answer is under way any more.
+    fn note_idle(&mut self) {
+        let Some(target) = self.running_on.take() else { return };
+        crashes::note_idle(&self.state, &target, &self.order.request, self.order.content);
+    }
+
     fn note_retry(&self, target: &TargetId, reason: &str) {
         metric::count_retry();
         let name = self.order.request.to_string();
@@ -400,6 +461,7 @@
 
 impl Drop for LineageRun {
     fn drop(&mut self) {
+        self.note_idle();
         let request = self.order.request.clone();
         let mut addresses = Vec::new();
         {
@@ -408,14 +470,10 @@
                 tables.targets.note_unassigned(&stage.choice.target);
             }
             for target in &self.touched {
-                if let Some(contents) = tables.contents.get_mut(target) {
-                    contents.remove(&request);
-                }
                 if let Some(row) = tables.targets.rows.get(target) {
                     addresses.push(row.spec.address);
                 }
             }
-            tables.suspects.probation.remove(&self.order.content);
         }
         let state = self.state.clone();
         let Ok(runtime) = tokio::runtime::Handle::try_current() else { return };
--- a/crates/banyan-entry/src/operator.rs
+++ b/crates/banyan-entry/src/operator.rs
@@ -69,7 +69,7 @@
         });
     let metrics = warp::path!("metrics").and(shared).map(move |state: Arc<EntryState>| {
         let tables = state.tables();
-        let (active, waiting) = (tables.admission.active.len(), tables.waiters.len());
+        let (active, waiting) = (tables.admission.active(), tables.waiters.len());
         metric::set_gauges(active, waiting, tables.revision.0);
         drop(tables);
         metrics.as_ref().map(PrometheusHandle::render).unwrap_or_default().into_response()
@@ -91,7 +91,7 @@
         silent_ms: row.heard.map_or(u64::MAX, |heard| now.since(heard).as_millis() as u64),
     });
     let peers = peers.collect();
-    let (active, queued) = (tables.admission.active.len() as u64, tables.waiters.len() as u64);
+    let (active, queued) = (tables.admission.active() as u64, tables.waiters.len() as u64);
     let revision = tables.revision.0;
     drop(tables);
     let claims = state.ledger.open().into_iter().map(|(key, claim)| ClaimStatus {
@@ -147,10 +147,11 @@
 }
 
 fn log_status(folds: &FoldTables, now: Moment) -> LogStatus {
-    let silent = folds.configuration_read_at().map_or(now.0, |at| now.0 - at.0);
+    // The stream may have been read since `now` was taken.
+    let read_at = folds.configuration_read_at().unwrap_or_default();
     LogStatus {
         reachable: folds.log_reachable(),
-        silent_ms: silent / 1000,
+        silent_ms: now.since(read_at).as_millis() as u64,
         next: all_streams()
             .map(|stream| (format_smolstr!("{stream}"), folds.next(stream).0))
             .collect(),
--- a/crates/banyan-entry/src/peer_link.rs
+++ b/crates/banyan-entry/src/peer_link.rs
@@ -36,6 +36,7 @@
 use banyan_wire::peer::PeerServiceClient;
 use banyan_wire::peer::RelayReply;
 use banyan_wire::peer::SnapshotReply;
+use banyan_wire::peer::TrialOrder;
 
 /// The longest message, in bytes: the state of all folds.
 const FRAME_LIMIT_BYTES: usize = 64 << 20;
@@ -142,6 +143,16 @@
     .await
 }
 
+/// Begins or ends a suspect's trial at a target's referee.
+pub async fn trial(
+    state: &EntryState,
+    address: SocketAddr,
+    order: TrialOrder,
+) -> Result<bool, PeerError> {
+    call(state, address, SHORT_TIMEOUT, async |client, context| client.trial(context, order).await)
+        .await
+}
+
 async fn call<T, F>(
     state: &EntryState,
     address: SocketAddr,
--- a/crates/banyan-entry/src/peer_server.rs
+++ b/crates/banyan-entry/src/peer_server.rs
@@ -23,6 +23,8 @@
 use crate::follower::all_streams;
 use crate::peer_link::codec;
 use crate::state::EntryState;
+use crate::trials;
+use banyan_core::record::ContentDigest;
 use banyan_core::record::StreamId;
 use banyan_wire::checkpoint::CheckpointError;
 use banyan_wire::checkpoint::encode_claims;
@@ -34,6 +36,7 @@
 use banyan_wire::peer::PeerService;
 use banyan_wire::peer::RelayReply;
 use banyan_wire::peer::SnapshotReply;
+use banyan_wire::peer::TrialOrder;
 
 /// How long a connection may be without a call.
 const IDLE_LIMIT: Duration = Duration::from_secs(60);
@@ -118,6 +121,11 @@
     async fn deliver(self, _: Context, order: DeliverOrder) -> bool {
         claim_route::deliver_for_peer(&self.state, &order).await
     }
+
+    async fn trial(self, _: Context, order: TrialOrder) -> bool {
+        let Ok(target) = order.target.parse() else { return false };
+        trials::judge(&self.state, target, ContentDigest(order.content), order.begins)
+    }
 }
 
 /// The state of a stream's fold with its next offset, as checkpoints and snapshots hold it.
--- a/crates/banyan-entry/src/peers.rs
+++ b/crates/banyan-entry/src/peers.rs
@@ -17,7 +17,6 @@
 use banyan_core::record::StreamId;
 use banyan_core::units::Moment;
 use banyan_wire::peer::PeerDigest;
-use banyan_wire::peer::SuspectDigest;
 use banyan_wire::peer::UsageDigest;
 
 /// The number of peers that one round of exchange talks to.
@@ -73,8 +72,6 @@
     pub leaving_targets: BTreeSet<TargetId>,
     /// Its use of workspaces, as it last said.
     pub usage: Vec<UsageDigest>,
-    /// The contents that it suspects of crashing targets.
-    pub suspects: Vec<SuspectDigest>,
 }
 
 /// A change of trust in a peer.
@@ -130,7 +127,6 @@
         let leaving = digest.targets.iter().filter(|target| target.leaving);
         row.leaving_targets = leaving.filter_map(|target| target.target.parse().ok()).collect();
         row.usage = digest.usage.clone();
-        row.suspects = digest.suspects.clone();
         let was_suspected = std::mem::replace(&mut row.suspected, false);
         (fresh || was_suspected).then_some(PeerChange::Trusted(instance))
     }
--- a/crates/banyan-entry/src/probes.rs
+++ b/crates/banyan-entry/src/probes.rs
@@ -8,6 +8,7 @@
 use http::Method;
 use smol_str::SmolStr;
 
+use crate::crashes;
 use crate::state::EntryState;
 use banyan_core::declaration::TargetRole;
 use banyan_core::event::EventKind;
@@ -67,19 +68,28 @@
         }
         // Silence is judged over several probes, a refused connection at once.
         Err(error @ CallError::Connect { .. }) => {
-            crate::crashes::note_crash(&state, &target, &error.to_string());
+            crashes::note_crash(&state, &target, &error.to_string());
         }
         Err(error) => log::debug!("probe: {target} gave no word: {error}."),
     }
 }
 
+fn is_new_run(state: &EntryState, target: &TargetId, report: &LoadReport) -> bool {
+    let tables = state.tables();
+    let known = tables.targets.rows.get(target).and_then(|row| row.report.as_ref());
+    known.is_some_and(|known| known.incarnation != report.incarnation)
+}
+
 async fn probe_engine(
-    state: &EntryState,
+    state: &Arc<EntryState>,
     client: &JsonClient,
     target: &TargetId,
     address: SocketAddr,
 ) -> Result<(), CallError> {
     let report: LoadReport = client.get(address, "/v1/load").await?;
+    if is_new_run(state, target, &report) {
+        crashes::note_crash(state, target, "it started anew");
+    }
     let now = state.now();
     let age = Duration::from_millis(report.age_ms);
     let measured = banyan_core::units::Moment(now.0.saturating_sub(age.as_micros() as u64));
--- a/crates/banyan-entry/src/state.rs
+++ b/crates/banyan-entry/src/state.rs
@@ -16,6 +16,7 @@
 use tokio::sync::oneshot;
 use tokio::sync::watch;
 
+use crate::admission::AdmissionTable;
 use crate::claim_route::FactOutbox;
 use crate::claims::ClaimLedger;
 use crate::clock::RuntimeClock;
@@ -26,6 +27,7 @@
 use crate::peers::PeerTable;
 use crate::platform::PlatformClient;
 use crate::steps::StepClient;
+use crate::trials::TrialTable;
 use crate::writer::LogWriter;
 use banyan_config::settings::EntrySettings;
 use banyan_core::declaration::Declaration;
@@ -37,9 +39,9 @@
 use banyan_core::ids::TargetId;
 use banyan_core::ids::WorkspaceId;
 use banyan_core::record::ContentDigest;
-use banyan_core::serving::admission::AdmissionQueue;
 use banyan_core::serving::budget::RetryBudget;
 use banyan_core::serving::decisions::DecisionSet;
+use banyan_core::serving::limits::LimitTable;
 use banyan_core::serving::poison::SuspectTable;
 use banyan_core::serving::targets::TargetTable;
 use banyan_core::units::Moment;
@@ -105,13 +107,23 @@
     /// The targets.
     pub targets: TargetTable,
     /// Requests under way and waiting.
-    pub admission: AdmissionQueue,
+    pub admission: AdmissionTable,
     /// The channels of waiting requests.
     pub waiters: BTreeMap<RequestId, AdmissionWaiter>,
+    /// This instance's parts of the workspaces' request limits.
+    pub request_limits: LimitTable,
+    /// This instance's parts of the workspaces' token limits.
+    pub token_limits: LimitTable,
     /// Retries allowed.
     pub budget: RetryBudget,
     /// Contents that may crash targets.
     pub suspects: SuspectTable,
+    /// The trials of suspects that this instance referees.
+    pub trials: TrialTable,
+    /// Contents convicted here, until a moment by which the log's word has long been read.
+    pub convicted: BTreeMap<ContentDigest, Moment>,
+    /// The newest run of each target whose crash was noted.
+    pub crashed: BTreeMap<TargetId, SmolStr>,
     /// Contents with steps under way, by target and request.
     pub contents: BTreeMap<TargetId, BTreeMap<RequestId, ContentDigest>>,
     /// The other instances.
@@ -120,6 +132,22 @@
     pub leaving: LeavingTable,
 }
 
+impl EntryTables {
+    /// The number of instances that share the work, this one included.
+    pub fn live_instances(&self) -> u64 {
+        self.peers.rows.values().filter(|row| row.usable()).count() as u64 + 1
+    }
+
+    /// Splits capacities and limits over the instances that are live now; `capacity` is the most
+    /// requests of one model that this one takes.
+    pub fn spread_limits(&mut self, capacity: u32) {
+        let live = self.live_instances();
+        self.admission.set_live(live, capacity);
+        self.request_limits.set_live(live);
+        self.token_limits.set_live(live);
+    }
+}
+
 impl EntryState {
     /// The state of a daemon that starts now.
     pub fn new(settings: EntrySettings, decisions: DecisionSet) -> Self {
@@ -127,8 +155,6 @@
         let name = format!("{}@{}", settings.instance, &token[..12]);
         let incarnation = name.parse().unwrap_or_else(|_| fallback_incarnation());
         let platform = PlatformClient::new(settings.platform_address);
-        let capacity = settings.capacity;
-        let admission = AdmissionQueue { capacity, queue_limit: capacity, ..Default::default() };
         let peers = PeerTable::greeting(&settings);
         Self {
             incarnation,
@@ -144,7 +170,7 @@
             links: PeerLinks::default(),
             joining: tokio::sync::Mutex::new(()),
             phase: watch::Sender::new(ServingPhase::Serving),
-            tables: Mutex::new(EntryTables { admission, peers, ..Default::default() }),
+            tables: Mutex::new(EntryTables { peers, ..Default::default() }),
             counter: AtomicU64::new(0),
             settings,
         }
@@ -183,7 +209,8 @@
         tables.revision = revision;
         tables.tokens = token_index(&declaration);
         tables.targets.sync(&declaration, now);
-        tables.admission.queue_limit = declaration.policy.queue_limit;
+        tables.admission.sync(&declaration);
+        tables.spread_limits(self.settings.capacity);
         tables.declaration = declaration;
         drop(tables);
         let detail = format!("revision {revision}");
--- a/crates/banyan-entry/src/steps.rs
+++ b/crates/banyan-entry/src/steps.rs
@@ -62,6 +62,9 @@
     /// The connection is alive, but the answer is long overdue and may have been lost.
     #[error("the answer is overdue")]
     Overdue,
+    /// Another suspected content runs there; nothing was sent.
+    #[error("the target has another suspect")]
+    Occupied,
     /// The target did not run it.
     #[error("the target refused the step: {0:?}")]
     Refused(StepRefusal),
--- a/crates/banyan-entry/tests/data_calls.rs
+++ b/crates/banyan-entry/tests/data_calls.rs
@@ -154,13 +154,13 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn claim_that_lands_late_after_its_refusal_never_runs() {
     let system = TestSystem::start(plan(2, 1)).await;
-    let delay_ms = 3500;
-    system.platform.fault(PlatformFault::LateAppends { count: 1, delay_ms });
-    system.platform.fault(PlatformFault::AppendRate { per_second: 0 });
+    // Every append is answered with a failure and lands later.
+    let (count, delay_ms) = (1000, 3500);
+    system.platform.fault(PlatformFault::LateAppends { count, delay_ms });
     let body = json!({"fitter": 7});
     let refused = call(system.caller(0), "book", Some("key-1"), &body).await;
     assert_eq!(refused.outcome, OutcomeWire::NotRun, "{refused:?}");
-    system.platform.fault(PlatformFault::AppendRate { per_second: 400 });
+    system.platform.fault(PlatformFault::LateAppends { count: 0, delay_ms });
     wait_for("the claim and its release have landed", || {
         let appends = system.platform.truth().appends;
         let kinds = |kind: &str| appends.iter().filter(|row| row.body.contains(kind)).count();
--- a/crates/banyan-entry/tests/data_leaving.rs
+++ b/crates/banyan-entry/tests/data_leaving.rs
@@ -160,7 +160,7 @@
     let entry = system.entries.remove(0);
     let state = entry.state.clone();
     let stopped = tokio::spawn(entry.shutdown());
-    wait_for("the whole answer has been made", || state.tables().admission.active.is_empty()).await;
+    wait_for("the whole answer has been made", || state.tables().admission.active() == 0).await;
     // Nothing was read meanwhile, so the end of the answer still waits on this side.
     answer.read_all().await;
     assert_whole(&answer, prompt, 200);
--- a/crates/banyan-entry/tests/support/mod.rs
+++ b/crates/banyan-entry/tests/support/mod.rs
@@ -112,6 +112,7 @@
         for index in 0..system.plan.entries {
             system.add_entry(&format!("entry-{index}")).await;
         }
+        system.wait_for_peers().await;
         system
     }
 
@@ -129,6 +130,15 @@
         index
     }
 
+    /// Waits until every entry has heard every other one.
+    pub async fn wait_for_peers(&self) {
+        let count = self.entries.len() as u64;
+        wait_for("every entry has heard every other one", || {
+            self.entries.iter().all(|entry| entry.state.tables().live_instances() == count)
+        })
+        .await;
+    }
+
     /// Appends a proposal to the log, as an operator does.
     pub async fn apply(&self, id: &str, base: u64, text: &Value) {
         append_proposal(self.platform.address, id, base, &text.to_string()).await;
--- a/crates/banyan-wire/src/peer.rs
+++ b/crates/banyan-wire/src/peer.rs
@@ -20,6 +20,19 @@
     async fn claim(order: ClaimOrder) -> ClaimReply;
     /// Appends facts for the caller, in a batch with others; says whether they have landed.
     async fn deliver(order: DeliverOrder) -> bool;
+    /// Begins or ends a suspect's trial on a target that the peer referees.
+    async fn trial(order: TrialOrder) -> bool;
+}
+
+/// Asks a target's referee whether a suspect may run there, or tells that its step has ended.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct TrialOrder {
+    /// The target.
+    pub target: SmolStr,
+    /// The suspect's content digest.
+    pub content: u64,
+    /// Whether the trial begins; otherwise it has ended.
+    pub begins: bool,
 }
 
 /// What an instance tells in each exchange. Bounded in size: deltas since the last one.
