--- a/crates/banyan-load/src/experiments.rs
+++ b/crates/banyan-load/src/experiments.rs
@@ -1,5 +1,7 @@
 //! The experiments by name: [`run_experiment`].
 
+mod affinity;
+mod join;
 mod overload;
 mod poison;
 mod recovery;
@@ -21,12 +23,14 @@
 }
 
 /// The experiments with what each measures, in the order in which they matter.
-pub const EXPERIMENTS: [(&str, &str); 6] = [
+pub const EXPERIMENTS: [(&str, &str); 8] = [
     ("throughput", "share of the engines' bound reached at saturation"),
     ("recovery", "time until requests are served as before, after each of several failures"),
     ("overload", "three times the bound, one large workspace against nine small ones"),
     ("poison", "a request that kills each engine that runs it, sent again and again"),
     ("silent", "connections that go silent without a sign"),
+    ("affinity", "prompt tokens saved by shared prefixes, at no loss of balance"),
+    ("join", "unfairness and latency while entries and engines join and leave"),
     ("control", "cost of the control work alone at growing sizes"),
 ];
 
@@ -38,6 +42,8 @@
         "overload" => overload::run(order).await,
         "poison" => poison::run(order).await,
         "silent" => silent::run(order).await,
+        "affinity" => affinity::run(order).await,
+        "join" => join::run(order).await,
         "control" => control::run(order.seed).await,
         _ => bail!("no experiment '{name}': see banyan-load experiment --help"),
     }
