--- a/crates/banyan-load/src/experiments/join.rs
+++ b/crates/banyan-load/src/experiments/join.rs
@@ -23,6 +23,13 @@
 use crate::tally::report_ends;
 use banyan_standin::fault::EngineFault;
 
+/// The changes with when each begins, in order.
+const PHASES: [(&str, Duration); 4] = [
+    ("entry_joins", ENTRY_JOINS),
+    ("entry_leaves", ENTRY_LEAVES),
+    ("engine_leaves", ENGINE_LEAVES),
+    ("engine_joins", ENGINE_JOINS),
+];
 /// The share of the bound that is offered.
 const LOAD: f64 = 0.5;
 /// The length of the load.
@@ -102,6 +109,11 @@
     let while_settling = first_token_p95(&result.records, ENTRY_JOINS, LOAD_TIME)?;
     line.add(format!("{name}_first_token_p95_before_ms"), before);
     line.add(format!("{name}_first_token_p95_after_ms"), while_settling);
+    let ends = PHASES.iter().skip(1).map(|phase| phase.1).chain([LOAD_TIME]);
+    for ((phase, from), until) in PHASES.into_iter().zip(ends) {
+        let p95 = first_token_p95(&result.records, from, until)?;
+        line.add(format!("{name}_first_token_p95_{phase}_ms"), p95);
+    }
     let figures = JoinFigures {
         growth: while_settling / before.max(0.001),
         cut: result.records.iter().filter(|record| record.end != CallEnd::Complete).count(),
--- a/crates/banyan-load/src/naive_entry.rs
+++ b/crates/banyan-load/src/naive_entry.rs
@@ -3,6 +3,8 @@
 use clap::ArgMatches;
 use eyre::bail;
 use metrics_exporter_prometheus::PrometheusBuilder;
+use tokio::signal::unix::SignalKind;
+use tokio::signal::unix::signal;
 
 use banyan_config::settings::load_settings;
 use banyan_core::serving::decisions::DecisionSet;
@@ -10,7 +12,7 @@
 use banyan_entry::metric;
 use banyan_naive::choice;
 
-/// Runs the entry until it is killed.
+/// Runs the entry until it is asked to stop, and then stops it as the product's does.
 pub(crate) async fn run(matches: &ArgMatches) -> eyre::Result<()> {
     let settings = load_settings(matches)?;
     let metrics = PrometheusBuilder::new().install_recorder()?;
@@ -21,7 +23,9 @@
         "operator_address": running.operator_address,
     });
     println!("{ready}");
-    std::future::pending().await
+    signal(SignalKind::terminate())?.recv().await;
+    running.shutdown().await;
+    Ok(())
 }
 
 fn decisions(matches: &ArgMatches) -> eyre::Result<DecisionSet> {
