--- a/crates/banyan-load/src/experiments/affinity.rs
+++ b/crates/banyan-load/src/experiments/affinity.rs
@@ -72,7 +72,7 @@
     cut: usize,
 }
 
-fn schedule(plan: &BenchPlan, seed: u64) -> LoadSchedule {
+fn schedule(seed: u64) -> LoadSchedule {
     let mut draws = DrawSource::new(seed);
     let shared: Vec<String> =
         (0..GROUP_COUNT).map(|_| unique_prompt(&mut draws, SHARED_TOKENS + 1)).collect();
@@ -88,7 +88,7 @@
         schedule.requests.push(PlannedRequest {
             at,
             workspace: 0,
-            entry: draws.below(plan.entries as u64) as usize,
+            entry: draws.draw() as usize,
             prompt: format!("{}{own}", shared[group]),
             tokens: 4 + draws.below(9),
             deadline: Duration::from_secs(20),
@@ -112,7 +112,7 @@
         ..BenchPlan::default()
     };
     plan.capacity = plan.full_capacity();
-    let schedule = schedule(&plan, seed);
+    let schedule = schedule(seed);
     let count = schedule.requests.len() as u64;
     eprintln!("affinity: {name}, {count} requests");
     let result = run_session(plan, schedule, async |_, _, _| Ok(())).await?;
--- a/crates/banyan-load/src/lib.rs
+++ b/crates/banyan-load/src/lib.rs
@@ -1,6 +1,6 @@
 //! Load and experiments: open loop, deterministic by seed, with every answer checked.
 //!
-//! An experiment starts a [`bench`] of real processes on loopback, offers it a [`schedule`] of
+//! An experiment starts a [`mod@bench`] of real processes on loopback, offers it a [`schedule`] of
 //! requests through [`load`] while a [`session`] plays faults beside it, reads what really ran from
 //! the engines' [`ground_truth`], and reports one [`report::ExperimentLine`]. [`experiments`] holds
 //! one module each. The control work alone is measured by [`control`].
--- a/crates/banyan-load/src/load.rs
+++ b/crates/banyan-load/src/load.rs
@@ -71,13 +71,12 @@
         }
     }
 
-    /// The entry for a drawn number, or the next one that takes requests.
+    /// The entry for a drawn number, evenly over those that take requests.
     pub fn pick(&self, drawn: usize) -> Option<(usize, SocketAddr)> {
         let addresses = self.addresses.lock().unwrap_or_else(PoisonError::into_inner);
-        let count = addresses.len();
-        let order = (0..count).map(|offset| (drawn + offset) % count);
-        let mut found = order.filter_map(|index| Some((index, addresses[index]?)));
-        found.next()
+        let rows = addresses.iter().enumerate();
+        let live: Vec<_> = rows.filter_map(|(index, address)| Some((index, (*address)?))).collect();
+        if live.is_empty() { None } else { Some(live[drawn % live.len()]) }
     }
 }
 
@@ -124,7 +123,7 @@
         if result.end == CallEnd::Unreached {
             // As a balancer does: an entry that refuses connections gets no more requests.
             entries.remove(entry);
-            drawn = entry + 1;
+            drawn = drawn.wrapping_add(1);
             continue;
         }
         return record(request, entry, result.end, result.tokens, result.ended, start);
--- a/crates/banyan-load/src/schedule.rs
+++ b/crates/banyan-load/src/schedule.rs
@@ -20,7 +20,7 @@
     pub at: Duration,
     /// The workspace's index in the plan.
     pub workspace: usize,
-    /// The entry's index in the plan, as the balancer would draw it.
+    /// The number by which the balancer draws one of the entries that take requests.
     pub entry: usize,
     /// The prompt.
     pub prompt: String,
@@ -54,8 +54,6 @@
     pub prompt_tokens: u64,
     /// The caller's deadline.
     pub deadline: Duration,
-    /// The number of entries.
-    pub entries: usize,
 }
 
 impl StreamShape {
@@ -69,7 +67,6 @@
             tokens: USUAL_TOKENS,
             prompt_tokens: USUAL_PROMPT_TOKENS,
             deadline: USUAL_DEADLINE,
-            entries: plan.entries,
         };
         shape.rate = load * shape.bound(plan);
         shape
@@ -107,7 +104,7 @@
             self.requests.push(PlannedRequest {
                 at: Duration::from_micros(at),
                 workspace: shape.workspace,
-                entry: draws.below(shape.entries as u64) as usize,
+                entry: draws.draw() as usize,
                 prompt: unique_prompt(draws, shape.prompt_tokens),
                 tokens: shape.tokens.0 + draws.below(span),
                 deadline: shape.deadline,
--- a/crates/banyan-load/tests/schedule.rs
+++ b/crates/banyan-load/tests/schedule.rs
@@ -45,3 +45,19 @@
     let bound = plan.request_bound(10.0, 100.0);
     assert!((bound - 2.0 / 0.125).abs() < 1e-9, "{bound}");
 }
+
+#[test]
+fn the_balancer_spreads_requests_evenly_over_the_entries_that_take_them() {
+    let address = |port| std::net::SocketAddr::from(([127, 0, 0, 1], port));
+    let entries = banyan_load::load::EntryList::new(vec![address(1), address(2), address(3)]);
+    entries.remove(0);
+    entries.put(3, address(4));
+    let mut counts = [0; 4];
+    for request in schedule(1) {
+        let (index, _) = entries.pick(request.entry).expect("an entry");
+        counts[index] += 1;
+    }
+    let total: usize = counts.iter().sum();
+    assert_eq!(counts[0], 0);
+    assert!(counts[1..].iter().all(|count| count * 3 > total * 8 / 10), "{counts:?}");
+}
