--- a/crates/banyan-core/src/serving/targets.rs
+++ b/crates/banyan-core/src/serving/targets.rs
@@ -16,6 +16,7 @@
 use crate::serving::load::LinkEstimate;
 use crate::serving::load::LoadHistory;
 use crate::serving::load::LoadSample;
+use crate::serving::prefix::PrefixIndex;
 use crate::units::Moment;
 
 /// The weight of a new sample in a smoothed time, in eighths.
@@ -38,6 +39,12 @@
     pub listing: TargetListing,
     /// The targets with any sign of leaving.
     pub leaving: BTreeSet<TargetId>,
+    /// What the targets are thought to have in their prefix caches.
+    pub prefixes: PrefixIndex,
+    /// The targets with a load report.
+    pub reported: BTreeSet<TargetId>,
+    /// No target is silent before this moment, by the limit that it was worked out for.
+    pub silent_from: (Moment, Duration),
     /// The latest moment that any input brought.
     pub now: Moment,
     /// The share of a group that stays in use whatever is silent, in percent.
@@ -232,6 +239,9 @@
         self.advance(now);
         let regions = declaration.zones.iter();
         self.regions = regions.map(|(zone, spec)| (zone.clone(), spec.region.clone())).collect();
+        for id in self.rows.keys().filter(|id| !declaration.targets.contains_key(*id)) {
+            self.prefixes.forget(id);
+        }
         self.rows.retain(|id, _| declaration.targets.contains_key(id));
         for (id, spec) in &declaration.targets {
             match self.rows.get_mut(id) {
@@ -245,6 +255,8 @@
         self.groups = TargetGroups::of(declaration);
         self.listing = TargetListing::of(declaration);
         self.leaving.retain(|id| declaration.targets.contains_key(id));
+        let rows = &self.rows;
+        self.reported.retain(|id| rows.get(id).is_some_and(|row| row.report.is_some()));
         self.floor_percent = declaration.policy.ejection_floor_percent;
     }
 
@@ -299,6 +311,7 @@
         if newer {
             row.step_time = smooth(row.step_time, report.step_time);
             row.link.fade();
+            note_reported(&mut self.reported, target, row);
             row.report = Some(report);
             row.sent_since = 0;
         }
@@ -313,6 +326,7 @@
             }
             report.incarnation = old.incarnation.clone();
         }
+        note_reported(&mut self.reported, target, row);
         row.sent_since = 0;
         row.report = Some(report);
     }
@@ -341,6 +355,12 @@
     }
 }
 
+fn note_reported(reported: &mut BTreeSet<TargetId>, target: &TargetId, row: &TargetRow) {
+    if row.report.is_none() {
+        reported.insert(target.clone());
+    }
+}
+
 fn smooth(known: Duration, sample: Duration) -> Duration {
     if known.is_zero() || sample.is_zero() {
         return known.max(sample);
