Entry: exchange by the core's digests of bounded size

Leaving targets, suspects, demands and loads go round in the core's digest; up to eight instances meet in turn, more by the core's choice of peers. The ring of live instances sets the targets to draw from and the split of limits.

--- a/crates/banyan-core/src/serving/exchange.rs
+++ b/crates/banyan-core/src/serving/exchange.rs
@@ -279,7 +279,8 @@
     }
 }
 
-fn forget_leaving(state: &mut ExchangeState, table: &mut TargetTable, now: Moment) {
+/// Forgets the peers' words on leaving targets that are too old to count.
+pub fn forget_leaving(state: &mut ExchangeState, table: &mut TargetTable, now: Moment) {
     let old: Vec<TargetId> = state
         .leaving
         .iter()
--- a/crates/banyan-entry/examples/control_cost.rs
+++ b/crates/banyan-entry/examples/control_cost.rs
@@ -2,6 +2,7 @@
 //! through owners, and bytes a second of idle peer exchange. Run it with
 //! `cargo run -p banyan-entry --example control_cost`.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -65,7 +66,7 @@
 
     let before = platform.truth();
     let (calls_before, started) = (bytes(), Instant::now());
-    let (served, mut latencies) = call_for(&entries).await;
+    let (mut latencies, refused) = call_for(&entries).await;
     let took = started.elapsed().as_secs_f64();
     let peer_bytes = (bytes() - calls_before) as f64 / took / INSTANCES as f64;
     let after = platform.truth();
@@ -77,7 +78,8 @@
     let runs = booking.runs_by_body();
     Ok(json!({
         "calls": CALL_RATE * PERIOD.as_secs(),
-        "served": served,
+        "served": latencies.len(),
+        "refused": refused,
         "run_twice": runs.values().filter(|count| **count > 1).count(),
         "appends_per_second": (after.appends.len() - before.appends.len()) as f64 / took,
         "throttled_per_second": (after.throttled - before.throttled) as f64 / took,
@@ -140,8 +142,9 @@
     })
 }
 
-/// Makes keyed calls at the rate; gives how many were served and how long each of these took.
-async fn call_for(entries: &[RunningEntry]) -> (usize, Vec<Duration>) {
+/// Makes keyed calls at the rate; gives how long the served ones took, and how many were refused
+/// for each reason.
+async fn call_for(entries: &[RunningEntry]) -> (Vec<Duration>, BTreeMap<String, usize>) {
     let client = plain_client();
     let mut ticks = tokio::time::interval(Duration::from_micros(1_000_000 / CALL_RATE));
     ticks.set_missed_tick_behavior(MissedTickBehavior::Burst);
@@ -151,21 +154,32 @@
         let address = entries[number as usize % entries.len()].caller_address;
         calls.spawn(book(client.clone(), address, number));
     }
-    let results = calls.join_all().await;
-    let latencies: Vec<Duration> = results.into_iter().flatten().collect();
-    (latencies.len(), latencies)
+    let mut latencies = Vec::new();
+    let mut refused: BTreeMap<String, usize> = BTreeMap::new();
+    for result in calls.join_all().await {
+        match result {
+            Ok(took) => latencies.push(took),
+            Err(reason) => *refused.entry(reason).or_default() += 1,
+        }
+    }
+    (latencies, refused)
 }
 
-async fn book(client: PlainClient, address: SocketAddr, number: u64) -> Option<Duration> {
+/// Makes one call; gives how long it took, or why it was refused.
+async fn book(client: PlainClient, address: SocketAddr, number: u64) -> Result<Duration, String> {
     let started = Instant::now();
     let body = json!({ "number": number }).to_string();
     let request = Request::post(format!("http://{address}/v1/services/booking/book"))
         .header("authorization", format!("Bearer {TOKEN}"))
         .header("idempotency-key", format!("key-{number}"))
         .body(Full::new(Bytes::from(body)))
-        .ok()?;
-    let answer = client.request(request).await.ok()?;
+        .map_err(|error| error.to_string())?;
+    let answer = client.request(request).await.map_err(|error| error.to_string())?;
     let served = answer.status().is_success();
-    answer.into_body().collect().await.ok()?;
-    served.then(|| started.elapsed())
+    let body = answer.into_body().collect().await.map_err(|error| error.to_string())?.to_bytes();
+    if served {
+        return Ok(started.elapsed());
+    }
+    let reply: Value = serde_json::from_slice(&body).unwrap_or_default();
+    Err(reply["error"]["type"].as_str().unwrap_or("malformed").to_owned())
 }
--- a/crates/banyan-entry/src/claims.rs
+++ b/crates/banyan-entry/src/claims.rs
@@ -36,7 +36,7 @@
 use banyan_core::units::WallMillis;
 
 /// The longest time to wait for a claim to be read back.
-const CLAIM_WAIT: Duration = Duration::from_secs(4);
+const CLAIM_WAIT: Duration = Duration::from_secs(3);
 /// The longest time to wait for the outcome of a claim that another run holds.
 const HOLDER_WAIT: Duration = Duration::from_secs(5);
 /// When to try again where too many claims wait for the log.
--- a/crates/banyan-entry/src/crashes.rs
+++ b/crates/banyan-entry/src/crashes.rs
@@ -69,7 +69,8 @@
     fold.quarantines.get(&content).is_some_and(|until| *until > fold.time)
 }
 
-fn quarantine(state: &EntryState, content: ContentDigest, target: &TargetId, duration_ms: u64) {
+/// Has a content refused everywhere.
+pub fn quarantine(state: &EntryState, content: ContentDigest, target: &TargetId, duration_ms: u64) {
     log::warn!("quarantine: Content {content} stopped a second target, {target}.");
     state.journal.record(EventKind::Quarantined, "", target.as_str(), &content.to_string());
     let evidence = SmolStr::new(target.as_str());
--- a/crates/banyan-entry/src/exchange.rs
+++ b/crates/banyan-entry/src/exchange.rs
@@ -7,20 +7,30 @@
 use smol_str::format_smolstr;
 use tokio::time::MissedTickBehavior;
 
+use crate::crashes;
 use crate::follower::all_streams;
 use crate::peer_link;
 use crate::peers::EXCHANGE_PAUSE;
 use crate::peers::PeerChange;
 use crate::state::EntryState;
+use crate::state::EntryTables;
 use crate::state::ServingPhase;
 use banyan_core::event::EventKind;
 use banyan_core::event::HybridStamp;
-use banyan_core::serving::targets::TargetHealth;
+use banyan_core::ids::TargetId;
+use banyan_core::record::ContentDigest;
+use banyan_core::serving::exchange;
+use banyan_core::serving::exchange::ExchangeDigest;
+use banyan_core::serving::exchange::build_digest;
+use banyan_core::serving::exchange::choose_peers;
+use banyan_core::serving::ring::InstanceRing;
+use banyan_core::serving::subset::narrow_groups;
+use banyan_core::units::Moment;
 use banyan_wire::peer::PeerDigest;
-use banyan_wire::peer::TargetDigest;
 
-/// The most targets that one digest tells of.
-const TARGET_LIMIT: usize = 64;
+/// With so few instances, each peer is met after a bounded number of rounds; with more, words go
+/// round by way of others.
+const FEW_INSTANCES: usize = 8;
 
 /// Exchanges digests with a few peers in turn for as long as the daemon runs.
 pub async fn run_exchange(state: Arc<EntryState>) {
@@ -32,7 +42,9 @@
         let round = {
             let mut tables = state.tables();
             tables.peers.forget_gone(now);
-            tables.peers.next_round()
+            refresh_ring(&state, &mut tables);
+            tables.limits.tick(now);
+            round_addresses(&mut tables)
         };
         for address in round {
             tokio::spawn(exchange_with(state.clone(), address));
@@ -52,19 +64,21 @@
         (next.collect(), silent)
     };
     let draining = *state.phase.borrow() != ServingPhase::Serving;
-    let tables = state.tables();
+    let mut tables = state.tables();
+    let EntryTables { exchange, targets, limits, suspects, .. } = &mut *tables;
+    let news = build_digest(exchange, targets, limits, suspects, now).into();
+    let revision = tables.revision.0;
+    drop(tables);
     PeerDigest {
         instance: SmolStr::new(state.settings.instance.as_str()),
         incarnation: state.incarnation.clone().into(),
         zone: SmolStr::new(state.settings.zone.as_str()),
         stamp: format_smolstr!("{}", state.journal.stamp()),
-        revision: tables.revision.0,
+        revision,
         next,
         log_silent_ms: silent,
         draining,
-        targets: target_digests(&tables),
-        usage: Vec::new(),
-        suspects: Vec::new(),
+        news,
     }
 }
 
@@ -83,6 +97,51 @@
     let now = state.now();
     let change = state.tables().peers.note_digest(digest, address, now);
     note_change(state, change);
+    match digest.news.clone().try_into() {
+        Ok(news) => take_news(state, &news, now),
+        Err(error) => log::warn!("peers: {} told something malformed: {error}.", digest.instance),
+    }
+}
+
+fn take_news(state: &EntryState, news: &ExchangeDigest, now: Moment) {
+    let mut tables = state.tables();
+    let EntryTables { exchange: round, targets, limits, suspects, .. } = &mut *tables;
+    let convicted = exchange::take_digest(round, targets, limits, suspects, news, now);
+    let duration_ms = tables.declaration.policy.quarantine.as_millis() as u64;
+    let evidence = |content: &ContentDigest| {
+        let row = tables.suspects.rows.get(content)?;
+        Some((*content, row.crashes.first()?.0.clone()))
+    };
+    let convicted: Vec<(ContentDigest, TargetId)> = convicted.iter().filter_map(evidence).collect();
+    drop(tables);
+    if !state.decisions.quarantine {
+        return;
+    }
+    for (content, target) in convicted {
+        crashes::quarantine(state, content, &target, duration_ms);
+    }
+}
+
+/// Brings what depends on the live instances in line with them.
+fn refresh_ring(state: &EntryState, tables: &mut EntryTables) {
+    let mut live = tables.peers.live();
+    live.insert(state.settings.instance.clone(), state.settings.zone.clone());
+    let Some(ring) = InstanceRing::of(&live, &state.settings.instance) else { return };
+    if tables.ring == ring && tables.ring_revision == tables.revision {
+        return;
+    }
+    tables.limits.set_live(ring.order.len() as u64);
+    narrow_groups(&mut tables.targets, &ring);
+    tables.ring = ring;
+    tables.ring_revision = tables.revision;
+}
+
+fn round_addresses(tables: &mut EntryTables) -> Vec<SocketAddr> {
+    if tables.peers.rows.len() < FEW_INSTANCES {
+        return tables.peers.next_round();
+    }
+    let peers = choose_peers(&tables.ring, tables.exchange.round);
+    tables.peers.addresses(&peers)
 }
 
 async fn exchange_with(state: Arc<EntryState>, address: SocketAddr) {
@@ -97,25 +156,6 @@
     }
 }
 
-/// Only what this instance saw itself is told on, or words would keep each other alive for ever.
-fn target_digests(tables: &crate::state::EntryTables) -> Vec<TargetDigest> {
-    let rows = tables.targets.rows.iter();
-    let told = rows.filter_map(|(target, row)| {
-        let leaving = row.leaving.own_word || row.leaving.listed;
-        let suspected = row.health != TargetHealth::Trusted;
-        (leaving || suspected).then(|| TargetDigest {
-            target: SmolStr::new(target.as_str()),
-            leaving,
-            suspected,
-            load: row.expected_load(),
-        })
-    });
-    let mut told: Vec<TargetDigest> = told.collect();
-    told.sort_by_key(|target| std::cmp::Reverse(target.leaving));
-    told.truncate(TARGET_LIMIT);
-    told
-}
-
 /// Records a change of trust in a peer.
 pub fn note_change(state: &EntryState, change: Option<PeerChange>) {
     let (kind, instance) = match change {
--- a/crates/banyan-entry/src/leaving.rs
+++ b/crates/banyan-entry/src/leaving.rs
@@ -1,6 +1,6 @@
-//! Which targets are leaving, by the instance list and by peers: [`LeavingTable`].
+//! Which targets are leaving, by the instance list: [`LeavingTable`].
 //!
-//! A target's own word comes with each probe. The most cautious word wins: any sign is enough to
+//! A target's own word comes with each probe, peers' words with each exchange. The most cautious word wins: any sign is enough to
 //! send no new work, and a target that returns is taken back when no sign is left.
 
 use std::collections::BTreeSet;
@@ -13,6 +13,7 @@
 use crate::state::EntryTables;
 use banyan_core::event::EventKind;
 use banyan_core::ids::TargetId;
+use banyan_core::serving::exchange::forget_leaving;
 use banyan_core::serving::targets::LeavingSource;
 use banyan_core::units::Moment;
 use banyan_wire::platform::InstanceState;
@@ -20,8 +21,6 @@
 
 /// The time between two rounds over the targets.
 const LEAVING_PAUSE: Duration = Duration::from_millis(100);
-/// How long the word of a peer that went silent counts.
-const WORD_LIMIT: Duration = Duration::from_secs(10);
 /// The number of listed targets from which on a list without any is taken for a fault of the list.
 const LISTED_FLOOR: usize = 2;
 
@@ -32,6 +31,8 @@
     named: BTreeSet<TargetId>,
     /// Those that the newest list says are leaving, or that it no longer names.
     listed: BTreeSet<TargetId>,
+    /// Those that are marked so among the targets.
+    marked: BTreeSet<TargetId>,
     /// Those whose leaving was recorded as an event.
     told: BTreeSet<TargetId>,
 }
@@ -76,36 +77,23 @@
     }
 }
 
-/// Marks each target by the list's and the peers' words.
+/// Marks each target by the list's word; drops words of peers that are too old.
 pub fn mark_leaving(tables: &mut EntryTables, now: Moment) {
+    forget_leaving(&mut tables.exchange, &mut tables.targets, now);
     let rows = &tables.targets.rows;
     tables.leaving.named.retain(|target| rows.contains_key(target));
-    let heard = tables
-        .peers
-        .rows
-        .values()
-        .filter(|row| row.heard.is_some_and(|heard| now.since(heard) < WORD_LIMIT));
-    let by_peers: BTreeSet<TargetId> =
-        heard.flat_map(|row| row.leaving_targets.iter().cloned()).collect();
-    let changes: Vec<(TargetId, bool, bool)> = rows
-        .iter()
-        .map(|(target, row)| {
-            let listed = tables.leaving.listed.contains(target);
-            let by_peers = by_peers.contains(target);
-            let changed = (row.leaving.listed, row.leaving.peers) != (listed, by_peers);
-            (changed, (target.clone(), listed, by_peers))
-        })
-        .filter_map(|(changed, change)| changed.then_some(change))
-        .collect();
-    for (target, listed, by_peers) in changes {
-        tables.targets.note_leaving(&target, LeavingSource::InstanceList, listed, now);
-        tables.targets.note_leaving(&target, LeavingSource::Peers, by_peers, now);
+    let listed: BTreeSet<TargetId> =
+        tables.leaving.listed.iter().filter(|target| rows.contains_key(*target)).cloned().collect();
+    let marked = std::mem::take(&mut tables.leaving.marked);
+    for target in listed.union(&marked) {
+        let leaving = listed.contains(target);
+        tables.targets.note_leaving(target, LeavingSource::InstanceList, leaving, now);
     }
+    tables.leaving.marked = listed;
 }
 
 fn newly_leaving(tables: &mut EntryTables) -> Vec<TargetId> {
-    let rows = tables.targets.rows.iter().filter(|(_, row)| row.leaving.any());
-    let leaving: BTreeSet<TargetId> = rows.map(|(target, _)| target.clone()).collect();
+    let leaving = tables.targets.leaving.clone();
     let told = std::mem::replace(&mut tables.leaving.told, leaving);
     tables.leaving.told.difference(&told).cloned().collect()
 }
--- a/crates/banyan-entry/src/operator.rs
+++ b/crates/banyan-entry/src/operator.rs
@@ -147,7 +147,7 @@
 }
 
 fn log_status(folds: &FoldTables, now: Moment) -> LogStatus {
-    let silent = folds.configuration_read_at().map_or(now.0, |at| now.0 - at.0);
+    let silent = folds.configuration_read_at().map_or(now.0, |at| now.0.saturating_sub(at.0));
     LogStatus {
         reachable: folds.log_reachable(),
         silent_ms: silent / 1000,
--- a/crates/banyan-entry/src/peers.rs
+++ b/crates/banyan-entry/src/peers.rs
@@ -13,12 +13,11 @@
 use banyan_config::settings::EntrySettings;
 use banyan_core::ids::InstanceId;
 use banyan_core::ids::Revision;
-use banyan_core::ids::TargetId;
+use banyan_core::ids::ZoneId;
 use banyan_core::record::StreamId;
+use banyan_core::serving::ring::LiveInstances;
 use banyan_core::units::Moment;
 use banyan_wire::peer::PeerDigest;
-use banyan_wire::peer::SuspectDigest;
-use banyan_wire::peer::UsageDigest;
 
 /// The number of peers that one round of exchange talks to.
 pub const FANOUT: usize = 3;
@@ -69,12 +68,8 @@
     pub failures: u32,
     /// Whether it is suspected.
     pub suspected: bool,
-    /// The targets that are leaving, by what it saw itself.
-    pub leaving_targets: BTreeSet<TargetId>,
-    /// Its use of workspaces, as it last said.
-    pub usage: Vec<UsageDigest>,
-    /// The contents that it suspects of crashing targets.
-    pub suspects: Vec<SuspectDigest>,
+    /// Its availability zone, as it last said.
+    pub zone: Option<ZoneId>,
 }
 
 /// A change of trust in a peer.
@@ -127,10 +122,7 @@
         row.next = next.filter_map(|(name, at)| Some((name.parse().ok()?, *at))).collect();
         row.log_silent = Duration::from_millis(digest.log_silent_ms);
         row.draining = digest.draining;
-        let leaving = digest.targets.iter().filter(|target| target.leaving);
-        row.leaving_targets = leaving.filter_map(|target| target.target.parse().ok()).collect();
-        row.usage = digest.usage.clone();
-        row.suspects = digest.suspects.clone();
+        row.zone = digest.zone.parse().ok();
         let was_suspected = std::mem::replace(&mut row.suspected, false);
         (fresh || was_suspected).then_some(PeerChange::Trusted(instance))
     }
@@ -176,6 +168,18 @@
         });
     }
 
+    /// The peers that can be given work, with their zones.
+    pub fn live(&self) -> LiveInstances {
+        let usable = self.rows.iter().filter(|(_, row)| row.usable());
+        usable.filter_map(|(instance, row)| Some((instance.clone(), row.zone.clone()?))).collect()
+    }
+
+    /// The addresses of some peers, and of those that are greeted.
+    pub fn addresses(&self, instances: &[InstanceId]) -> Vec<SocketAddr> {
+        let known = instances.iter().filter_map(|instance| self.rows.get(instance)?.address);
+        known.chain(self.greet.iter().copied().take(FANOUT)).collect()
+    }
+
     /// The addresses of one round of exchange, in turn, so that each peer is met after a bounded
     /// number of rounds.
     pub fn next_round(&mut self) -> Vec<SocketAddr> {
--- a/crates/banyan-entry/src/state.rs
+++ b/crates/banyan-entry/src/state.rs
@@ -40,7 +40,10 @@
 use banyan_core::serving::admission::AdmissionQueue;
 use banyan_core::serving::budget::RetryBudget;
 use banyan_core::serving::decisions::DecisionSet;
+use banyan_core::serving::exchange::ExchangeState;
+use banyan_core::serving::limits::LimitTable;
 use banyan_core::serving::poison::SuspectTable;
+use banyan_core::serving::ring::InstanceRing;
 use banyan_core::serving::targets::TargetTable;
 use banyan_core::units::Moment;
 
@@ -116,8 +119,16 @@
     pub contents: BTreeMap<TargetId, BTreeMap<RequestId, ContentDigest>>,
     /// The other instances.
     pub peers: PeerTable,
-    /// Targets that the instance list or peers say are leaving.
+    /// Targets that the instance list says are leaving.
     pub leaving: LeavingTable,
+    /// Where the exchange with peers goes on.
+    pub exchange: ExchangeState,
+    /// Demands and limits of workspaces in requests a second, over all instances.
+    pub limits: LimitTable,
+    /// The live instances in order.
+    pub ring: InstanceRing,
+    /// The revision for which the targets' groups were narrowed to this instance's part.
+    pub ring_revision: Revision,
 }
 
 impl EntryState {
--- a/crates/banyan-wire/src/peer.rs
+++ b/crates/banyan-wire/src/peer.rs
@@ -3,10 +3,21 @@
 //! Everything here is soft state or a relay of what the log already holds: nothing that a peer says
 //! can make an action safe that the log's fold does not allow.
 
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
 use serde::Deserialize;
 use serde::Serialize;
 use smol_str::SmolStr;
 
+use banyan_core::ids::IdError;
+use banyan_core::record::ContentDigest;
+use banyan_core::serving::exchange::ExchangeDigest;
+use banyan_core::serving::exchange::LoadNews;
+use banyan_core::serving::exchange::SuspectNews;
+use banyan_core::serving::limits::UsagePage;
+
 /// The calls that a peer answers. tarpc makes `PeerServiceClient` from it.
 #[tarpc::service]
 pub trait PeerService {
@@ -41,36 +52,38 @@
     pub log_silent_ms: u64,
     /// Whether it is draining.
     pub draining: bool,
-    /// What changed about targets.
-    pub targets: Vec<TargetDigest>,
-    /// Use of each workspace since the last exchange.
-    pub usage: Vec<UsageDigest>,
-    /// Contents that were in flight where a target crashed.
-    pub suspects: Vec<SuspectDigest>,
+    /// What it knows about targets, suspects and demands.
+    pub news: NewsDigest,
 }
 
-/// What an instance knows of a target.
+/// Soft state that goes round among peers; see [`ExchangeDigest`].
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
-pub struct TargetDigest {
-    /// The target.
-    pub target: SmolStr,
-    /// Whether it is known to leave.
-    pub leaving: bool,
-    /// Whether it is suspected.
-    pub suspected: bool,
-    /// Steps queued or running there, as last reported or corrected.
-    pub load: u32,
+pub struct NewsDigest {
+    /// Targets that are leaving, with the age of the sign in milliseconds.
+    pub leaving: Vec<(SmolStr, u64)>,
+    /// Contents that were in flight where a target crashed.
+    pub suspects: Vec<SuspectDigest>,
+    /// Demand of workspaces, in thousandths a second.
+    pub usage: Vec<(SmolStr, u64)>,
+    /// Whether every workspace that `usage` does not name has none.
+    pub usage_whole: bool,
+    /// The digest of the list of targets that the loads' places refer to.
+    pub listing: u64,
+    /// Loads of targets.
+    pub loads: Vec<LoadDigest>,
 }
 
-/// How much a workspace used.
-#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
-pub struct UsageDigest {
-    /// The workspace.
-    pub workspace: SmolStr,
-    /// The rate of requests here, in thousandths a second.
-    pub request_milli_rate: u64,
-    /// The rate of tokens here, in thousandths a second.
-    pub token_milli_rate: u64,
+/// The load of a target.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct LoadDigest {
+    /// The target's place in the list of declared targets.
+    pub place: u32,
+    /// Steps running or waiting there.
+    pub load: u32,
+    /// Streams kept there.
+    pub streams: u32,
+    /// How long ago that was measured, in milliseconds.
+    pub age_ms: u64,
 }
 
 /// A content that may crash targets.
@@ -82,6 +95,83 @@
     pub crashes: Vec<(SmolStr, SmolStr)>,
 }
 
+impl From<ExchangeDigest> for NewsDigest {
+    fn from(digest: ExchangeDigest) -> Self {
+        let leaving = digest.leaving.into_iter();
+        let usage = digest.usage.rows.into_iter();
+        Self {
+            leaving: leaving.map(|(target, age)| (target.into(), millis(age))).collect(),
+            suspects: digest.suspects.into_iter().map(SuspectDigest::from).collect(),
+            usage: usage.map(|(workspace, demand)| (workspace.into(), demand)).collect(),
+            usage_whole: digest.usage.whole,
+            listing: digest.listing,
+            loads: digest.loads.into_iter().map(LoadDigest::from).collect(),
+        }
+    }
+}
+
+impl TryFrom<NewsDigest> for ExchangeDigest {
+    type Error = IdError;
+
+    fn try_from(news: NewsDigest) -> Result<Self, IdError> {
+        let mut leaving = Vec::new();
+        for (target, age_ms) in news.leaving {
+            leaving.push((target.try_into()?, Duration::from_millis(age_ms)));
+        }
+        let mut rows = BTreeMap::new();
+        for (workspace, demand) in news.usage {
+            rows.insert(workspace.try_into()?, demand);
+        }
+        let suspects: Result<Vec<SuspectNews>, IdError> =
+            news.suspects.into_iter().map(SuspectNews::try_from).collect();
+        Ok(Self {
+            leaving,
+            suspects: suspects?,
+            usage: UsagePage { rows, whole: news.usage_whole },
+            listing: news.listing,
+            loads: news.loads.into_iter().map(LoadNews::from).collect(),
+        })
+    }
+}
+
+impl From<LoadNews> for LoadDigest {
+    fn from(news: LoadNews) -> Self {
+        let LoadNews { place, load, streams, age } = news;
+        Self { place, load, streams, age_ms: millis(age) }
+    }
+}
+
+impl From<LoadDigest> for LoadNews {
+    fn from(digest: LoadDigest) -> Self {
+        let LoadDigest { place, load, streams, age_ms } = digest;
+        Self { place, load, streams, age: Duration::from_millis(age_ms) }
+    }
+}
+
+impl From<SuspectNews> for SuspectDigest {
+    fn from(news: SuspectNews) -> Self {
+        let crashes = news.crashes.into_iter();
+        let crashes = crashes.map(|(target, run)| (target.into(), run)).collect();
+        Self { content: news.content.0, crashes }
+    }
+}
+
+impl TryFrom<SuspectDigest> for SuspectNews {
+    type Error = IdError;
+
+    fn try_from(digest: SuspectDigest) -> Result<Self, IdError> {
+        let mut crashes = BTreeSet::new();
+        for (target, run) in digest.crashes {
+            crashes.insert((target.try_into()?, run));
+        }
+        Ok(Self { content: ContentDigest(digest.content), crashes })
+    }
+}
+
+fn millis(age: Duration) -> u64 {
+    age.as_millis() as u64
+}
+
 /// Entries that a peer read from the log.
 #[derive(Clone, Debug, Default, Deserialize, Serialize)]
 pub struct RelayReply {
