--- a/crates/banyan-entry/src/admission.rs
+++ b/crates/banyan-entry/src/admission.rs
@@ -206,13 +206,13 @@
     };
     let refused = |retry_after| Refusal::WorkspaceLimit { retry_after };
     if let Some(limit) = spec.request_limit {
-        tables.request_limits.take(&order.workspace, limit.0, 1, now).map_err(refused)?;
+        tables.limits.take(&order.workspace, limit.0, 1, now).map_err(refused)?;
     }
     let Some(limit) = spec.token_limit else { return Ok(()) };
     if let Err(retry_after) = tables.token_limits.take(&order.workspace, limit.0, order.tokens, now)
     {
         if spec.request_limit.is_some() {
-            tables.request_limits.give_back(&order.workspace, 1);
+            tables.limits.give_back(&order.workspace, 1);
         }
         return Err(refused(retry_after));
     }
@@ -220,7 +220,7 @@
 }
 
 fn give_back_limits(tables: &mut EntryTables, order: &AdmissionOrder) {
-    tables.request_limits.give_back(&order.workspace, 1);
+    tables.limits.give_back(&order.workspace, 1);
     tables.token_limits.give_back(&order.workspace, order.tokens);
 }
 
--- a/crates/banyan-entry/src/crashes.rs
+++ b/crates/banyan-entry/src/crashes.rs
@@ -19,14 +19,11 @@
 use banyan_core::record::StreamId;
 use banyan_core::serving::health;
 use banyan_core::units::Moment;
-use banyan_wire::peer::SuspectDigest;
 
 /// The longest time to wait for a quarantine to be read back.
 const KNOWN_WAIT: Duration = Duration::from_millis(1000);
 /// The time that other instances need to read what this one has read.
 const SPREAD_TIME: Duration = Duration::from_millis(200);
-/// The most suspects that one digest tells of.
-const TOLD_LIMIT: usize = 8;
 
 /// Notes that a request's content has a step under way on a target.
 ///
@@ -149,35 +146,6 @@
     tokio::time::sleep(SPREAD_TIME).await;
 }
 
-/// Takes in the suspects of a peer, which together with ours may convict one.
-pub fn take_suspects(state: &EntryState, suspects: &[SuspectDigest]) {
-    if !state.decisions.quarantine {
-        return;
-    }
-    for suspect in suspects {
-        let crashes = suspect.crashes.iter();
-        let crashes = crashes.filter_map(|(target, run)| Some((target.parse().ok()?, run.clone())));
-        let content = ContentDigest(suspect.content);
-        if state.tables().suspects.merge(content, &crashes.collect()) {
-            quarantine(state, content, "as several instances saw");
-        }
-    }
-}
-
-/// The suspects to tell peers of.
-pub fn told_suspects(tables: &EntryTables) -> Vec<SuspectDigest> {
-    let newest = tables.suspects.newest(TOLD_LIMIT).into_iter();
-    let told = newest.map(|(content, row)| SuspectDigest {
-        content: content.0,
-        crashes: row
-            .crashes
-            .iter()
-            .map(|(target, run)| (SmolStr::new(target.as_str()), run.clone()))
-            .collect(),
-    });
-    told.collect()
-}
-
 /// Forgets suspicions and convictions that are over.
 pub fn tick(tables: &mut EntryTables, now: Moment) {
     tables.suspects.tick(now);
--- a/crates/banyan-entry/src/daemon.rs
+++ b/crates/banyan-entry/src/daemon.rs
@@ -214,7 +214,6 @@
         if now.since(spread) >= SPREAD_PAUSE {
             spread = now;
             tables.spread_limits(state.settings.capacity);
-            tables.request_limits.tick(now);
             tables.token_limits.tick(now);
             crashes::tick(&mut tables, now);
         }
--- a/crates/banyan-entry/src/state.rs
+++ b/crates/banyan-entry/src/state.rs
@@ -41,8 +41,10 @@
 use banyan_core::record::ContentDigest;
 use banyan_core::serving::budget::RetryBudget;
 use banyan_core::serving::decisions::DecisionSet;
+use banyan_core::serving::exchange::ExchangeState;
 use banyan_core::serving::limits::LimitTable;
 use banyan_core::serving::poison::SuspectTable;
+use banyan_core::serving::ring::InstanceRing;
 use banyan_core::serving::targets::TargetTable;
 use banyan_core::units::Moment;
 
@@ -110,8 +112,6 @@
     pub admission: AdmissionTable,
     /// The channels of waiting requests.
     pub waiters: BTreeMap<RequestId, AdmissionWaiter>,
-    /// This instance's parts of the workspaces' request limits.
-    pub request_limits: LimitTable,
     /// This instance's parts of the workspaces' token limits.
     pub token_limits: LimitTable,
     /// Retries allowed.
@@ -128,8 +128,16 @@
     pub contents: BTreeMap<TargetId, BTreeMap<RequestId, ContentDigest>>,
     /// The other instances.
     pub peers: PeerTable,
-    /// Targets that the instance list or peers say are leaving.
+    /// Targets that the instance list says are leaving.
     pub leaving: LeavingTable,
+    /// Where the exchange with peers goes on.
+    pub exchange: ExchangeState,
+    /// Demands and limits of workspaces in requests a second, over all instances.
+    pub limits: LimitTable,
+    /// The live instances in order.
+    pub ring: InstanceRing,
+    /// The revision for which the targets' groups were narrowed to this instance's part.
+    pub ring_revision: Revision,
 }
 
 impl EntryTables {
@@ -143,7 +151,7 @@
     pub fn spread_limits(&mut self, capacity: u32) {
         let live = self.live_instances();
         self.admission.set_live(live, capacity);
-        self.request_limits.set_live(live);
+        self.limits.set_live(live);
         self.token_limits.set_live(live);
     }
 }
