Status: a read that ends while the status is made no longer crashes the call

Cause: the status takes the time and then looks at the folds. A follower that ends a read in between leaves a read time later than 'now', and 'now - at' overflowed: a panic on the operator port in debug builds, a silence of many years in release builds. Seen as panics in the entries of process_faults, which passed all the same because their status call is tried again. Ruled out: a clock that goes back; the runtime's clock is monotonic. Red first: control_status::a_read_that_ends_while_the_status_is_made_is_no_silence failed with 'attempt to subtract with overflow', passes with Moment::since.

--- a/crates/banyan-entry/src/operator.rs
+++ b/crates/banyan-entry/src/operator.rs
@@ -146,11 +146,13 @@
     }
 }
 
-fn log_status(folds: &FoldTables, now: Moment) -> LogStatus {
-    let silent = folds.configuration_read_at().map_or(now.0, |at| now.0 - at.0);
+/// How far the log was read. A read that ended after `now` was taken leaves no silence.
+pub fn log_status(folds: &FoldTables, now: Moment) -> LogStatus {
+    let read_at = folds.configuration_read_at().unwrap_or_default();
+    let silent = now.since(read_at).as_millis() as u64;
     LogStatus {
         reachable: folds.log_reachable(),
-        silent_ms: silent / 1000,
+        silent_ms: silent,
         next: all_streams()
             .map(|stream| (format_smolstr!("{stream}"), folds.next(stream).0))
             .collect(),
--- a/crates/banyan-entry/tests/control/main.rs
+++ b/crates/banyan-entry/tests/control/main.rs
@@ -7,4 +7,5 @@
 mod control_leaving;
 mod control_outage;
 mod control_peers;
+mod control_status;
 mod support;
