A naive router breaks each of the seven points, by the stand-ins' ground truth

The product's tests of the seven points passed without anything that showed them to bite on the whole path. banyan_naive::router is the obvious entry: keys in memory or by an answered append, retries of whatever failed, answers taken by order, the last proposal in force, a list read once, a stop at once. naive_points plays 13 scenarios against it and asserts from what services, engines and the platform ran that the point breaks; each names the product's test of the same fault, and the two of point 5 run the product on the same log.

--- a/crates/banyan-naive/src/lib.rs
+++ b/crates/banyan-naive/src/lib.rs
@@ -3,6 +3,7 @@
 //! Only tests and `banyan-load` link this crate, so that no product program can be set to a naive
 //! decision. [`choice`] holds round robin and its kin, [`admission`] first come, first served, and
 //! [`batch_model`] is a deterministic model of engines that batch steps.
+//! [`router`] is a whole naive entry, against which each point that must hold is shown to break.
 
 pub mod admission;
 pub mod batch_model;
@@ -10,3 +11,4 @@
 pub mod draws;
 pub mod faults;
 pub mod fixtures;
+pub mod router;
--- /dev/null
+++ b/crates/banyan-naive/src/router/callers.rs
@@ -0,0 +1,138 @@
+//! The callers' interface of the router: [`routes`].
+
+use std::convert::Infallible;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use futures::StreamExt;
+use futures::stream;
+use http::HeaderMap;
+use http::HeaderValue;
+use http::StatusCode;
+use serde::Serialize;
+use serde_json::json;
+use smol_str::SmolStr;
+use smol_str::format_smolstr;
+use tokio::sync::mpsc;
+use tokio_stream::wrappers::ReceiverStream;
+use warp::Filter;
+use warp::Rejection;
+use warp::Reply;
+use warp::reply::Response;
+use warp::sse::Event;
+
+use crate::router::answers::run_answer;
+use crate::router::calls::CallOrder;
+use crate::router::calls::run_call;
+use crate::router::tables::RouterState;
+use banyan_core::record::ContentDigest;
+use banyan_wire::caller::CompletionRequest;
+use banyan_wire::caller::ErrorBody;
+use banyan_wire::caller::ErrorReply;
+use banyan_wire::caller::KEY_HEADER;
+use banyan_wire::caller::OUTCOME_HEADER;
+use banyan_wire::caller::OutcomeWire;
+use banyan_wire::caller::REQUEST_ID_HEADER;
+use banyan_wire::caller::StreamEnd;
+
+/// The number of tokens that may wait for a slow caller.
+const TOKEN_BUFFER: usize = 64;
+
+/// What the router answers: streamed completions and calls of services.
+pub(super) fn routes(
+    state: Arc<RouterState>,
+) -> impl Filter<Extract = (Response,), Error = Rejection> + Clone + Send + Sync + 'static {
+    let shared = warp::any().map(move || state.clone());
+    let completion = warp::path!("v1" / "completions")
+        .and(shared.clone())
+        .and(warp::body::json())
+        .map(stream_answer);
+    let call = warp::path!("v1" / "services" / String / String)
+        .and(shared)
+        .and(warp::header::headers_cloned())
+        .and(warp::body::bytes())
+        .then(serve_call);
+    warp::post().and(completion.or(call).unify())
+}
+
+fn stream_answer(state: Arc<RouterState>, order: CompletionRequest) -> Response {
+    let request = state.next_request();
+    let (sender, receiver) = mpsc::channel(TOKEN_BUFFER);
+    let id = request.clone();
+    tokio::spawn(async move { run_answer(&state, &id, &order, &sender).await });
+    let mut response = warp::sse::reply(answer_events(request.clone(), receiver)).into_response();
+    put_header(&mut response, REQUEST_ID_HEADER, &request);
+    response
+}
+
+/// The tokens, and once the channel has ended the mark of a whole answer.
+fn answer_events(
+    request: SmolStr,
+    receiver: mpsc::Receiver<SmolStr>,
+) -> impl futures::Stream<Item = Result<Event, Infallible>> + Send + Sync + 'static {
+    let tokens = ReceiverStream::new(receiver).map(Some).chain(stream::iter([None]));
+    let events = tokens.scan(Vec::new(), move |answer: &mut Vec<SmolStr>, token| {
+        let events = match token {
+            Some(text) => {
+                let chunk = json!({ "choices": [{ "index": 0, "text": text }] });
+                answer.push(text);
+                vec![Event::default().data(chunk.to_string())]
+            }
+            None => end_events(&request, answer),
+        };
+        futures::future::ready(Some(stream::iter(events.into_iter().map(Ok))))
+    });
+    events.flatten()
+}
+
+fn end_events(request: &SmolStr, answer: &[SmolStr]) -> Vec<Event> {
+    let end = StreamEnd {
+        outcome: OutcomeWire::Complete,
+        request_id: request.clone(),
+        tokens: answer.len() as u64,
+        checksum: format_smolstr!("{}", ContentDigest::of(answer.concat().as_bytes())),
+    };
+    vec![Event::default().event("banyan").data(to_text(&end)), Event::default().data("[DONE]")]
+}
+
+async fn serve_call(
+    service: String,
+    call: String,
+    state: Arc<RouterState>,
+    headers: HeaderMap,
+    body: Bytes,
+) -> Response {
+    let request = state.next_request();
+    let key = headers.get(KEY_HEADER).and_then(|value| value.to_str().ok()).map(SmolStr::new);
+    let order = CallOrder { service, call, key, body };
+    let (status, outcome, body) = match run_call(state, order).await {
+        Some(answer) => (StatusCode::OK, OutcomeWire::Complete, answer),
+        None => (StatusCode::SERVICE_UNAVAILABLE, OutcomeWire::NotRun, refusal(&request)),
+    };
+    let mut response = Response::new(body.into());
+    *response.status_mut() = status;
+    put_header(&mut response, REQUEST_ID_HEADER, &request);
+    put_header(&mut response, OUTCOME_HEADER, &outcome.to_string());
+    response
+}
+
+fn refusal(request: &SmolStr) -> Bytes {
+    let error = ErrorBody {
+        message: "there was no answer; try again".to_owned(),
+        kind: SmolStr::new_static("no_answer"),
+        outcome: OutcomeWire::NotRun,
+        request_id: request.clone(),
+        retry_after_ms: None,
+    };
+    Bytes::from(to_text(&ErrorReply { error }))
+}
+
+fn to_text<T: Serialize>(value: &T) -> String {
+    serde_json::to_string(value).unwrap_or_default()
+}
+
+fn put_header(response: &mut Response, name: &'static str, value: &str) {
+    if let Ok(value) = HeaderValue::from_str(value) {
+        response.headers_mut().insert(name, value);
+    }
+}
