--- a/crates/banyan-entry/tests/support/caller.rs
+++ b/crates/banyan-entry/tests/support/caller.rs
@@ -1,6 +1,7 @@
 //! A caller: opens streams and reads them event by event.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use bytes::Bytes;
 use bytes::BytesMut;
@@ -16,6 +17,7 @@
 use super::TOKEN;
 use super::WAIT_LIMIT;
 use banyan_http::client::plain_client;
+use banyan_wire::caller::DEADLINE_HEADER;
 use banyan_wire::caller::ErrorReply;
 use banyan_wire::caller::KEY_HEADER;
 use banyan_wire::caller::OUTCOME_HEADER;
@@ -121,11 +123,32 @@
 
 /// Makes one call of the booking service.
 pub async fn call(entry: SocketAddr, call: &str, key: Option<&str>, body: &Value) -> CallReply {
-    let mut request = Request::post(format!("http://{entry}/v1/services/booking/{call}"))
+    let request = call_request(entry, call, key);
+    send_call(request, body).await
+}
+
+/// Books under a key, with a deadline from the caller.
+pub async fn book_within(
+    entry: SocketAddr,
+    key: &str,
+    body: &Value,
+    deadline: Duration,
+) -> CallReply {
+    let deadline = deadline.as_millis().to_string();
+    let request = call_request(entry, "book", Some(key)).header(DEADLINE_HEADER, deadline);
+    send_call(request, body).await
+}
+
+fn call_request(entry: SocketAddr, call: &str, key: Option<&str>) -> http::request::Builder {
+    let request = Request::post(format!("http://{entry}/v1/services/booking/{call}"))
         .header("authorization", format!("Bearer {TOKEN}"));
-    if let Some(key) = key {
-        request = request.header(KEY_HEADER, key);
+    match key {
+        Some(key) => request.header(KEY_HEADER, key),
+        None => request,
     }
+}
+
+async fn send_call(request: http::request::Builder, body: &Value) -> CallReply {
     let request = request.body(Full::new(Bytes::from(body.to_string()))).unwrap();
     let response = tokio::time::timeout(WAIT_LIMIT, plain_client().request(request)).await;
     read_reply(response.expect("the call is answered").unwrap()).await
