--- a/crates/banyan-entry/src/operator.rs
+++ b/crates/banyan-entry/src/operator.rs
@@ -146,7 +146,8 @@
     }
 }
 
-fn log_status(folds: &FoldTables, now: Moment) -> LogStatus {
+/// How this instance sees the log at `now`.
+pub fn log_status(folds: &FoldTables, now: Moment) -> LogStatus {
     // The stream may have been read since `now` was taken.
     let read_at = folds.configuration_read_at().unwrap_or_default();
     LogStatus {
