Entry: entries kept for peers are bounded in bytes; old lists take nothing back

Cause: entries kept for peers were bounded by number alone, an entry of a newer format was read again without a pause, and after ten seconds of an older instance list its words replaced the newer ones. Now 2 MiB a stream, a pause of a second and a stream that is not heard, and ten minutes.

--- a/crates/banyan-entry/src/follower.rs
+++ b/crates/banyan-entry/src/follower.rs
@@ -39,6 +39,10 @@
 const SLACK_LIMIT: Duration = Duration::from_millis(4000);
 /// The pause after a failed read.
 const READ_PAUSE: Duration = Duration::from_millis(100);
+/// The pause after an entry that cannot be folded.
+const STOPPED_PAUSE: Duration = Duration::from_secs(1);
+/// The most bytes of one stream's entries that are kept for peers.
+const RELAY_BYTES: usize = 2 << 20;
 /// The most entries of one stream that are kept for peers.
 const RELAY_LIMIT: usize = 1024;
 /// How long a stream still counts as heard after its reads began to fail.
@@ -62,6 +66,8 @@
     pub claims: Vec<ClaimFold>,
     /// The newest entries of each stream as read, for peers that cannot read the log.
     pub recent: BTreeMap<StreamId, VecDeque<ReadEntry>>,
+    /// The bytes of those entries.
+    recent_bytes: BTreeMap<StreamId, usize>,
     /// When each stream was last read from the log itself.
     pub read_at: BTreeMap<StreamId, Moment>,
     /// When a peer that reads the log last told all that it had of a stream.
@@ -108,6 +114,7 @@
             configuration: ConfigurationFold::new(banyan_config::merge_files),
             claims: vec![ClaimFold::default(); usize::from(CLAIM_PARTITIONS)],
             recent: BTreeMap::new(),
+            recent_bytes: BTreeMap::new(),
             read_at: BTreeMap::new(),
             relayed_at: BTreeMap::new(),
             lost_at: BTreeMap::new(),
@@ -194,12 +201,28 @@
             self.pace.entry(stream).or_insert(StreamPace { began: at, ..Default::default() });
         pace.newest = pace.newest.max(at);
         pace.folded = now;
+        self.keep_recent(stream, entry);
+        Ok(step)
+    }
+}
+
+impl FoldTables {
+    /// Keeps an entry for peers, and drops the oldest ones that are too many or too large.
+    fn keep_recent(&mut self, stream: StreamId, entry: &ReadEntry) {
         let recent = self.recent.entry(stream).or_default();
         recent.push_back(entry.clone());
-        if recent.len() > RELAY_LIMIT {
-            recent.pop_front();
+        let bytes = self.recent_bytes.entry(stream).or_default();
+        *bytes += entry.body.len();
+        while recent.len() > RELAY_LIMIT || *bytes > RELAY_BYTES {
+            let Some(oldest) = recent.pop_front() else { return };
+            *bytes -= oldest.body.len();
         }
-        Ok(step)
+    }
+
+    /// Forgets the entries kept of a stream, which no longer join on to what is folded next.
+    pub fn drop_recent(&mut self, stream: StreamId) {
+        self.recent.remove(&stream);
+        self.recent_bytes.remove(&stream);
     }
 }
 
@@ -273,12 +296,20 @@
                 patience.note_answer(wait, asked.elapsed());
                 wait = READ_WAIT;
                 let passed = reply.first > state.folds.tables().next(stream).0;
-                if passed || take_entries(&state, stream, &reply.entries) == BatchResult::Gap {
+                let result = match passed {
+                    true => BatchResult::Gap,
+                    false => take_entries(&state, stream, &reply.entries),
+                };
+                if result == BatchResult::Gap {
                     log::warn!("log: {stream} no longer holds entry {from}: starting it anew.");
                     state.folds.tables().started.remove(&stream);
                     continue;
                 }
-                note_reachable(&state, stream, true);
+                // A stream that cannot be folded on is not heard, although it is read.
+                note_reachable(&state, stream, result == BatchResult::Folded);
+                if result == BatchResult::Stopped {
+                    tokio::time::sleep(STOPPED_PAUSE).await;
+                }
             }
             Err(error) => {
                 log::debug!("log: {stream} was not read: {error}.");
--- a/crates/banyan-entry/src/joining.rs
+++ b/crates/banyan-entry/src/joining.rs
@@ -184,8 +184,7 @@
         }
     }
     if tables.next(stream) != before {
-        // What stands in `recent` must join on to what is folded next.
-        tables.recent.remove(&stream);
+        tables.drop_recent(stream);
     }
     Ok(())
 }
--- a/crates/banyan-entry/src/listing.rs
+++ b/crates/banyan-entry/src/listing.rs
@@ -16,8 +16,9 @@
 
 /// The time between two reads of the list.
 const LIST_PAUSE: Duration = Duration::from_millis(500);
-/// The number of older lists in a row after which the list is taken to have begun anew.
-const OLDER_LIMIT: u32 = 20;
+/// The number of older lists in a row, ten minutes of them, after which the list is taken to have
+/// begun anew. Until then an old list must not take back that a target is leaving.
+const OLDER_LIMIT: u32 = 1_200;
 
 /// Tells new lists from stale ones.
 #[derive(Debug, Default)]
--- a/crates/banyan-entry/tests/control/control_joining.rs
+++ b/crates/banyan-entry/tests/control/control_joining.rs
@@ -142,6 +142,7 @@
     let entry = start_entry("e-1", platform.address, &[]).await;
     let first = propose(platform.address, "p-1", 0, &declaration(booking.address)).await + 1;
     until_revision(&entry.state, first).await;
+    until("all streams", || entry.state.folds.tables().log_reachable()).await;
     platform.fault(PlatformFault::Slow { delay_ms: 1_500 });
     // From here on no read began before the log was slow.
     until("a read that failed", || !events(&entry, EventKind::LogLost).is_empty()).await;
--- a/crates/banyan-entry/tests/control/control_leaving.rs
+++ b/crates/banyan-entry/tests/control/control_leaving.rs
@@ -119,3 +119,20 @@
     booking.fault(leaving(false));
     until("the return", || !is_leaving(&entries[0])).await;
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_list_that_falls_back_to_an_older_state_takes_no_leaving_back() {
+    let platform = start_platform().await;
+    let booking = start_booking().await;
+    let entries = start_entries(1, platform.address, booking.address).await;
+    let entry = &entries[0];
+    announce(&platform, InstanceState::Live);
+    announce(&platform, InstanceState::Leaving);
+    until_leaving(entry).await;
+    platform.fault(PlatformFault::InstanceLag { lag_ms: 600_000 });
+    // The older list is read several times meanwhile.
+    let seen = entry.state.now();
+    until("some reads of the list", || entry.state.now().since(seen) > LEAVING_LIMIT).await;
+    assert!(is_leaving(entry));
+    assert_eq!(read_status(entry).await.0, 503);
+}
--- a/crates/banyan-entry/tests/control/control_outage.rs
+++ b/crates/banyan-entry/tests/control/control_outage.rs
@@ -10,6 +10,14 @@
 use crate::support::start_entries;
 use crate::support::start_platform;
 use crate::support::until;
+use banyan_core::ids::RecordId;
+use banyan_core::record::CLAIM_PARTITIONS;
+use banyan_core::record::ClaimKey;
+use banyan_core::record::FactBody;
+use banyan_core::record::LogFact;
+use banyan_core::record::StreamId;
+use banyan_entry::platform::PlatformClient;
+use banyan_entry::writer::LogWriter;
 use banyan_standin::fault::ConnectionFault;
 use banyan_standin::fault::LossKind;
 use banyan_standin::fault::PlatformFault;
@@ -149,3 +157,44 @@
         assert_eq!((status, runs(&booking, &key)), (200, 1), "{key}: {body}");
     }
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn claims_beyond_the_queue_are_refused() {
+    let platform = start_platform().await;
+    platform.fault(PlatformFault::Outage { reads: true, appends: true });
+    let writer = LogWriter::new(PlatformClient::new(platform.address));
+    let until = tokio::time::Instant::now() + std::time::Duration::from_secs(600);
+    let offer = |number: usize| {
+        let key = ClaimKey { workspace: "w".parse().unwrap(), key: "k".parse().unwrap() };
+        let id: RecordId = format!("r-{number}").parse().unwrap();
+        let body = FactBody::Release { key, claim: id.clone() };
+        writer.offer(StreamId::Claims(0), LogFact { id, body }, until)
+    };
+    let taken = (0..10_000).take_while(|number| offer(*number).is_ok()).count();
+    assert_eq!(taken, 4_096);
+    platform.fault(PlatformFault::Outage { reads: false, appends: false });
+    crate::support::until("room in the queue", || offer(taken).is_ok()).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_with_an_entry_of_a_newer_format_takes_no_claims_and_serves_the_rest() {
+    let platform = start_platform().await;
+    let booking = start_booking().await;
+    let entries = start_entries(1, platform.address, booking.address).await;
+    let entry = &entries[0];
+    for partition in 0..CLAIM_PARTITIONS {
+        let stream = StreamId::Claims(partition).to_string();
+        let newer = serde_json::json!({ "format": 99, "facts": [] });
+        crate::support::append(platform.address, &stream, newer).await;
+    }
+    until("that no stream is heard", || {
+        let now = entry.state.now();
+        let folds = entry.state.folds.tables();
+        (0..CLAIM_PARTITIONS).all(|partition| !folds.is_heard(StreamId::Claims(partition), now))
+    })
+    .await;
+    let (status, body) = book(entry, "k-1", 8000).await;
+    assert_eq!((status, &body["error"]["outcome"]), (503, &Value::from("not-run")), "{body}");
+    assert_eq!(read_status(entry).await.0, 200);
+    assert_eq!(runs(&booking, "k-1"), 0);
+}
