--- a/crates/banyan-entry/src/exchange.rs
+++ b/crates/banyan-entry/src/exchange.rs
@@ -107,7 +107,6 @@
     let mut tables = state.tables();
     let EntryTables { exchange: round, targets, limits, suspects, .. } = &mut *tables;
     let convicted = exchange::take_digest(round, targets, limits, suspects, news, now);
-    let duration_ms = tables.declaration.policy.quarantine.as_millis() as u64;
     let evidence = |content: &ContentDigest| {
         let row = tables.suspects.rows.get(content)?;
         Some((*content, row.crashes.first()?.0.clone()))
@@ -118,7 +117,7 @@
         return;
     }
     for (content, target) in convicted {
-        crashes::quarantine(state, content, &target, duration_ms);
+        crashes::quarantine(state, content, target.as_str());
     }
 }
 
@@ -130,7 +129,6 @@
     if tables.ring == ring && tables.ring_revision == tables.revision {
         return;
     }
-    tables.limits.set_live(ring.order.len() as u64);
     narrow_groups(&mut tables.targets, &ring);
     tables.ring = ring;
     tables.ring_revision = tables.revision;
--- a/crates/banyan-entry/tests/control/main.rs
+++ b/crates/banyan-entry/tests/control/main.rs
@@ -2,9 +2,11 @@
 
 mod control_checkpoints;
 mod control_claims;
+mod control_forgotten;
 mod control_isolation;
 mod control_joining;
 mod control_leaving;
 mod control_outage;
 mod control_peers;
+mod control_status;
 mod support;
