--- a/crates/banyan-entry/tests/control/control_outage.rs
+++ b/crates/banyan-entry/tests/control/control_outage.rs
@@ -158,6 +158,19 @@
     }
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_timed_key_is_not_taken_for_one_of_the_future_while_the_log_is_quiet() {
+    let platform = start_platform().await;
+    let booking = start_booking().await;
+    let entries = start_entries(1, platform.address, booking.address).await;
+    platform.fault(PlatformFault::Outage { reads: false, appends: true });
+    let key = uuid::Uuid::now_v7().to_string();
+    let calls = [0, 1, 2].map(|_| book(&entries[0], &key, 8000));
+    for (status, body) in join_all(calls).await {
+        assert_eq!((status, body["error"]["type"].as_str()), (503, Some("log_away")), "{body}");
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn claims_beyond_the_queue_are_refused() {
     let platform = start_platform().await;
--- a/crates/banyan-entry/tests/control/control_peers.rs
+++ b/crates/banyan-entry/tests/control/control_peers.rs
@@ -60,6 +60,7 @@
     let mut base = entries[0].state.tables().revision.0;
     until_revision(&cut.state, base).await;
     until("the peers", || usable_peers(&cut) == 2 && usable_peers(&entries[1]) == 2).await;
+    until("all streams", || cut.state.folds.tables().log_reachable()).await;
     link.set_open(false);
     until("the loss", || !events(&cut, EventKind::LogLost).is_empty()).await;
     for id in ["p-2", "p-3"] {
