A timed key is judged for the future only by a time that a claim has told

Cause: after waiting for another request's claim that was given up, a key with a time was judged by the stream's time, which is old where the stream is quiet, and refused as one of the future (test red three times of three: key_from_future in place of log_away). Now only after a claim of its own landed and told a newer time. Three of three pass.

--- a/crates/banyan-entry/src/claims.rs
+++ b/crates/banyan-entry/src/claims.rs
@@ -200,8 +200,10 @@
     content: ContentDigest,
     deadline: Instant,
 ) -> Result<ClaimTurn, Refusal> {
-    for turn in 0..CLAIM_TRIES {
-        check_key_time(state, key, turn > 0)?;
+    // The time of a quiet stream is old, until a claim that landed tells a newer one.
+    let mut time_is_fresh = false;
+    for _ in 0..CLAIM_TRIES {
+        check_key_time(state, key, time_is_fresh)?;
         // The time is read first, so that it is never later than the look at the key.
         let seen = fold_time(state, key);
         if let Some(row) = folded_row(state, key) {
@@ -219,7 +221,10 @@
         }
         match claim_key(state, request, key, claim, content, seen, deadline).await? {
             KeyClaim::Won(held) => return Ok(ClaimTurn::Mine(held)),
-            KeyClaim::Void => wait_for_time(state, key, seen, deadline).await,
+            KeyClaim::Void => {
+                wait_for_time(state, key, seen, deadline).await;
+                time_is_fresh = fold_time(state, key) > seen;
+            }
             KeyClaim::Lost(row) => {
                 if let Some(outcome) = wait_for_holder(state, key, content, row, deadline).await? {
                     return Ok(ClaimTurn::Ended(outcome));
