An answer whose stage cannot be replaced begins anew on another chain

Cause: a dead stage without a spare of exactly its layers was waited for until the deadline, although engines cut otherwise could serve the model; and hand-offs were kept without a bound. Change: the answer begins a new lineage on another chain, runs what the caller already has again and compares it, and goes on; hand-offs over 64 MiB for one answer are not kept, and such an answer is begun anew as well. Ruled out: rebuilding over another cut, since the inputs at the new boundaries were never seen here.

--- a/crates/banyan-entry/src/lineage.rs
+++ b/crates/banyan-entry/src/lineage.rs
@@ -46,6 +46,8 @@
 const OVERDUE_FLOOR: Duration = Duration::from_millis(1000);
 /// The number of usual step times after which it is.
 const OVERDUE_FACTOR: u32 = 8;
+/// The most bytes of hand-offs that are kept for one answer, to rebuild stages from.
+const KEPT_LIMIT_BYTES: u64 = 64 << 20;
 /// The pause before a full engine is asked again, where it names none.
 const FULL_PAUSE: Duration = Duration::from_millis(20);
 /// The pause before another look for a usable target.
@@ -101,8 +103,23 @@
     running_on: Option<TargetId>,
     /// The stage and token of the step in which a target crashed, until it has run elsewhere.
     crashed_in: Option<(usize, u64)>,
+    /// The token that is run now, or next.
     token: u64,
+    /// The input of the first stage for that token.
     next_input: HandOff,
+    /// The tokens of the answer so far. Invariant: at least `token` of them; more while a new
+    /// lineage runs again what an earlier one made.
+    texts: Vec<SmolStr>,
+    /// The size of all kept inputs, in bytes; over [`KEPT_LIMIT_BYTES`] none are kept.
+    kept_bytes: u64,
+}
+
+/// What became of a step, over all targets tried.
+enum StageVerdict {
+    /// It ran.
+    Answered(StepAnswer),
+    /// Its stage cannot go on: the answer begins anew on another chain.
+    Restart,
 }
 
 /// What became of a step on one target.
@@ -132,6 +149,8 @@
             crashed_in: None,
             token: 0,
             next_input,
+            texts: Vec::new(),
+            kept_bytes: 0,
         };
         if !run.choose() {
             let what = SmolStr::new(run.order.model.as_str());
@@ -142,19 +161,72 @@
 
     /// Runs the next token through all stages.
     pub async fn next_token(&mut self) -> Result<TokenWire, Refusal> {
+        loop {
+            let Some(token) = self.run_token().await? else {
+                self.begin_lineage().await?;
+                continue;
+            };
+            let handoff = self.order.spec.handoff.0;
+            self.next_input = HandOff::from_token(&token.text, self.token, handoff);
+            let known = self.texts.get(self.token as usize).cloned();
+            self.token += 1;
+            match known {
+                None => {
+                    self.texts.push(token.text.clone());
+                    return Ok(token);
+                }
+                Some(text) if text == token.text => {}
+                // What the caller has cannot be taken back, and must not be mixed with this.
+                Some(_) => return Err(Refusal::Cut("the answer came out differently".to_owned())),
+            }
+        }
+    }
+
+    /// Runs the current token through all stages; nothing where the answer has to begin anew.
+    async fn run_token(&mut self) -> Result<Option<TokenWire>, Refusal> {
         let mut input = self.next_input;
         let mut token = None;
         for stage in 0..self.stages.len() {
-            let answer = self.run_stage(stage, input).await?;
-            input = answer.output;
-            token = answer.token;
+            match self.run_stage(stage, input).await? {
+                StageVerdict::Answered(answer) => {
+                    input = answer.output;
+                    token = answer.token;
+                }
+                StageVerdict::Restart => return Ok(None),
+            }
         }
-        let Some(token) = token else {
-            return Err(Refusal::Cut("the last stage gave no token".to_owned()));
-        };
-        self.next_input = HandOff::from_token(&token.text, self.token, self.order.spec.handoff.0);
-        self.token += 1;
-        Ok(token)
+        match token {
+            Some(token) => Ok(Some(token)),
+            None => Err(Refusal::Cut("the last stage gave no token".to_owned())),
+        }
+    }
+
+    /// Begins the answer anew as another lineage, on a chain chosen now or as soon as there is one.
+    async fn begin_lineage(&mut self) -> Result<(), Refusal> {
+        self.release_stages();
+        self.lineage += 1;
+        self.token = 0;
+        self.next_input = HandOff::from_prompt(&self.order.prompt, self.order.spec.handoff.0);
+        self.kept_bytes = 0;
+        let name = self.order.request.to_string();
+        let detail = format_smolstr!("lineage {}, {} tokens again", self.lineage, self.texts.len());
+        self.state.journal.record(EventKind::Retried, &name, "", &detail);
+        while !self.choose() {
+            self.check_deadline()?;
+            self.failed.clear();
+            tokio::time::sleep(NO_TARGET_PAUSE).await;
+        }
+        Ok(())
+    }
+
+    /// Gives the targets of the chain back.
+    fn release_stages(&mut self) {
+        let mut tables = self.state.tables();
+        for stage in &self.stages {
+            tables.targets.note_unassigned(&stage.choice.target);
+        }
+        drop(tables);
+        self.stages.clear();
     }
 
     fn choose(&mut self) -> bool {
@@ -201,15 +273,15 @@
     }
 
     /// Runs the step of the current token on one stage, replacing the stage's target as needed.
-    async fn run_stage(&mut self, stage: usize, input: HandOff) -> Result<StepAnswer, Refusal> {
-        self.stages[stage].inputs.push(input);
+    async fn run_stage(&mut self, stage: usize, input: HandOff) -> Result<StageVerdict, Refusal> {
+        self.keep_input(stage, input);
         let mut rebuild = false;
         let mut given_up = 0;
         while given_up < TARGETS_PER_STEP {
             match self.try_target(stage, rebuild).await? {
                 StepVerdict::Answered(answer) => {
                     self.note_survived(stage);
-                    return Ok(answer);
+                    return Ok(StageVerdict::Answered(answer));
                 }
                 StepVerdict::GiveUp(reason) => {
                     let target = self.stages[stage].choice.target.clone();
@@ -227,12 +299,33 @@
             if !self.state.decisions.replace_stages {
                 return Err(Refusal::Cut("a target failed".to_owned()));
             }
-            self.replace(stage).await?;
+            if !self.replace(stage).await? {
+                return Ok(StageVerdict::Restart);
+            }
             rebuild = true;
         }
         Err(Refusal::Cut("too many targets failed in a row".to_owned()))
     }
 
+    /// Keeps the input of a step, as long as all inputs of the answer together are not too large.
+    fn keep_input(&mut self, stage: usize, input: HandOff) {
+        let tokens = if self.token == 0 { u64::from(self.prompt_tokens()) } else { 1 };
+        self.kept_bytes += input.bytes * tokens;
+        if self.kept_bytes > KEPT_LIMIT_BYTES {
+            self.stages[stage].inputs.clear();
+        }
+        self.stages[stage].inputs.push(input);
+    }
+
+    /// Whether a stage's cache can be rebuilt from its kept inputs.
+    fn is_rebuildable(&self, stage: usize) -> bool {
+        self.stages[stage].inputs.len() as u64 == self.token + 1
+    }
+
+    fn prompt_tokens(&self) -> u32 {
+        (self.order.prompt.len() / BYTES_PER_TOKEN + 1) as u32
+    }
+
     /// Tries the current step on the stage's target.
     async fn try_target(&mut self, stage: usize, rebuild: bool) -> Result<StepVerdict, Refusal> {
         let mut rebuild = rebuild;
@@ -244,7 +337,11 @@
             let target = self.stages[stage].choice.target.clone();
             match self.send(stage, rebuild, overdue_turns).await? {
                 Ok(answer) => return Ok(StepVerdict::Answered(answer)),
-                Err(StepError::Refused(StepRefusal::Lineage { .. })) if !rebuild => rebuild = true,
+                Err(StepError::Refused(StepRefusal::Lineage { .. }))
+                    if !rebuild && self.is_rebuildable(stage) =>
+                {
+                    rebuild = true;
+                }
                 Err(StepError::Refused(StepRefusal::Full { retry_after_ms })) => {
                     let pause = Duration::from_millis(retry_after_ms).max(FULL_PAUSE);
                     tokio::time::sleep(pause).await;
@@ -343,7 +440,7 @@
         let running = &self.stages[stage];
         let layers: LayerRange = running.choice.layers;
         let input = running.inputs.last().copied().unwrap_or(self.next_input);
-        let tokens = (self.order.prompt.len() / BYTES_PER_TOKEN + 1) as u32;
+        let tokens = self.prompt_tokens();
         let work = if rebuild && self.token > 0 {
             StepWork::Rebuild { inputs: running.inputs.clone(), tokens }
         } else if self.token == 0 {
@@ -367,8 +464,13 @@
         }
     }
 
-    /// Finds another target for a stage's layers, waiting for one within the deadline.
-    async fn replace(&mut self, stage: usize) -> Result<(), Refusal> {
+    /// Finds another target for a stage's layers, waiting for one within the deadline. False where
+    /// the answer does better to begin anew: on a chain cut otherwise that is there now, or because
+    /// the inputs to rebuild from were not kept.
+    async fn replace(&mut self, stage: usize) -> Result<bool, Refusal> {
+        if !self.is_rebuildable(stage) {
+            return Ok(false);
+        }
         let layers = self.stages[stage].choice.layers;
         loop {
             self.check_deadline()?;
@@ -389,7 +491,10 @@
             if let Some(choice) = choice {
                 self.note_replacement(stage, &choice);
                 self.stages[stage].choice = choice;
-                return Ok(());
+                return Ok(true);
+            }
+            if self.has_other_chain() {
+                return Ok(false);
             }
             // A target that failed this answer may have come back, which is better than none.
             self.failed.clear();
@@ -397,6 +502,13 @@
         }
     }
 
+    fn has_other_chain(&self) -> bool {
+        let tables = self.state.tables();
+        let excluded = self.excluded(&tables);
+        let choose_chain = self.state.decisions.choose_chain;
+        choose_chain(&tables.targets, &self.query(&excluded, rand::random())).is_some()
+    }
+
     fn note_replacement(&self, stage: usize, choice: &StageChoice) {
         metric::count_replacement();
         let dead = &self.stages[stage].choice.target;
@@ -462,13 +574,11 @@
 impl Drop for LineageRun {
     fn drop(&mut self) {
         self.note_idle();
+        self.release_stages();
         let request = self.order.request.clone();
         let mut addresses = Vec::new();
         {
-            let mut tables = self.state.tables();
-            for stage in &self.stages {
-                tables.targets.note_unassigned(&stage.choice.target);
-            }
+            let tables = self.state.tables();
             for target in &self.touched {
                 if let Some(row) = tables.targets.rows.get(target) {
                     addresses.push(row.spec.address);
--- a/crates/banyan-entry/tests/data_stages.rs
+++ b/crates/banyan-entry/tests/data_stages.rs
@@ -123,6 +123,45 @@
     assert_whole(&answer, prompt, TOKENS);
 }
 
+/// Plays the loss of the only engine of a stage; gives the request of the whole answer.
+async fn lose_stage(system: &TestSystem, prompt: &str) -> String {
+    let mut answer = open_stream(system.caller(0), prompt, TOKENS).await.unwrap();
+    answer.read_tokens(TOKENS_BEFORE).await;
+    let engine = serving_engine(system, 1, &answer.request);
+    engine.fault(EngineFault::Connection(ConnectionFault::Kill));
+    answer.read_all().await;
+    assert_whole(&answer, prompt, TOKENS);
+    answer.request.to_string()
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn stage_without_a_spare_goes_on_over_a_chain_cut_otherwise() {
+    let plan = SystemPlan { replicas: 1, ..Default::default() };
+    let mut system = TestSystem::start(plan).await;
+    // The engine that holds the whole model is declared when the answer's chain is chosen already,
+    // or the answer would run there from the start.
+    let prompt = "a spare of another cut";
+    let mut answer = open_stream(system.caller(0), prompt, 60).await.unwrap();
+    answer.read_tokens(TOKENS_BEFORE).await;
+    system.add_whole_engine(1).await;
+    let engine = serving_engine(&system, 1, &answer.request);
+    engine.fault(EngineFault::Connection(ConnectionFault::Kill));
+    answer.read_all().await;
+    assert_whole(&answer, prompt, 60);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn stage_whose_inputs_were_too_large_to_keep_is_run_again_from_the_start() {
+    // Each hand-off is over half of what is kept for one answer.
+    let plan = SystemPlan { handoff_bytes: 40 << 20, ..Default::default() };
+    let system = TestSystem::start(plan).await;
+    let request = lose_stage(&system, "inputs too large").await;
+    let lineages = |run: &banyan_standin::truth::RunRow| run.step.request == request.as_str();
+    let engines = system.engines.iter().flatten();
+    let newest = engines.flat_map(|engine| engine.truth().runs).filter(lineages);
+    assert_eq!(newest.map(|run| run.step.lineage).max(), Some(1));
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn stage_that_restarts_rebuilds_its_cache() {
     let plan =
--- a/crates/banyan-entry/tests/support/mod.rs
+++ b/crates/banyan-entry/tests/support/mod.rs
@@ -48,6 +48,10 @@
     pub stages: u32,
     /// Engines for each stage.
     pub replicas: u32,
+    /// Engines that hold the whole model; they are the last row of engines.
+    pub whole: u32,
+    /// The size of a hand-off, in bytes.
+    pub handoff_bytes: u64,
     /// The time of an engine's batch.
     pub step_time: Duration,
     /// Replicas of the service.
@@ -67,6 +71,8 @@
         Self {
             stages: 3,
             replicas: 2,
+            whole: 0,
+            handoff_bytes: 16_384,
             step_time: Duration::from_millis(4),
             services: 1,
             call_time: Duration::from_millis(2),
@@ -100,6 +106,13 @@
             }
             engines.push(replicas);
         }
+        if plan.whole > 0 {
+            let mut whole = Vec::new();
+            for replica in 0..plan.whole {
+                whole.push(start_engine(&plan, plan.stages, replica).await);
+            }
+            engines.push(whole);
+        }
         let mut services = Vec::new();
         for replica in 0..plan.services {
             let name = format!("booking-{replica}").into();
@@ -130,6 +143,18 @@
         index
     }
 
+    /// Starts an engine that holds the whole model and declares it on top of revision `base`.
+    pub async fn add_whole_engine(&mut self, base: u64) {
+        let engine = start_engine(&self.plan, self.plan.stages, 0).await;
+        self.engines.push(vec![engine]);
+        self.plan.whole = 1;
+        self.apply("declaration-2", base, &self.declaration()).await;
+        wait_for("the new engine is in force", || {
+            self.entries.iter().all(|entry| entry.state.tables().revision.0 > base)
+        })
+        .await;
+    }
+
     /// Waits until every entry has heard every other one.
     pub async fn wait_for_peers(&self) {
         let count = self.entries.len() as u64;
@@ -175,7 +200,8 @@
         json!({
             "zones": [{"name": "zone-a", "region": "region-a"}],
             "workspaces": [{"name": "workspace-a", "token_digests": [token_digest(TOKEN)]}],
-            "models": [{"name": "model", "layers": LAYERS, "answer_tokens": 512}],
+            "models": [{"name": "model", "layers": LAYERS, "answer_tokens": 512,
+                "handoff_bytes": self.plan.handoff_bytes}],
             "targets": targets,
             "services": [{"name": "booking", "calls": [
                 {"name": "book", "repeatable": false, "timeout_ms": 2000},
@@ -235,7 +261,11 @@
     format!("engine-{stage}-{replica}")
 }
 
+/// The layers of a stage; the row behind the last stage holds all of them.
 fn stage_layers(stages: u32, stage: u32) -> LayerRange {
+    if stage == stages {
+        return LayerRange { first: 0, end: LAYERS };
+    }
     let width = LAYERS / stages;
     let end = if stage + 1 == stages { LAYERS } else { (stage + 1) * width };
     LayerRange { first: stage * width, end }
