--- a/crates/banyan-load/src/experiments/overload.rs
+++ b/crates/banyan-load/src/experiments/overload.rs
@@ -1,7 +1,8 @@
 //! Three times what the engines can serve, most of it from one workspace: [`run`].
 //!
-//! First the peak goodput is taken at the bound, then the overload follows: nine small workspaces
-//! ask for a little less than their fair share each, and a large one for all the rest.
+//! The peak goodput is taken at the bound, and the overload follows on the same processes: nine
+//! small workspaces ask for a little less than their fair share each, and a large one for all the
+//! rest. Every request of the overload counts, from its first moment on.
 
 use std::time::Duration;
 
@@ -35,7 +36,7 @@
 const PEAK_TIME: Duration = Duration::from_secs(10);
 /// The length of the overload.
 const OVERLOAD_TIME: Duration = Duration::from_secs(16);
-/// The part of each that is not measured.
+/// The part of each in which the goodput is not measured, since the engines fill up.
 const FILL_TIME: Duration = Duration::from_secs(4);
 /// The deadline of each request.
 const DEADLINE: Duration = Duration::from_secs(6);
@@ -98,17 +99,23 @@
     plan
 }
 
-/// Every workspace's stream: `small` and `total` are shares of the bound.
-fn schedule(plan: &BenchPlan, seed: u64, small: f64, total: f64, until: Duration) -> LoadSchedule {
+/// A tenth of the bound for each workspace, and then the overload.
+fn schedule(plan: &BenchPlan, seed: u64) -> LoadSchedule {
     let mut schedule = LoadSchedule::default();
     let mut draws = DrawSource::new(seed);
-    let large = total - small * SMALL_COUNT as f64;
+    let even = 1.0 / plan.workspaces.len() as f64;
+    let large = OVERLOAD - SMALL_LOAD * SMALL_COUNT as f64;
+    let until = PEAK_TIME + OVERLOAD_TIME;
     for workspace in 0..plan.workspaces.len() {
-        let load = if workspace == 0 { large } else { small };
-        let mut shape = StreamShape::at_load(plan, load, until);
-        shape.workspace = workspace;
-        shape.deadline = DEADLINE;
-        schedule.add_stream(&shape, &mut draws);
+        let overload = if workspace == 0 { large } else { SMALL_LOAD };
+        let spans = [(even, Duration::ZERO, PEAK_TIME), (overload, PEAK_TIME, until)];
+        for (load, from, until) in spans {
+            let mut shape = StreamShape::at_load(plan, load, until);
+            shape.from = from;
+            shape.workspace = workspace;
+            shape.deadline = DEADLINE;
+            schedule.add_stream(&shape, &mut draws);
+        }
     }
     schedule
 }
@@ -120,31 +127,33 @@
 ) -> eyre::Result<OverloadFigures> {
     let name = decisions.name();
     let plan = plan(decisions);
-    eprintln!("overload: {name} at the bound");
-    let load = schedule(&plan, seed, 0.1, 1.0, PEAK_TIME);
-    let peak = run_session(plan.clone(), load, async |_, _, _| Ok(())).await?;
-    let peak_rate = goodput(&peak.records, PEAK_TIME);
-    eprintln!("overload: {name} at three times the bound");
-    let load = schedule(&plan, seed, SMALL_LOAD, OVERLOAD, OVERLOAD_TIME);
-    let result = run_session(plan, load, async |_, _, _| Ok(())).await?;
-    let rate = goodput(&result.records, OVERLOAD_TIME);
-    let measured: Vec<&CallRecord> =
-        result.records.iter().filter(|record| record.at >= FILL_TIME).collect();
-    line.add(format!("{name}_peak_tokens_per_second"), peak_rate);
+    let schedule = schedule(&plan, seed);
+    eprintln!("overload: {name}, {} requests", schedule.requests.len());
+    let result = run_session(plan, schedule, async |_, _, _| Ok(())).await?;
+    let records = result.records;
+    let peak = goodput(&records, FILL_TIME, PEAK_TIME);
+    let rate = goodput(&records, PEAK_TIME + FILL_TIME, PEAK_TIME + OVERLOAD_TIME);
+    line.add(format!("{name}_bound_tokens_per_second"), peak);
     line.add(format!("{name}_overload_tokens_per_second"), rate);
-    report_ends(&result.records, &format!("{name}_"), line);
-    first_token_latencies(measured.iter().copied())?.report(&format!("{name}_first_token"), line);
-    let refusals = refusal_latencies(&measured)?;
+    let (before, overload): (Vec<CallRecord>, Vec<CallRecord>) =
+        records.into_iter().partition(|record| record.at < PEAK_TIME);
+    report_ends(&before, &format!("{name}_at_bound_"), line);
+    report_ends(&overload, &format!("{name}_"), line);
+    let (large, small): (Vec<CallRecord>, Vec<CallRecord>) =
+        overload.iter().cloned().partition(|record| record.workspace == 0);
+    report_ends(&large, &format!("{name}_large_"), line);
+    report_ends(&small, &format!("{name}_small_"), line);
+    first_token_latencies(overload.iter())?.report(&format!("{name}_first_token"), line);
+    let refusals = refusal_latencies(&overload)?;
     refusals.report(&format!("{name}_refusal"), line);
     let figures = OverloadFigures {
-        goodput: rate / peak_rate.max(rate),
-        small_served: worst_small(&measured),
+        goodput: rate / peak.max(rate),
+        small_served: worst_small(&overload),
         refusal_ms: refusals.quantile_ms(0.99),
-        missed: missed_share(&measured),
+        missed: missed_share(&overload),
     };
     line.add(format!("{name}_worst_small_served"), figures.small_served);
     line.add(format!("{name}_missed_deadline"), figures.missed);
-    line.add(format!("{name}_large_served"), served_share(&measured, 0));
     Ok(figures)
 }
 
@@ -154,24 +163,24 @@
 }
 
 /// Tokens a second of requests that were served in time.
-fn goodput(records: &[CallRecord], until: Duration) -> f64 {
+fn goodput(records: &[CallRecord], from: Duration, until: Duration) -> f64 {
     let good = records.iter().filter(|record| is_good(record));
     let tokens = good.flat_map(|record| &record.tokens);
-    let count = tokens.filter(|at| **at >= FILL_TIME && **at < until).count();
-    count as f64 / (until - FILL_TIME).as_secs_f64()
+    let count = tokens.filter(|at| **at >= from && **at < until).count();
+    count as f64 / (until - from).as_secs_f64()
 }
 
-fn served_share(records: &[&CallRecord], workspace: usize) -> f64 {
+fn served_share(records: &[CallRecord], workspace: usize) -> f64 {
     let own: Vec<_> = records.iter().filter(|record| record.workspace == workspace).collect();
     let served = own.iter().filter(|record| is_good(record)).count();
     served as f64 / own.len().max(1) as f64
 }
 
-fn worst_small(records: &[&CallRecord]) -> f64 {
+fn worst_small(records: &[CallRecord]) -> f64 {
     (1..=SMALL_COUNT).map(|workspace| served_share(records, workspace)).fold(1.0, f64::min)
 }
 
-fn refusal_latencies(records: &[&CallRecord]) -> eyre::Result<LatencySet> {
+fn refusal_latencies(records: &[CallRecord]) -> eyre::Result<LatencySet> {
     let mut set = LatencySet::new()?;
     for record in records {
         if matches!(record.end, CallEnd::NotRun(_)) {
@@ -182,7 +191,7 @@
 }
 
 /// Of the requests that were accepted, the share that was not served in time.
-fn missed_share(records: &[&CallRecord]) -> f64 {
+fn missed_share(records: &[CallRecord]) -> f64 {
     let accepted: Vec<_> =
         records.iter().filter(|record| !matches!(record.end, CallEnd::NotRun(_))).collect();
     let missed = accepted.iter().filter(|record| !is_good(record)).count();
