--- a/crates/banyan-entry/src/exchange.rs
+++ b/crates/banyan-entry/src/exchange.rs
@@ -39,13 +39,14 @@
     loop {
         ticks.tick().await;
         let now = state.now();
-        let round = {
+        let (round, known) = {
             let mut tables = state.tables();
             tables.peers.forget_gone(now);
             refresh_ring(&state, &mut tables);
             tables.limits.tick(now);
-            round_addresses(&mut tables)
+            (round_addresses(&mut tables), tables.peers.known())
         };
+        state.links.keep_only(&known);
         for address in round {
             tokio::spawn(exchange_with(state.clone(), address));
         }
--- a/crates/banyan-entry/src/listing.rs
+++ b/crates/banyan-entry/src/listing.rs
@@ -71,7 +71,8 @@
             }
         }
     }
+    let now = state.now();
     let mut tables = state.tables();
-    tables.peers.note_listed(peers);
+    tables.peers.note_listed(peers, now);
     tables.leaving.note_list(&targets);
 }
--- a/crates/banyan-entry/src/peer_link.rs
+++ b/crates/banyan-entry/src/peer_link.rs
@@ -4,6 +4,7 @@
 //! dropped, and the next call makes a new one.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
@@ -192,6 +193,11 @@
         Ok(link)
     }
 
+    /// Closes the connections to all but these addresses.
+    pub fn keep_only(&self, addresses: &BTreeSet<SocketAddr>) {
+        self.lock().retain(|address, _| addresses.contains(address));
+    }
+
     /// Bytes exchanged with peers so far.
     pub fn bytes(&self) -> u64 {
         self.bytes.load(Ordering::Relaxed)
--- a/crates/banyan-entry/src/peers.rs
+++ b/crates/banyan-entry/src/peers.rs
@@ -39,6 +39,8 @@
     pub rows: BTreeMap<InstanceId, PeerRow>,
     /// Addresses from the settings whose instance is not known yet.
     pub greet: BTreeSet<SocketAddr>,
+    /// When the instance list was last read.
+    list_read: Option<Moment>,
     /// Where the next round of exchange goes on in the order of addresses.
     turn: usize,
 }
@@ -140,7 +142,12 @@
     }
 
     /// Takes in the instance list's other entries, with their addresses and whether they leave.
-    pub fn note_listed(&mut self, listed: BTreeMap<InstanceId, (Option<SocketAddr>, bool)>) {
+    pub fn note_listed(
+        &mut self,
+        listed: BTreeMap<InstanceId, (Option<SocketAddr>, bool)>,
+        now: Moment,
+    ) {
+        self.list_read = Some(now);
         for row in self.rows.values_mut() {
             row.listed = false;
         }
@@ -158,16 +165,24 @@
     /// Forgets peers that the instance list no longer names and that are silent.
     ///
     /// A peer that said that it leaves is forgotten once it is silent; any other one might only be
-    /// cut off, so that it counts as a peer for longer.
+    /// cut off, so that it counts as a peer for longer, and for ever where the list is not read,
+    /// because then this instance may be the one that is cut off.
     pub fn forget_gone(&mut self, now: Moment) {
+        let reads_list = self.list_read.is_some_and(|read| now.since(read) < FORGET_AFTER);
         self.rows.retain(|_, row| {
             let silent = row.heard.map(|heard| now.since(heard));
             let gone = row.leaving() && row.suspected;
-            let old = silent.is_none_or(|silent| silent >= FORGET_AFTER);
+            let old = reads_list && silent.is_none_or(|silent| silent >= FORGET_AFTER);
             row.listed || row.heard.is_some() && !gone && !old
         });
     }
 
+    /// The addresses of all peers that are known or greeted.
+    pub fn known(&self) -> BTreeSet<SocketAddr> {
+        let rows = self.rows.values().filter_map(|row| row.address);
+        rows.chain(self.greet.iter().copied()).collect()
+    }
+
     /// The peers that can be given work, with their zones.
     pub fn live(&self) -> LiveInstances {
         let usable = self.rows.iter().filter(|(_, row)| row.usable());
@@ -183,9 +198,7 @@
     /// The addresses of one round of exchange, in turn, so that each peer is met after a bounded
     /// number of rounds.
     pub fn next_round(&mut self) -> Vec<SocketAddr> {
-        let known: BTreeSet<SocketAddr> =
-            self.rows.values().filter_map(|row| row.address).chain(self.greet.clone()).collect();
-        let known: Vec<SocketAddr> = known.into_iter().collect();
+        let known: Vec<SocketAddr> = self.known().into_iter().collect();
         let count = known.len().min(FANOUT);
         let round = (0..count).map(|step| known[(self.turn + step) % known.len()]).collect();
         self.turn = self.turn.wrapping_add(count) % known.len().max(1);
--- a/crates/banyan-entry/tests/control/control_isolation.rs
+++ b/crates/banyan-entry/tests/control/control_isolation.rs
@@ -1,15 +1,21 @@
 //! When an instance cannot know what is in force, and when it can go on.
 
+use std::collections::BTreeMap;
+use std::time::Duration;
+
 use crate::support::operator_status;
 use crate::support::read_status;
 use crate::support::start_booking;
 use crate::support::start_entries;
 use crate::support::start_platform;
 use crate::support::until;
+use banyan_core::units::Moment;
 use banyan_entry::daemon::RunningEntry;
 use banyan_entry::isolation::ISOLATION_BOUND;
 use banyan_entry::isolation::is_isolated;
+use banyan_entry::peers::PeerTable;
 use banyan_standin::fault::PlatformFault;
+use banyan_wire::peer::PeerDigest;
 
 /// Waits until the log was away for longer than the bound.
 async fn until_log_is_long_away(entry: &RunningEntry) {
@@ -60,3 +66,18 @@
     until_log_is_long_away(&entries[0]).await;
     assert_eq!(read_status(&entries[0]).await.0, 200);
 }
+
+#[test]
+fn a_silent_peer_is_forgotten_only_where_the_list_is_read_and_does_not_name_it() {
+    let settings = crate::support::settings("e-1", "127.0.0.1:9".parse().unwrap(), &[]);
+    let mut table = PeerTable::greeting(&settings);
+    let digest = PeerDigest { instance: "e-2".into(), ..PeerDigest::default() };
+    table.note_digest(&digest, Some("127.0.0.1:10".parse().unwrap()), Moment(0));
+    let minutes = |count: u64| Moment(0) + Duration::from_secs(60 * count);
+    // Without the list, this instance may be the one that is cut off.
+    table.forget_gone(minutes(5));
+    assert_eq!(table.rows.len(), 1);
+    table.note_listed(BTreeMap::new(), minutes(6));
+    table.forget_gone(minutes(6));
+    assert_eq!(table.rows.len(), 0);
+}
