An engine that comes back with an older state of an answer serves it again

Cause: a replaced engine keeps its lineage. When its replacement dies and it is chosen again, it refuses the rebuild since the lineage expects an older token; the stage was offered to it over and over until the deadline, although it was sound. The stage now goes on under a new lineage there, which the engine rebuilds from the kept inputs; the step ids of the two never mix. Ruled out: cancelling the old lineage first, which would let a step that is still on its way begin it anew; and a new lineage at every replacement, which would run a step again whose answer only was lost.

--- a/crates/banyan-entry/src/lineage.rs
+++ b/crates/banyan-entry/src/lineage.rs
@@ -80,6 +80,8 @@
 #[derive(Clone, Debug)]
 struct RunningStage {
     choice: StageChoice,
+    /// The lineage of its steps.
+    lineage: u32,
     /// The inputs of the stage so far, one a token. Invariant: at most one more than the tokens
     /// that the stage has answered.
     inputs: Vec<HandOff>,
@@ -90,7 +92,8 @@
 pub struct LineageRun {
     state: Arc<EntryState>,
     order: AnswerOrder,
-    lineage: u32,
+    /// The lineages begun after the first one, so that none mixes with an older one on its target.
+    lineages: u32,
     stages: Vec<RunningStage>,
     prefixes: Vec<u64>,
     /// Targets that failed this answer and are not tried again for it.
@@ -123,7 +126,7 @@
         let mut run = Self {
             state,
             order,
-            lineage: 0,
+            lineages: 0,
             stages: Vec::new(),
             prefixes,
             failed: BTreeSet::new(),
@@ -173,7 +176,7 @@
         let names: Vec<&str> = chain.iter().map(|stage| stage.target.as_str()).collect();
         let name = self.order.request.to_string();
         self.state.journal.record(EventKind::Routed, &name, "", &names.join(" > "));
-        let stage = |choice| RunningStage { choice, inputs: Vec::new() };
+        let stage = |choice| RunningStage { choice, lineage: 0, inputs: Vec::new() };
         self.stages = chain.into_iter().map(stage).collect();
         true
     }
@@ -236,6 +239,7 @@
     /// Tries the current step on the stage's target.
     async fn try_target(&mut self, stage: usize, rebuild: bool) -> Result<StepVerdict, Refusal> {
         let mut rebuild = rebuild;
+        let mut renewed = false;
         let mut tries = 0;
         let mut overdue_turns = 0;
         loop {
@@ -245,6 +249,13 @@
             match self.send(stage, rebuild, overdue_turns).await? {
                 Ok(answer) => return Ok(StepVerdict::Answered(answer)),
                 Err(StepError::Refused(StepRefusal::Lineage { .. })) if !rebuild => rebuild = true,
+                Err(StepError::Refused(StepRefusal::Lineage { expected: Some(_) })) if !renewed => {
+                    // It served this stage before and missed the tokens that another ran since.
+                    renewed = true;
+                    self.lineages += 1;
+                    self.stages[stage].lineage = self.lineages;
+                    self.note_retry(&target, "it holds an older state of the answer");
+                }
                 Err(StepError::Refused(StepRefusal::Full { retry_after_ms })) => {
                     let pause = Duration::from_millis(retry_after_ms).max(FULL_PAUSE);
                     tokio::time::sleep(pause).await;
@@ -354,7 +365,7 @@
         StepOrder {
             step: StepId {
                 request: self.order.request.clone().into(),
-                lineage: self.lineage,
+                lineage: running.lineage,
                 token: self.token,
                 stage: stage as u32,
             },
--- a/crates/banyan-entry/tests/data_stages.rs
+++ b/crates/banyan-entry/tests/data_stages.rs
@@ -137,3 +137,22 @@
     answer.read_all().await;
     assert_whole(&answer, prompt, TOKENS);
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn engine_that_comes_back_with_an_older_state_of_the_answer_serves_it_again() {
+    let system = TestSystem::start(SystemPlan::default()).await;
+    let prompt = "there and back";
+    let tokens = 200;
+    let mut answer = open_stream(system.caller(0), prompt, tokens).await.unwrap();
+    answer.read_tokens(TOKENS_BEFORE).await;
+    let first = serving_engine(&system, 1, &answer.request);
+    first.fault(EngineFault::Connection(ConnectionFault::Freeze));
+    let known = answer.tokens.len();
+    answer.read_tokens(known + 2 * TOKENS_BEFORE).await;
+    let second = serving_engine(&system, 1, &answer.request);
+    assert_ne!(first.truth().name, second.truth().name, "the stage was not replaced");
+    first.fault(EngineFault::Connection(ConnectionFault::Thaw));
+    second.fault(EngineFault::Connection(ConnectionFault::Kill));
+    answer.read_all().await;
+    assert_whole(&answer, prompt, tokens);
+}
