--- a/crates/banyan-entry/src/lineage/chain.rs
+++ b/crates/banyan-entry/src/lineage/chain.rs
@@ -32,7 +32,8 @@
         let names: Vec<&str> = chain.iter().map(|stage| stage.target.as_str()).collect();
         let name = self.order.request.to_string();
         self.state.journal.record(EventKind::Routed, &name, "", &names.join(" > "));
-        let stage = |choice| RunningStage { choice, inputs: Vec::new() };
+        let lineage = self.lineages;
+        let stage = |choice| RunningStage { choice, lineage, inputs: Vec::new() };
         self.stages = chain.into_iter().map(stage).collect();
         true
     }
--- a/crates/banyan-entry/src/lineage/step.rs
+++ b/crates/banyan-entry/src/lineage/step.rs
@@ -42,6 +42,7 @@
         rebuild: bool,
     ) -> Result<StepVerdict, Refusal> {
         let mut rebuild = rebuild;
+        let mut renewed = false;
         let mut tries = 0;
         let mut overdue_turns = 0;
         loop {
@@ -55,6 +56,13 @@
                 {
                     rebuild = true;
                 }
+                Err(StepError::Refused(StepRefusal::Lineage { expected: Some(_) })) if !renewed => {
+                    // It served this stage before and missed the tokens that another ran since.
+                    renewed = true;
+                    self.lineages += 1;
+                    self.stages[stage].lineage = self.lineages;
+                    self.note_retry(&target, "it holds an older state of the answer");
+                }
                 Err(StepError::Refused(StepRefusal::Full { retry_after_ms })) => {
                     let pause = Duration::from_millis(retry_after_ms).max(FULL_PAUSE);
                     tokio::time::sleep(pause).await;
@@ -164,7 +172,7 @@
         StepOrder {
             step: StepId {
                 request: self.order.request.clone().into(),
-                lineage: self.lineage,
+                lineage: running.lineage,
                 token: self.token,
                 stage: stage as u32,
             },
