--- a/crates/banyan-entry/tests/control/control_claims.rs
+++ b/crates/banyan-entry/tests/control/control_claims.rs
@@ -160,3 +160,37 @@
     assert!(matches!(repeat, Ok(ClaimTurn::Ended(CallOutcome::Unknown))), "{repeat:?}");
     until("no open claim", || entries[0].state.ledger.open().is_empty()).await;
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn keyed_calls_go_on_while_each_instance_is_replaced_in_turn() {
+    let platform = start_platform().await;
+    let booking = start_booking().await;
+    let mut entries = start_entries(3, platform.address, booking.address).await;
+    let revision = entries[0].state.tables().revision.0;
+    for turn in 0..3 {
+        let leaver = entries.remove(0);
+        let callers = [entries[0].caller_address, entries[1].caller_address];
+        let (stopped, mut stopping) = tokio::sync::watch::channel(false);
+        let stop = async {
+            leaver.shutdown().await;
+            stopped.send_replace(true);
+        };
+        let calls = async {
+            let mut number = 0;
+            while !*stopping.borrow_and_update() {
+                let key = format!("k-{turn}-{number}");
+                let (status, body) = book_at(callers[number % 2], &key, 8000).await;
+                assert_eq!((status, runs(&booking, &key)), (200, 1), "{key}: {body}");
+                number += 1;
+            }
+            assert!(number > 0);
+        };
+        tokio::join!(stop, calls);
+        let joined = start_entry(&format!("e-{}", turn + 1), platform.address, &[]).await;
+        until_revision(&joined.state, revision).await;
+        entries.push(joined);
+        for entry in &entries {
+            until("the peers", || crate::support::usable_peers(entry) == 2).await;
+        }
+    }
+}
