--- a/crates/banyan-load/src/experiments/throughput.rs
+++ b/crates/banyan-load/src/experiments/throughput.rs
@@ -25,11 +25,11 @@
 /// The share of the bound that saturates the engines.
 const FULL_LOAD: f64 = 1.2;
 /// The length of the easy load.
-const EASY_TIME: Duration = Duration::from_secs(10);
+const EASY_TIME: Duration = Duration::from_secs(8);
 /// The length of the full load.
-const FULL_TIME: Duration = Duration::from_secs(12);
+const FULL_TIME: Duration = Duration::from_secs(13);
 /// The part of the full load in which the engines fill up and that is not measured.
-const FILL_TIME: Duration = Duration::from_secs(4);
+const FILL_TIME: Duration = Duration::from_secs(6);
 /// The share of the bound to be reached.
 const TARGET_SHARE: f64 = 0.9;
 
@@ -91,6 +91,8 @@
     let tokens = tokens_between(&records, FILL_TIME, FULL_TIME);
     let rate = tokens as f64 / (FULL_TIME - FILL_TIME).as_secs_f64();
     line.add("bound_tokens_per_second", bound);
+    let filling = tokens_between(&records, FILL_TIME - Duration::from_secs(2), FILL_TIME);
+    line.add(format!("{}_share_while_filling", decisions.name()), filling as f64 / 2.0 / bound);
     let name = decisions.name();
     line.add(format!("{name}_tokens_per_second"), rate);
     line.add(format!("{name}_share"), rate / bound);
