--- a/crates/banyan-entry/src/lineage.rs
+++ b/crates/banyan-entry/src/lineage.rs
@@ -4,6 +4,9 @@
 //! that a stage that dies in the middle of a token is replaced without running the earlier stages
 //! again: the replacement rebuilds its cache from the kept inputs and runs the step.
 
+mod chain;
+mod step;
+
 use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
@@ -11,43 +14,25 @@
 use smol_str::SmolStr;
 use smol_str::format_smolstr;
 
-use crate::crashes;
-use crate::metric;
 use crate::refusal::Refusal;
 use crate::state::EntryState;
-use crate::state::EntryTables;
 use crate::steps::StepAnswer;
-use crate::steps::StepError;
 use banyan_core::declaration::ModelSpec;
 use banyan_core::event::EventKind;
-use banyan_core::ids::LayerRange;
 use banyan_core::ids::ModelId;
 use banyan_core::ids::RequestId;
 use banyan_core::ids::TargetId;
 use banyan_core::ids::WorkspaceId;
 use banyan_core::record::ContentDigest;
-use banyan_core::serving::choice::ChainQuery;
 use banyan_core::serving::choice::StageChoice;
 use banyan_core::units::Moment;
 use banyan_wire::engine::CancelOrder;
 use banyan_wire::engine::HandOff;
 use banyan_wire::engine::PREFIX_TOKENS;
-use banyan_wire::engine::StepId;
-use banyan_wire::engine::StepOrder;
-use banyan_wire::engine::StepRefusal;
-use banyan_wire::engine::StepWork;
 use banyan_wire::engine::TokenWire;
 
-/// Tries of one step on one target before the target is given up.
-const TRIES_PER_TARGET: u32 = 2;
 /// Targets tried for one step before the answer is given up.
 const TARGETS_PER_STEP: u32 = 6;
-/// The least time after which an answer on a living connection is asked for again.
-const OVERDUE_FLOOR: Duration = Duration::from_millis(1000);
-/// The number of usual step times after which it is.
-const OVERDUE_FACTOR: u32 = 8;
-/// The pause before a full engine is asked again, where it names none.
-const FULL_PAUSE: Duration = Duration::from_millis(20);
 /// The pause before another look for a usable target.
 const NO_TARGET_PAUSE: Duration = Duration::from_millis(100);
 /// The number of prompt bytes that one modelled token stands for.
@@ -80,6 +65,8 @@
 #[derive(Clone, Debug)]
 struct RunningStage {
     choice: StageChoice,
+    /// The lineage of its steps.
+    lineage: u32,
     /// The inputs of the stage so far, one a token. Invariant: at most one more than the tokens
     /// that the stage has answered.
     inputs: Vec<HandOff>,
@@ -90,15 +77,35 @@
 pub struct LineageRun {
     state: Arc<EntryState>,
     order: AnswerOrder,
-    lineage: u32,
+    /// The lineages begun after the first one, so that none mixes with an older one on its target.
+    lineages: u32,
     stages: Vec<RunningStage>,
     prefixes: Vec<u64>,
     /// Targets that failed this answer and are not tried again for it.
     failed: BTreeSet<TargetId>,
     /// Every target that may keep state of this request.
     touched: BTreeSet<TargetId>,
+    /// The target that has a step of this answer under way.
+    running_on: Option<TargetId>,
+    /// The stage and token of the step in which a target crashed, until it has run elsewhere.
+    crashed_in: Option<(usize, u64)>,
+    /// The token that is run now, or next.
     token: u64,
+    /// The input of the first stage for that token.
     next_input: HandOff,
+    /// The tokens of the answer so far. Invariant: at least `token` of them; more while a new
+    /// lineage runs again what an earlier one made.
+    texts: Vec<SmolStr>,
+    /// The size of all kept inputs, in bytes; over a limit none are kept.
+    kept_bytes: u64,
+}
+
+/// What became of a step, over all targets tried.
+enum StageVerdict {
+    /// It ran.
+    Answered(StepAnswer),
+    /// Its stage cannot go on: the answer begins anew on another chain.
+    Restart,
 }
 
 /// What became of a step on one target.
@@ -119,13 +126,17 @@
         let mut run = Self {
             state,
             order,
-            lineage: 0,
+            lineages: 0,
             stages: Vec::new(),
             prefixes,
             failed: BTreeSet::new(),
             touched: BTreeSet::new(),
+            running_on: None,
+            crashed_in: None,
             token: 0,
             next_input,
+            texts: Vec::new(),
+            kept_bytes: 0,
         };
         if !run.choose() {
             let what = SmolStr::new(run.order.model.as_str());
@@ -136,69 +147,76 @@
 
     /// Runs the next token through all stages.
     pub async fn next_token(&mut self) -> Result<TokenWire, Refusal> {
-        let mut input = self.next_input;
-        let mut token = None;
-        for stage in 0..self.stages.len() {
-            let answer = self.run_stage(stage, input).await?;
-            input = answer.output;
-            token = answer.token;
+        loop {
+            let Some(token) = self.run_token().await? else {
+                self.begin_lineage().await?;
+                continue;
+            };
+            let handoff = self.order.spec.handoff.0;
+            self.next_input = HandOff::from_token(&token.text, self.token, handoff);
+            let known = self.texts.get(self.token as usize).cloned();
+            self.token += 1;
+            match known {
+                None => {
+                    self.texts.push(token.text.clone());
+                    return Ok(token);
+                }
+                Some(text) if text == token.text => {}
+                // What the caller has cannot be taken back, and must not be mixed with this.
+                Some(_) => return Err(Refusal::Cut("the answer came out differently".to_owned())),
+            }
         }
-        let Some(token) = token else {
-            return Err(Refusal::Cut("the last stage gave no token".to_owned()));
-        };
-        self.next_input = HandOff::from_token(&token.text, self.token, self.order.spec.handoff.0);
-        self.token += 1;
-        Ok(token)
     }
 
-    fn choose(&mut self) -> bool {
-        let draw = rand::random();
-        let now = self.state.now();
-        let mut tables = self.state.tables();
-        tables.targets.advance(now);
-        let excluded = self.excluded(&tables);
-        let query = self.query(&excluded, draw);
-        let choose_chain = self.state.decisions.choose_chain;
-        let Some(chain) = choose_chain(&tables.targets, &query) else { return false };
-        for stage in &chain {
-            tables.targets.note_assigned(&stage.target);
+    /// Runs the current token through all stages; nothing where the answer has to begin anew.
+    async fn run_token(&mut self) -> Result<Option<TokenWire>, Refusal> {
+        let mut input = self.next_input;
+        let mut token = None;
+        for stage in 0..self.stages.len() {
+            match self.run_stage(stage, input).await? {
+                StageVerdict::Answered(answer) => {
+                    input = answer.output;
+                    token = answer.token;
+                }
+                StageVerdict::Restart => return Ok(None),
+            }
         }
-        drop(tables);
-        let names: Vec<&str> = chain.iter().map(|stage| stage.target.as_str()).collect();
-        let detail = names.join(" > ");
-        self.state.journal.record(EventKind::Routed, &self.order.request.to_string(), "", &detail);
-        let stage = |choice| RunningStage { choice, inputs: Vec::new() };
-        self.stages = chain.into_iter().map(stage).collect();
-        true
-    }
-
-    fn excluded(&self, tables: &EntryTables) -> BTreeSet<TargetId> {
-        let mut excluded = self.failed.clone();
-        if tables.suspects.is_suspect(self.order.content) {
-            excluded.extend(tables.suspects.occupied(self.order.content));
+        match token {
+            Some(token) => Ok(Some(token)),
+            None => Err(Refusal::Cut("the last stage gave no token".to_owned())),
         }
-        excluded
     }
 
-    fn query<'a>(&'a self, excluded: &'a BTreeSet<TargetId>, draw: u64) -> ChainQuery<'a> {
-        ChainQuery {
-            model: &self.order.model,
-            layers: self.order.spec.layers,
-            handoff: self.order.spec.handoff,
-            zone: &self.state.settings.zone,
-            prefixes: &self.prefixes,
-            excluded,
-            draw,
+    /// Begins the answer anew as another lineage, on a chain chosen now or as soon as there is one.
+    async fn begin_lineage(&mut self) -> Result<(), Refusal> {
+        self.release_stages();
+        self.lineages += 1;
+        self.token = 0;
+        self.next_input = HandOff::from_prompt(&self.order.prompt, self.order.spec.handoff.0);
+        self.kept_bytes = 0;
+        let name = self.order.request.to_string();
+        let detail =
+            format_smolstr!("lineage {}, {} tokens again", self.lineages, self.texts.len());
+        self.state.journal.record(EventKind::Retried, &name, "", &detail);
+        while !self.choose() {
+            self.check_deadline()?;
+            self.failed.clear();
+            tokio::time::sleep(NO_TARGET_PAUSE).await;
         }
+        Ok(())
     }
 
     /// Runs the step of the current token on one stage, replacing the stage's target as needed.
-    async fn run_stage(&mut self, stage: usize, input: HandOff) -> Result<StepAnswer, Refusal> {
-        self.stages[stage].inputs.push(input);
+    async fn run_stage(&mut self, stage: usize, input: HandOff) -> Result<StageVerdict, Refusal> {
+        self.keep_input(stage, input);
         let mut rebuild = false;
-        for _ in 0..TARGETS_PER_STEP {
+        let mut given_up = 0;
+        while given_up < TARGETS_PER_STEP {
             match self.try_target(stage, rebuild).await? {
-                StepVerdict::Answered(answer) => return Ok(answer),
+                StepVerdict::Answered(answer) => {
+                    self.note_survived(stage);
+                    return Ok(StageVerdict::Answered(answer));
+                }
                 StepVerdict::GiveUp(reason) => {
                     let target = self.stages[stage].choice.target.clone();
                     log::info!(
@@ -206,6 +224,7 @@
                         self.order.request
                     );
                     self.failed.insert(target);
+                    given_up += 1;
                 }
                 StepVerdict::Unwilling(reason) => {
                     log::debug!("steps: Request {} moves on: {reason}.", self.order.request);
@@ -214,208 +233,28 @@
             if !self.state.decisions.replace_stages {
                 return Err(Refusal::Cut("a target failed".to_owned()));
             }
-            self.replace(stage).await?;
+            if !self.replace(stage).await? {
+                return Ok(StageVerdict::Restart);
+            }
             rebuild = true;
         }
         Err(Refusal::Cut("too many targets failed in a row".to_owned()))
     }
-
-    /// Tries the current step on the stage's target.
-    async fn try_target(&mut self, stage: usize, rebuild: bool) -> Result<StepVerdict, Refusal> {
-        let mut rebuild = rebuild;
-        let mut tries = 0;
-        let mut overdue_turns = 0;
-        loop {
-            self.check_deadline()?;
-            self.check_quarantine()?;
-            let target = self.stages[stage].choice.target.clone();
-            match self.send(stage, rebuild, overdue_turns).await? {
-                Ok(answer) => return Ok(StepVerdict::Answered(answer)),
-                Err(StepError::Refused(StepRefusal::Lineage { .. })) if !rebuild => rebuild = true,
-                Err(StepError::Refused(StepRefusal::Full { retry_after_ms })) => {
-                    let pause = Duration::from_millis(retry_after_ms).max(FULL_PAUSE);
-                    tokio::time::sleep(pause).await;
-                }
-                Err(StepError::Refused(StepRefusal::Late)) => {
-                    return Err(Refusal::Cut("the deadline passed".to_owned()));
-                }
-                Err(StepError::Refused(reason)) => {
-                    return Ok(StepVerdict::Unwilling(format_smolstr!("{target}: {reason:?}")));
-                }
-                Err(StepError::Silent) if tries + 1 < TRIES_PER_TARGET => {
-                    // The same step id on a new connection: an engine that ran it answers again.
-                    tries += 1;
-                    self.note_retry(&target, "its connection went silent");
-                }
-                Err(StepError::Broken(reason)) if tries + 1 < TRIES_PER_TARGET => {
-                    tries += 1;
-                    self.note_retry(&target, &reason);
-                }
-                Err(StepError::Overdue) => {
-                    // An engine that still runs the step takes the repeat for the same one.
-                    overdue_turns += 1;
-                    self.note_retry(&target, "its answer is overdue");
-                }
-                Err(error) => {
-                    let reason = error.to_string();
-                    crashes::note_crash(&self.state, &target, &reason);
-                    return Ok(StepVerdict::GiveUp(SmolStr::new(reason)));
-                }
-            }
-        }
-    }
-
-    /// Sends the current step once; `overdue_turns` counts the times that it was overdue before.
-    async fn send(
-        &mut self,
-        stage: usize,
-        rebuild: bool,
-        overdue_turns: u32,
-    ) -> Result<Result<StepAnswer, StepError>, Refusal> {
-        let now = self.state.now();
-        let order = self.step_order(stage, rebuild, now);
-        let target = self.stages[stage].choice.target.clone();
-        let row = {
-            let mut tables = self.state.tables();
-            tables.targets.note_sent(&target);
-            let silence = tables.declaration.policy.suspect_after;
-            let row = tables.targets.rows.get(&target);
-            row.map(|row| (row.spec.address, silence, row.latency))
-        };
-        let Some((address, silence, latency)) = row else {
-            let reason = SmolStr::new_static("it is no longer declared");
-            return Ok(Err(StepError::Connect(reason)));
-        };
-        self.touched.insert(target.clone());
-        let request = self.order.request.clone();
-        crashes::note_running(&self.state, &target, &request, self.order.content);
-        let name = request.to_string();
-        let detail = format_smolstr!("token {} stage {stage}", self.token);
-        self.state.journal.record(EventKind::StepSent, &name, target.as_str(), &detail);
-        let patience = (latency * OVERDUE_FACTOR).max(OVERDUE_FLOOR) * (1 << overdue_turns.min(6));
-        let until = self.order.deadline.min(now + patience);
-        let result = tokio::time::timeout_at(
-            self.state.clock.instant(until),
-            self.state.steps.run(&target, address, order, silence),
-        );
-        let result = result.await.unwrap_or(Err(StepError::Overdue));
-        let ended = self.state.now();
-        let took = result.is_ok().then(|| ended.since(now));
-        self.state.tables().targets.note_ended(&target, took, ended);
-        if !matches!(result, Err(StepError::Broken(_) | StepError::Silent)) {
-            crashes::note_idle(&self.state, &target, &request);
-        }
-        if result.is_ok() {
-            self.state.journal.record(EventKind::StepAnswered, &name, target.as_str(), &detail);
-        }
-        Ok(result)
-    }
-
-    fn step_order(&self, stage: usize, rebuild: bool, now: Moment) -> StepOrder {
-        let running = &self.stages[stage];
-        let layers: LayerRange = running.choice.layers;
-        let input = running.inputs.last().copied().unwrap_or(self.next_input);
-        let tokens = (self.order.prompt.len() / BYTES_PER_TOKEN + 1) as u32;
-        let work = if rebuild && self.token > 0 {
-            StepWork::Rebuild { inputs: running.inputs.clone(), tokens }
-        } else if self.token == 0 {
-            StepWork::Prompt { input, tokens, prefixes: self.prefixes.clone() }
-        } else {
-            StepWork::Token { input }
-        };
-        StepOrder {
-            step: StepId {
-                request: self.order.request.clone().into(),
-                lineage: self.lineage,
-                token: self.token,
-                stage: stage as u32,
-            },
-            model: self.order.model.clone().into(),
-            first_layer: layers.first,
-            end_layer: layers.end,
-            work,
-            priority: self.order.priority,
-            deadline_ms: self.order.deadline.since(now).as_millis() as u64,
-        }
-    }
-
-    /// Finds another target for a stage's layers, waiting for one within the deadline.
-    async fn replace(&mut self, stage: usize) -> Result<(), Refusal> {
-        let layers = self.stages[stage].choice.layers;
-        loop {
-            self.check_deadline()?;
-            let choice = {
-                let now = self.state.now();
-                let mut tables = self.state.tables();
-                tables.targets.advance(now);
-                let excluded = self.excluded(&tables);
-                let query = self.query(&excluded, rand::random());
-                let choose_stage = self.state.decisions.choose_stage;
-                let choice = choose_stage(&tables.targets, &query, layers);
-                if let Some(choice) = &choice {
-                    tables.targets.note_unassigned(&self.stages[stage].choice.target);
-                    tables.targets.note_assigned(&choice.target);
-                }
-                choice
-            };
-            if let Some(choice) = choice {
-                self.note_replacement(stage, &choice);
-                self.stages[stage].choice = choice;
-                return Ok(());
-            }
-            // A target that failed this answer may have come back, which is better than none.
-            self.failed.clear();
-            tokio::time::sleep(NO_TARGET_PAUSE).await;
-        }
-    }
-
-    fn note_replacement(&self, stage: usize, choice: &StageChoice) {
-        metric::count_replacement();
-        let dead = &self.stages[stage].choice.target;
-        let detail = format_smolstr!("stage {stage}, token {}, instead of {dead}", self.token);
-        let name = self.order.request.to_string();
-        self.state.journal.record(EventKind::StageReplaced, &name, choice.target.as_str(), &detail);
-    }
-
-    fn note_retry(&self, target: &TargetId, reason: &str) {
-        metric::count_retry();
-        let name = self.order.request.to_string();
-        self.state.journal.record(EventKind::Retried, &name, target.as_str(), reason);
-    }
-
-    fn check_deadline(&self) -> Result<(), Refusal> {
-        if self.state.now() >= self.order.deadline {
-            return Err(Refusal::Cut("the deadline passed".to_owned()));
-        }
-        Ok(())
-    }
-
-    fn check_quarantine(&self) -> Result<(), Refusal> {
-        if crashes::is_quarantined(&self.state, self.order.content) {
-            return Err(Refusal::Cut("its content stops the targets that run it".to_owned()));
-        }
-        Ok(())
-    }
 }
 
 impl Drop for LineageRun {
     fn drop(&mut self) {
+        self.note_idle();
+        self.release_stages();
         let request = self.order.request.clone();
         let mut addresses = Vec::new();
         {
-            let mut tables = self.state.tables();
-            for stage in &self.stages {
-                tables.targets.note_unassigned(&stage.choice.target);
-            }
+            let tables = self.state.tables();
             for target in &self.touched {
-                if let Some(contents) = tables.contents.get_mut(target) {
-                    contents.remove(&request);
-                }
                 if let Some(row) = tables.targets.rows.get(target) {
                     addresses.push(row.spec.address);
                 }
             }
-            tables.suspects.probation.remove(&self.order.content);
         }
         let state = self.state.clone();
         let Ok(runtime) = tokio::runtime::Handle::try_current() else { return };
--- a/crates/banyan-entry/src/peer_link.rs
+++ b/crates/banyan-entry/src/peer_link.rs
@@ -4,6 +4,7 @@
 //! dropped, and the next call makes a new one.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
@@ -36,6 +37,7 @@
 use banyan_wire::peer::PeerServiceClient;
 use banyan_wire::peer::RelayReply;
 use banyan_wire::peer::SnapshotReply;
+use banyan_wire::peer::TrialOrder;
 
 /// The longest message, in bytes: the state of all folds.
 const FRAME_LIMIT_BYTES: usize = 64 << 20;
@@ -142,6 +144,16 @@
     .await
 }
 
+/// Begins or ends a suspect's trial at a target's referee.
+pub async fn trial(
+    state: &EntryState,
+    address: SocketAddr,
+    order: TrialOrder,
+) -> Result<bool, PeerError> {
+    call(state, address, SHORT_TIMEOUT, async |client, context| client.trial(context, order).await)
+        .await
+}
+
 async fn call<T, F>(
     state: &EntryState,
     address: SocketAddr,
@@ -181,6 +193,11 @@
         Ok(link)
     }
 
+    /// Closes the connections to all but these addresses.
+    pub fn keep_only(&self, addresses: &BTreeSet<SocketAddr>) {
+        self.lock().retain(|address, _| addresses.contains(address));
+    }
+
     /// Bytes exchanged with peers so far.
     pub fn bytes(&self) -> u64 {
         self.bytes.load(Ordering::Relaxed)
--- a/crates/banyan-entry/src/peers.rs
+++ b/crates/banyan-entry/src/peers.rs
@@ -13,12 +13,11 @@
 use banyan_config::settings::EntrySettings;
 use banyan_core::ids::InstanceId;
 use banyan_core::ids::Revision;
-use banyan_core::ids::TargetId;
+use banyan_core::ids::ZoneId;
 use banyan_core::record::StreamId;
+use banyan_core::serving::ring::LiveInstances;
 use banyan_core::units::Moment;
 use banyan_wire::peer::PeerDigest;
-use banyan_wire::peer::SuspectDigest;
-use banyan_wire::peer::UsageDigest;
 
 /// The number of peers that one round of exchange talks to.
 pub const FANOUT: usize = 3;
@@ -40,6 +39,8 @@
     pub rows: BTreeMap<InstanceId, PeerRow>,
     /// Addresses from the settings whose instance is not known yet.
     pub greet: BTreeSet<SocketAddr>,
+    /// When the instance list was last read.
+    list_read: Option<Moment>,
     /// Where the next round of exchange goes on in the order of addresses.
     turn: usize,
 }
@@ -69,12 +70,8 @@
     pub failures: u32,
     /// Whether it is suspected.
     pub suspected: bool,
-    /// The targets that are leaving, by what it saw itself.
-    pub leaving_targets: BTreeSet<TargetId>,
-    /// Its use of workspaces, as it last said.
-    pub usage: Vec<UsageDigest>,
-    /// The contents that it suspects of crashing targets.
-    pub suspects: Vec<SuspectDigest>,
+    /// Its availability zone, as it last said.
+    pub zone: Option<ZoneId>,
 }
 
 /// A change of trust in a peer.
@@ -127,10 +124,7 @@
         row.next = next.filter_map(|(name, at)| Some((name.parse().ok()?, *at))).collect();
         row.log_silent = Duration::from_millis(digest.log_silent_ms);
         row.draining = digest.draining;
-        let leaving = digest.targets.iter().filter(|target| target.leaving);
-        row.leaving_targets = leaving.filter_map(|target| target.target.parse().ok()).collect();
-        row.usage = digest.usage.clone();
-        row.suspects = digest.suspects.clone();
+        row.zone = digest.zone.parse().ok();
         let was_suspected = std::mem::replace(&mut row.suspected, false);
         (fresh || was_suspected).then_some(PeerChange::Trusted(instance))
     }
@@ -148,7 +142,12 @@
     }
 
     /// Takes in the instance list's other entries, with their addresses and whether they leave.
-    pub fn note_listed(&mut self, listed: BTreeMap<InstanceId, (Option<SocketAddr>, bool)>) {
+    pub fn note_listed(
+        &mut self,
+        listed: BTreeMap<InstanceId, (Option<SocketAddr>, bool)>,
+        now: Moment,
+    ) {
+        self.list_read = Some(now);
         for row in self.rows.values_mut() {
             row.listed = false;
         }
@@ -166,22 +165,40 @@
     /// Forgets peers that the instance list no longer names and that are silent.
     ///
     /// A peer that said that it leaves is forgotten once it is silent; any other one might only be
-    /// cut off, so that it counts as a peer for longer.
+    /// cut off, so that it counts as a peer for longer, and for ever where the list is not read,
+    /// because then this instance may be the one that is cut off.
     pub fn forget_gone(&mut self, now: Moment) {
+        let reads_list = self.list_read.is_some_and(|read| now.since(read) < FORGET_AFTER);
         self.rows.retain(|_, row| {
             let silent = row.heard.map(|heard| now.since(heard));
             let gone = row.leaving() && row.suspected;
-            let old = silent.is_none_or(|silent| silent >= FORGET_AFTER);
+            let old = reads_list && silent.is_none_or(|silent| silent >= FORGET_AFTER);
             row.listed || row.heard.is_some() && !gone && !old
         });
     }
 
+    /// The addresses of all peers that are known or greeted.
+    pub fn known(&self) -> BTreeSet<SocketAddr> {
+        let rows = self.rows.values().filter_map(|row| row.address);
+        rows.chain(self.greet.iter().copied()).collect()
+    }
+
+    /// The peers that can be given work, with their zones.
+    pub fn live(&self) -> LiveInstances {
+        let usable = self.rows.iter().filter(|(_, row)| row.usable());
+        usable.filter_map(|(instance, row)| Some((instance.clone(), row.zone.clone()?))).collect()
+    }
+
+    /// The addresses of some peers, and of those that are greeted.
+    pub fn addresses(&self, instances: &[InstanceId]) -> Vec<SocketAddr> {
+        let known = instances.iter().filter_map(|instance| self.rows.get(instance)?.address);
+        known.chain(self.greet.iter().copied().take(FANOUT)).collect()
+    }
+
     /// The addresses of one round of exchange, in turn, so that each peer is met after a bounded
     /// number of rounds.
     pub fn next_round(&mut self) -> Vec<SocketAddr> {
-        let known: BTreeSet<SocketAddr> =
-            self.rows.values().filter_map(|row| row.address).chain(self.greet.clone()).collect();
-        let known: Vec<SocketAddr> = known.into_iter().collect();
+        let known: Vec<SocketAddr> = self.known().into_iter().collect();
         let count = known.len().min(FANOUT);
         let round = (0..count).map(|step| known[(self.turn + step) % known.len()]).collect();
         self.turn = self.turn.wrapping_add(count) % known.len().max(1);
--- a/crates/banyan-spec/src/catalogue.rs
+++ b/crates/banyan-spec/src/catalogue.rs
@@ -94,7 +94,7 @@
     let long = ClaimsBounds { unread: 3, time: 3, crashes: 1, ..small };
     let again = ClaimsBounds { unread: 3, crashes: 1, retries: 1, ..small };
     let all = match size {
-        SearchSize::Small => vec![small],
+        SearchSize::Small => vec![small, crashes],
         SearchSize::Full => vec![small, crashes, three, long, again],
     };
     let mutants = [
@@ -111,6 +111,8 @@
         (ClaimsMutant::LastClaimWins, small),
         (ClaimsMutant::ReleaseForAnother, small),
         (ClaimsMutant::CloseForAnother, ClaimsBounds { retries: 1, ..small }),
+        (ClaimsMutant::ClaimWhenForgotten, ClaimsBounds { gives_up: false, ..small }),
+        (ClaimsMutant::ClaimWhenVoid, ClaimsBounds { gives_up: false, ..crashes }),
     ];
     claims_of("claims", all, &mutants)
 }
@@ -232,10 +234,11 @@
         pause: 1,
         delay: 1,
     };
-    let full = LeasesBounds { time: 7, grants: 3, orders: 3, ..small };
+    let long = LeasesBounds { time: 7, ..small };
+    let more = LeasesBounds { time: 5, grants: 3, ..small };
     let all = match size {
         SearchSize::Small => vec![small],
-        SearchSize::Full => vec![small, full],
+        SearchSize::Full => vec![small, long, more],
     };
     let mutants = [
         LeasesMutant::NoWait,
