--- a/crates/banyan-wire/src/peer.rs
+++ b/crates/banyan-wire/src/peer.rs
@@ -14,6 +14,7 @@
 use banyan_core::ids::IdError;
 use banyan_core::record::ContentDigest;
 use banyan_core::serving::exchange::ExchangeDigest;
+use banyan_core::serving::exchange::LinkNews;
 use banyan_core::serving::exchange::LoadNews;
 use banyan_core::serving::exchange::SuspectNews;
 use banyan_core::serving::limits::UsagePage;
@@ -92,11 +93,22 @@
     /// The target's place in the list of declared targets.
     pub place: u32,
     /// Steps running or waiting there.
-    pub load: u32,
+    pub load: u16,
     /// Streams kept there.
-    pub streams: u32,
+    pub streams: u16,
     /// How long ago that was measured, in milliseconds.
-    pub age_ms: u64,
+    pub age_ms: u16,
+    /// What answers took beyond the step at the teller, if any came lately.
+    pub link: Option<LinkDigest>,
+}
+
+/// What answers of a target took beyond the step.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct LinkDigest {
+    /// The time beyond the step, in microseconds.
+    pub excess_us: u32,
+    /// How long ago that was observed, in milliseconds.
+    pub age_ms: u16,
 }
 
 /// A content that may crash targets.
@@ -149,18 +161,40 @@
 
 impl From<LoadNews> for LoadDigest {
     fn from(news: LoadNews) -> Self {
-        let LoadNews { place, load, streams, age } = news;
-        Self { place, load, streams, age_ms: millis(age) }
+        let LoadNews { place, load, streams, age, link } = news;
+        let (load, streams) = (short(load.into()), short(streams.into()));
+        Self { place, load, streams, age_ms: short(millis(age)), link: link.map(LinkDigest::from) }
     }
 }
 
 impl From<LoadDigest> for LoadNews {
     fn from(digest: LoadDigest) -> Self {
-        let LoadDigest { place, load, streams, age_ms } = digest;
-        Self { place, load, streams, age: Duration::from_millis(age_ms) }
+        let LoadDigest { place, load, streams, age_ms, link } = digest;
+        let age = Duration::from_millis(age_ms.into());
+        let link = link.map(LinkNews::from);
+        Self { place, load: load.into(), streams: streams.into(), age, link }
+    }
+}
+
+impl From<LinkNews> for LinkDigest {
+    fn from(news: LinkNews) -> Self {
+        let excess_us = u32::try_from(news.excess.as_micros()).unwrap_or(u32::MAX);
+        Self { excess_us, age_ms: short(millis(news.age)) }
     }
 }
 
+impl From<LinkDigest> for LinkNews {
+    fn from(digest: LinkDigest) -> Self {
+        let excess = Duration::from_micros(digest.excess_us.into());
+        Self { excess, age: Duration::from_millis(digest.age_ms.into()) }
+    }
+}
+
+/// A number as two bytes; news with greater ones are of no use in any case.
+fn short(number: u64) -> u16 {
+    u16::try_from(number).unwrap_or(u16::MAX)
+}
+
 impl From<SuspectNews> for SuspectDigest {
     fn from(news: SuspectNews) -> Self {
         let crashes = news.crashes.into_iter();
