An instance is ready only once it has read what came after its checkpoint

Cause: a stream counted as there as soon as a checkpoint or a peer had given its state; the entries after that were read a moment later. A joining instance was ready, and served, with a revision that had been replaced long before. Change: while it joins, and within the limit that stood before, an instance that reaches the log waits until each stream was once read to its end. A log that is away is not waited for, since nothing else tells how far it goes.

--- a/crates/banyan-entry/src/daemon.rs
+++ b/crates/banyan-entry/src/daemon.rs
@@ -187,8 +187,8 @@
 /// Whether an instance that has just started may still get the state of every stream.
 fn is_joining(state: &EntryState) -> bool {
     let folds = state.folds.tables();
-    let started = all_streams().all(|stream| folds.started.contains(&stream));
-    !started && state.now() < Moment::default() + JOIN_LIMIT
+    let behind = all_streams().any(|stream| folds.is_behind(stream));
+    behind && state.now() < Moment::default() + JOIN_LIMIT
 }
 
 async fn bind(address: SocketAddr, field: &str) -> eyre::Result<TcpListener> {
--- a/crates/banyan-entry/src/follower.rs
+++ b/crates/banyan-entry/src/follower.rs
@@ -78,6 +78,8 @@
     pub reachable: BTreeMap<StreamId, bool>,
     /// The streams whose fold has its state, and can take the next entry.
     pub started: BTreeSet<StreamId>,
+    /// The streams that were once read to the end that the log had.
+    pub caught_up: BTreeSet<StreamId>,
     /// Where the state at the start came from.
     pub started_from: SmolStr,
     /// The checkpoints seen in each stream, to know when the next is due.
@@ -120,6 +122,7 @@
             lost_at: BTreeMap::new(),
             reachable: BTreeMap::new(),
             started: BTreeSet::new(),
+            caught_up: BTreeSet::new(),
             started_from: SmolStr::new_static("nothing yet"),
             checkpoints: BTreeMap::new(),
             pace: BTreeMap::new(),
@@ -170,6 +173,20 @@
         self.started.contains(&stream) && (reachable || relayed || just_lost)
     }
 
+    /// Notes where the log ended when a stream was read.
+    fn note_end(&mut self, stream: StreamId, end: LogOffset) {
+        if self.next(stream) >= end {
+            self.caught_up.insert(stream);
+        }
+    }
+
+    /// Whether a stream may still get its state, or what the log has had after it for long.
+    pub fn is_behind(&self, stream: StreamId) -> bool {
+        let reachable = self.reachable.get(&stream).copied().unwrap_or(false);
+        // Nothing but the log can tell how far it goes, so one that is away is not waited for.
+        !self.started.contains(&stream) || reachable && !self.caught_up.contains(&stream)
+    }
+
     /// When the configuration stream was last read from the log itself.
     pub fn configuration_read_at(&self) -> Option<Moment> {
         self.read_at.get(&StreamId::Configuration).copied()
@@ -305,6 +322,7 @@
                     state.folds.tables().started.remove(&stream);
                     continue;
                 }
+                state.folds.tables().note_end(stream, LogOffset(reply.next));
                 // A stream that cannot be folded on is not heard, although it is read.
                 note_reachable(&state, stream, result == BatchResult::Folded);
                 if result == BatchResult::Stopped {
--- a/crates/banyan-entry/tests/control/control_joining.rs
+++ b/crates/banyan-entry/tests/control/control_joining.rs
@@ -33,7 +33,7 @@
 const IN_FORCE_LIMIT: Duration = Duration::from_secs(9);
 
 /// Folds what the platform took of the configuration stream below `end` into a checkpoint's body.
-fn folded_body(truth: &banyan_standin::truth::PlatformTruth, end: u64) -> Vec<u8> {
+pub fn folded_body(truth: &banyan_standin::truth::PlatformTruth, end: u64) -> Vec<u8> {
     let mut fold = ConfigurationFold::new(banyan_config::merge_files);
     let rows = truth.appends.iter().filter(|row| row.stream == "configuration");
     for row in rows.filter(|row| row.offset < end) {
