--- a/crates/banyan-entry/src/daemon.rs
+++ b/crates/banyan-entry/src/daemon.rs
@@ -25,6 +25,7 @@
 use crate::listing::run_listing;
 use crate::operator;
 use crate::peer_server::serve_peers;
+use crate::prefixes::watch_caches;
 use crate::probes;
 use crate::relay::run_relay;
 use crate::state::EntryState;
@@ -99,6 +100,7 @@
         tasks.spawn(follow(state.clone(), stream));
     }
     tasks.spawn(probes::watch_targets(state.clone()));
+    tasks.spawn(watch_caches(state.clone()));
     tasks.spawn(run_ticks(state.clone()));
     tasks.spawn(announce(state.clone()));
     tasks.spawn(serve_peers(state.clone(), peers));
--- a/crates/banyan-entry/src/lib.rs
+++ b/crates/banyan-entry/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod peer_server;
 pub mod peers;
 pub mod platform;
+pub mod prefixes;
 pub mod probes;
 pub mod refusal;
 pub mod relay;
--- a/crates/banyan-entry/src/lineage.rs
+++ b/crates/banyan-entry/src/lineage.rs
@@ -267,7 +267,8 @@
     }
 }
 
-fn prefix_digests(prompt: &str) -> Vec<u64> {
+/// Digests of a prompt's growing prefixes, shortest first.
+pub fn prefix_digests(prompt: &str) -> Vec<u64> {
     let bytes = prompt.as_bytes();
     let unit = BYTES_PER_TOKEN * PREFIX_TOKENS as usize;
     (1..=bytes.len() / unit).map(|count| ContentDigest::of(&bytes[..count * unit]).0).collect()
--- a/crates/banyan-entry/src/lineage/step.rs
+++ b/crates/banyan-entry/src/lineage/step.rs
@@ -10,6 +10,7 @@
 use super::StepVerdict;
 use crate::crashes;
 use crate::metric;
+use crate::prefixes::note_found;
 use crate::refusal::Refusal;
 use crate::steps::StepAnswer;
 use crate::steps::StepError;
@@ -50,7 +51,12 @@
             self.check_quarantine()?;
             let target = self.stages[stage].choice.target.clone();
             match self.send(stage, rebuild, overdue_turns).await? {
-                Ok(answer) => return Ok(StepVerdict::Answered(answer)),
+                Ok(answer) => {
+                    if self.token == 0 {
+                        note_found(&self.state, &target, &self.prefixes, answer.cached);
+                    }
+                    return Ok(StepVerdict::Answered(answer));
+                }
                 Err(StepError::Refused(StepRefusal::Lineage { .. }))
                     if !rebuild && self.is_rebuildable(stage) =>
                 {
