--- a/crates/banyan-entry/tests/data_affinity.rs
+++ b/crates/banyan-entry/tests/data_affinity.rs
@@ -5,7 +5,6 @@
 use std::collections::BTreeSet;
 
 use smol_str::SmolStr;
-
 use support::SystemPlan;
 use support::TestSystem;
 use support::caller::open_stream;
