--- a/crates/banyan-entry/src/admission.rs
+++ b/crates/banyan-entry/src/admission.rs
@@ -24,6 +24,9 @@
 use banyan_core::serving::capacity::model_slots;
 use banyan_core::units::Moment;
 
+/// The time beyond its deadline for which a request is kept without fair admission.
+const UNFAIR_PATIENCE: Duration = Duration::from_secs(3600);
+
 /// The queues of one instance.
 #[derive(Clone, Debug, Default)]
 pub struct AdmissionTable {
@@ -171,16 +174,7 @@
     let now = state.now();
     let mut tables = state.tables();
     take_limits(&mut tables, order, now)?;
-    let spec = tables.declaration.workspaces.get(&order.workspace);
-    let (share, priority) = spec.map_or((1, 5), |spec| (spec.share, spec.priority));
-    let request = AdmissionRequest {
-        request: order.request.clone(),
-        workspace: order.workspace.clone(),
-        share,
-        priority,
-        tokens: order.tokens,
-        deadline: order.deadline,
-    };
+    let request = admission_request(state, &tables, order);
     let queue = tables.admission.queues.entry(order.model.clone()).or_default();
     match queue.offer(request, now) {
         AdmissionVerdict::Admitted => Ok(None),
@@ -196,6 +190,28 @@
     }
 }
 
+/// What is asked of the queue. Without fair admission all requests are alike, whoever sends them
+/// and however little time they have, so that the first to come is the first to be served.
+fn admission_request(
+    state: &EntryState,
+    tables: &EntryTables,
+    order: &AdmissionOrder,
+) -> AdmissionRequest {
+    let fair = state.decisions.fair_admission;
+    let spec = tables.declaration.workspaces.get(&order.workspace).filter(|_| fair);
+    let (share, priority) = spec.map_or((1, 5), |spec| (spec.share, spec.priority));
+    let all_alike = || tables.declaration.workspaces.keys().next().cloned();
+    let workspace = if fair { None } else { all_alike() };
+    AdmissionRequest {
+        request: order.request.clone(),
+        workspace: workspace.unwrap_or_else(|| order.workspace.clone()),
+        share,
+        priority,
+        tokens: order.tokens,
+        deadline: if fair { order.deadline } else { order.deadline + UNFAIR_PATIENCE },
+    }
+}
+
 fn take_limits(
     tables: &mut EntryTables,
     order: &AdmissionOrder,
