Revert "A workspace below its share may catch up with a few requests at once"

Cause: serving_admission::an_overload_by_a_large_workspace_leaves_the_small_ones_their_share was red with it: 37 accepted requests missed their deadlines, over 1 in 100. I had committed the change before that test had run. Conclusion: the estimate of what is ahead must follow what is saved up before this can be tried again.

--- a/crates/banyan-core/src/serving/lanes.rs
+++ b/crates/banyan-core/src/serving/lanes.rs
@@ -15,8 +15,6 @@
 
 /// Tags count in thousandths of a token for each unit of share.
 const TAG_SCALE: u64 = 1000;
-/// The requests that a workspace saves up while it asks for less than its share.
-const SAVED_REQUESTS: u64 = 4;
 /// The samples over which the pause between two turns is averaged.
 const PAUSE_SAMPLES: u32 = 64;
 /// The accounts of workspaces without waiting requests that are kept.
@@ -36,8 +34,7 @@
     latest: BTreeSet<(Moment, RequestId)>,
     /// What each workspace was given.
     accounts: BTreeMap<WorkspaceId, ShareAccount>,
-    /// The tag that every workspace with waiting requests has reached; one that was idle starts
-    /// from here, less what it saved up.
+    /// The tag that every workspace has reached; one that was idle starts from here.
     now: u64,
     /// The shares of all lanes together.
     shares: u64,
@@ -58,8 +55,6 @@
 struct ShareAccount {
     /// Tokens given, divided by the share.
     tag: u64,
-    /// What its newest request adds to the tag.
-    cost: u64,
     /// The pause between two turns while the workspace waits.
     pause: SmoothedTime,
     /// When it last had a turn and still waited.
@@ -94,7 +89,6 @@
     pub fn push(&mut self, request: AdmissionRequest, latest: Moment) {
         let workspace = request.workspace.clone();
         self.unlist(&workspace);
-        self.account(&workspace).cost = tag_cost(request.tokens, request.share);
         self.arrivals += 1;
         let arrival = self.arrivals;
         let place = LanePlace { workspace: workspace.clone(), arrival, latest };
@@ -154,14 +148,13 @@
     }
 
     /// The number of requests that go before a new one of this workspace: all of its own, and as
-    /// many of each other as its share allows while what it saved up does not cover its own.
+    /// many of each other as its share allows meanwhile.
     pub fn expected_ahead(&self, workspace: &WorkspaceId, share: u32) -> u64 {
         let lane = self.lanes.get(workspace);
         let own = lane.map_or(0, |lane| lane.requests.len() as u64);
         let share = u64::from(share.max(1));
         let others = self.shares - lane.map_or(0, |lane| u64::from(lane.share));
-        let level = (own + 1).saturating_sub(self.saved_requests(workspace));
-        let by_share = own + level * others / share;
+        let by_share = own + (own + 1) * others / share;
         by_share.min(self.len() as u64)
     }
 
@@ -175,18 +168,16 @@
 
     /// Charges a workspace for tokens while nobody waits, so that all start level from here.
     pub fn charge_unopposed(&mut self, workspace: &WorkspaceId, share: u32, tokens: u64) {
-        self.now = self.now.max(self.tag(workspace));
+        self.now = self.tag(workspace);
         self.charge(workspace, share, tokens);
     }
 
     /// Charges a workspace for tokens.
     pub fn charge(&mut self, workspace: &WorkspaceId, share: u32, tokens: u64) {
         self.unlist(workspace);
-        let cost = tag_cost(tokens, share);
+        let cost = tokens.max(1) * TAG_SCALE / u64::from(share.max(1));
         let tag = self.tag(workspace) + cost;
-        let account = self.account(workspace);
-        account.tag = tag;
-        account.cost = cost;
+        self.account(workspace).tag = tag;
         self.list(workspace);
         self.forget_idle();
     }
@@ -201,17 +192,8 @@
     }
 
     fn tag(&self, workspace: &WorkspaceId) -> u64 {
-        // A workspace that asked for less than its share may catch up with a few requests at once,
-        // or its bursts would wait as long as the queue of one that asks for more.
-        let cost = self.accounts.get(workspace).map_or(0, |account| account.cost);
-        self.listed_tag(workspace).max(self.now.saturating_sub(cost * SAVED_REQUESTS))
-    }
-
-    /// The number of requests that a workspace is behind the others.
-    fn saved_requests(&self, workspace: &WorkspaceId) -> u64 {
-        let cost = self.accounts.get(workspace).map_or(0, |account| account.cost);
-        let behind = self.now.saturating_sub(self.tag(workspace));
-        behind.checked_div(cost).unwrap_or(0)
+        // A workspace that was idle saves nothing up: it starts level with the others.
+        self.listed_tag(workspace).max(self.now)
     }
 
     fn account(&mut self, workspace: &WorkspaceId) -> &mut ShareAccount {
@@ -267,11 +249,6 @@
     }
 }
 
-/// What a request adds to its workspace's tag.
-fn tag_cost(tokens: u64, share: u32) -> u64 {
-    tokens.max(1) * TAG_SCALE / u64::from(share.max(1))
-}
-
 impl WorkspaceLane {
     fn backlog(&self) -> u64 {
         self.requests.len() as u64 * TAG_SCALE / u64::from(self.share)
