Targets reserved for suspects live with the model that uses them

Cause: nothing in the product called poison::reserved_for_others since each target has a referee, and the module's page still said so.

--- a/crates/banyan-core/src/serving/poison.rs
+++ b/crates/banyan-core/src/serving/poison.rs
@@ -4,15 +4,14 @@
 //! most one target at a time, and a target runs at most one suspect, so a second crash names the
 //! culprit: the only suspect that was in flight there. It is convicted and refused. Where several
 //! suspects were in flight at a crash all the same, none is convicted yet. Instances know only their
-//! own requests in flight, so each tries its suspects on targets that [`reserved_for_others`] leaves
-//! to it: two suspects of different instances never meet while every instance has such a target.
+//! own requests in flight, so the shell has a referee for each target that keeps suspects of
+//! different instances apart.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::time::Duration;
 
 use smol_str::SmolStr;
-use xxhash_rust::xxh3::xxh3_64;
 
 use crate::ids::TargetId;
 use crate::record::ContentDigest;
@@ -27,13 +26,6 @@
 /// How long a suspicion lasts without another crash.
 const SUSPICION_LIFE: Duration = Duration::from_secs(600);
 
-/// Whether another of the `live` instances tries its suspects on a target; `position` is this
-/// instance's place in the order of their names.
-pub fn reserved_for_others(target: &TargetId, position: usize, live: usize) -> bool {
-    let owner = xxh3_64(target.as_str().as_bytes()) % live.max(1) as u64;
-    owner != position as u64
-}
-
 /// One run of a target, which ended in a crash.
 pub type CrashedRun = (TargetId, SmolStr);
 
--- a/crates/banyan-naive/src/faults.rs
+++ b/crates/banyan-naive/src/faults.rs
@@ -6,6 +6,7 @@
 
 use smol_str::SmolStr;
 use smol_str::format_smolstr;
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::draws::DrawSource;
 use crate::fixtures::mixed_splits;
@@ -17,7 +18,6 @@
 use banyan_core::serving::health::note_alive;
 use banyan_core::serving::health::suspect_silent;
 use banyan_core::serving::poison::SuspectTable;
-use banyan_core::serving::poison::reserved_for_others;
 use banyan_core::serving::targets::TargetTable;
 use banyan_core::units::Moment;
 
@@ -264,3 +264,10 @@
     }
     convicted
 }
+
+/// Whether another of the `live` instances tries its suspects on a target; `position` is this
+/// instance's place in the order of their names.
+fn reserved_for_others(target: &TargetId, position: usize, live: usize) -> bool {
+    let owner = xxh3_64(target.as_str().as_bytes()) % live.max(1) as u64;
+    owner != position as u64
+}
