Two pieces that nothing used are gone: TargetRow::sent_since and StepClient::renew

Cause: the last reading found a counter that was only written, since the load history took its place, and a method without a caller, with the field that it alone read. Behaviour is unchanged.

--- a/crates/banyan-core/src/serving/targets.rs
+++ b/crates/banyan-core/src/serving/targets.rs
@@ -69,8 +69,6 @@
     pub in_flight: u32,
     /// The newest load report, if one came.
     pub report: Option<ReportedLoad>,
-    /// Steps that this instance sent since that report came.
-    pub sent_since: u32,
     /// Streams of this instance that run through it.
     pub assigned: u32,
     /// What this instance had under way there before.
@@ -159,7 +157,6 @@
             spec,
             in_flight: 0,
             report: None,
-            sent_since: 0,
             assigned: 0,
             history: LoadHistory::default(),
             link: LinkEstimate::default(),
@@ -270,7 +267,6 @@
         let now = self.now;
         let Some(row) = self.rows.get_mut(target) else { return };
         row.in_flight += 1;
-        row.sent_since += 1;
         row.remember_load(now);
     }
 
@@ -313,7 +309,6 @@
             row.link.fade();
             note_reported(&mut self.reported, target, row);
             row.report = Some(report);
-            row.sent_since = 0;
         }
     }
 
@@ -327,7 +322,6 @@
             report.incarnation = old.incarnation.clone();
         }
         note_reported(&mut self.reported, target, row);
-        row.sent_since = 0;
         row.report = Some(report);
     }
 
--- a/crates/banyan-entry/src/steps.rs
+++ b/crates/banyan-entry/src/steps.rs
@@ -107,7 +107,6 @@
 #[derive(Clone, Debug)]
 struct EngineLane {
     items: mpsc::UnboundedSender<LaneItem>,
-    connections: Arc<ConnectionPool>,
 }
 
 /// The connections to one engine, all of which can be given up at once.
@@ -146,14 +145,6 @@
         }
     }
 
-    /// Gives up every connection to a target.
-    pub fn renew(&self, target: &TargetId, address: SocketAddr) {
-        let lanes = self.lanes.lock().unwrap_or_else(PoisonError::into_inner);
-        if let Some(lane) = lanes.get(&(target.clone(), address)) {
-            lane.connections.renew();
-        }
-    }
-
     /// Tells an engine to forget a request; whether it hears it does not matter.
     pub async fn cancel(&self, address: SocketAddr, order: &CancelOrder) {
         if let Err(error) = self.control.post::<_, ()>(address, "/v1/cancel", order).await {
@@ -166,8 +157,8 @@
         let lane = lanes.entry((target.clone(), address)).or_insert_with(|| {
             let (items, receiver) = mpsc::unbounded_channel();
             let connections = Arc::new(ConnectionPool { client: Mutex::new(plain_client()) });
-            tokio::spawn(run_lane(address, receiver, connections.clone(), silence));
-            EngineLane { items, connections }
+            tokio::spawn(run_lane(address, receiver, connections, silence));
+            EngineLane { items }
         });
         lane.clone()
     }
