--- a/crates/banyan-core/src/lib.rs
+++ b/crates/banyan-core/src/lib.rs
@@ -6,12 +6,14 @@
 //!
 //! Read in the order of the data: [`ids`] and [`units`] name things, [`declaration`] is what the
 //! operators want, [`record`] is what stands in the platform's log, [`fold`] turns records into
-//! verdicts that are the same on every instance, and [`serving`] decides about requests.
+//! verdicts that are the same on every instance, [`serving`] decides about requests whose steps the
+//! daemon carries itself, and [`pipeline`] about requests that engines pass along among themselves.
 
 pub mod declaration;
 pub mod event;
 pub mod fold;
 pub mod ids;
+pub mod pipeline;
 pub mod record;
 pub mod rendezvous;
 pub mod serving;
--- /dev/null
+++ b/crates/banyan-core/src/pipeline/fleet.rs
@@ -0,0 +1,158 @@
+//! The targets that are known to exist: [`FleetTable`].
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use smol_str::SmolStr;
+
+use crate::ids::LayerRange;
+use crate::ids::ServiceId;
+use crate::ids::TargetId;
+use crate::ids::ZoneId;
+use crate::units::Moment;
+
+/// What a target says of taking new work.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum TargetPhase {
+    /// It takes new work.
+    Ready,
+    /// It finishes its work and leaves.
+    Draining,
+}
+
+/// What a target says of itself.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct TargetReport {
+    /// The service that it belongs to.
+    pub service: ServiceId,
+    /// Where it is reached.
+    pub address: SocketAddr,
+    /// Its availability zone.
+    pub zone: ZoneId,
+    /// Whether it takes new work.
+    pub phase: TargetPhase,
+    /// The most requests that it works on at once.
+    pub slots: u32,
+    /// The kind of its accelerator, for engines.
+    pub kind: Option<SmolStr>,
+    /// The layers that it holds. Invariant: sorted, and no two ranges touch.
+    pub held: Vec<LayerRange>,
+    /// The wall-clock millisecond of its start, which tells two runs under one id apart.
+    pub born: Option<u64>,
+}
+
+/// A target as this instance knows it.
+#[derive(Clone, Debug)]
+pub struct TargetRow {
+    /// What the target last said.
+    pub report: TargetReport,
+    /// When its record was removed, if it was; the row is dropped some time after that.
+    pub removed: Option<Moment>,
+    /// When an address, phase or set of layers last changed.
+    pub changed: Moment,
+}
+
+impl TargetRow {
+    /// Whether new work may go to the target.
+    pub fn takes_work(&self) -> bool {
+        self.removed.is_none() && self.report.phase == TargetPhase::Ready
+    }
+}
+
+/// A change of the fleet, in the order in which the platform made it.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum FleetChange {
+    /// A target said this.
+    Reported(TargetId, TargetReport),
+    /// The target's record was removed.
+    Removed(TargetId),
+}
+
+/// The targets that are known to exist.
+#[derive(Debug, Default)]
+pub struct FleetTable {
+    /// The rows by target.
+    pub rows: BTreeMap<TargetId, TargetRow>,
+    /// Grows with each change that matters to choosing targets.
+    pub revision: u64,
+}
+
+/// How long a row whose record was removed is kept, by the state of the platform.
+#[derive(Clone, Copy, Debug)]
+pub struct RemovalGrace {
+    /// While the platform is sound: a removed target has left.
+    pub sound: Duration,
+    /// Shortly after the platform was away: a living target is listed again within this time.
+    pub unsound: Duration,
+}
+
+impl FleetTable {
+    /// Takes in one change.
+    pub fn apply(&mut self, change: FleetChange, now: Moment) {
+        match change {
+            FleetChange::Reported(id, report) => self.report(id, report, now),
+            FleetChange::Removed(id) => self.remove(&id, now),
+        }
+    }
+
+    /// Replaces everything by a full listing; rows that it lacks count as removed.
+    pub fn replace(&mut self, listing: BTreeMap<TargetId, TargetReport>, now: Moment) {
+        let missing: Vec<TargetId> =
+            self.rows.keys().filter(|id| !listing.contains_key(*id)).cloned().collect();
+        for id in missing {
+            self.remove(&id, now);
+        }
+        for (id, report) in listing {
+            self.report(id, report, now);
+        }
+    }
+
+    /// Drops rows whose records were removed longer ago than `grace`.
+    pub fn drop_removed(&mut self, grace: Duration, now: Moment) -> Vec<TargetId> {
+        let gone: Vec<TargetId> = self
+            .rows
+            .iter()
+            .filter(|(_, row)| row.removed.is_some_and(|at| now.since(at) >= grace))
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in &gone {
+            self.rows.remove(id);
+            self.revision += 1;
+        }
+        gone
+    }
+
+    /// The rows of one service.
+    pub fn of_service<'a>(
+        &'a self,
+        service: &'a ServiceId,
+    ) -> impl Iterator<Item = (&'a TargetId, &'a TargetRow)> {
+        self.rows.iter().filter(move |(_, row)| row.report.service == *service)
+    }
+
+    /// The target at an address.
+    pub fn at_address(&self, address: SocketAddr) -> Option<&TargetId> {
+        self.rows.iter().find(|(_, row)| row.report.address == address).map(|(id, _)| id)
+    }
+
+    fn report(&mut self, id: TargetId, report: TargetReport, now: Moment) {
+        if let Some(row) = self.rows.get_mut(&id) {
+            if row.report == report && row.removed.is_none() {
+                return;
+            }
+            *row = TargetRow { report, removed: None, changed: now };
+        } else {
+            self.rows.insert(id, TargetRow { report, removed: None, changed: now });
+        }
+        self.revision += 1;
+    }
+
+    fn remove(&mut self, id: &TargetId, now: Moment) {
+        let Some(row) = self.rows.get_mut(id) else { return };
+        if row.removed.is_none() {
+            row.removed = Some(now);
+            self.revision += 1;
+        }
+    }
+}
--- /dev/null
+++ b/crates/banyan-core/src/pipeline/retries.rs
@@ -0,0 +1,76 @@
+//! Whether a request may be sent once more: [`RetryShare`], this instance's part of a budget that all
+//! instances share.
+
+use std::collections::BTreeMap;
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use crate::ids::ServiceId;
+use crate::units::Moment;
+
+/// The bounds of the budget that all instances share.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RetryBounds {
+    /// Retries allowed for each request in the window.
+    pub ratio: f64,
+    /// The window over which requests and retries are counted.
+    pub window: Duration,
+    /// Retries allowed in the window beside the ratio, over all instances.
+    pub extra: f64,
+}
+
+/// The part of the ratio that is used, so that windows that begin elsewhere keep it too.
+const RATIO_MARGIN: f64 = 0.8;
+/// The part of the extra retries that is used, for the same reason.
+const EXTRA_MARGIN: f64 = 0.8;
+
+/// What was sent to one service in the window.
+#[derive(Debug, Default)]
+struct ServiceWindow {
+    requests: VecDeque<Moment>,
+    retries: VecDeque<Moment>,
+}
+
+/// This instance's part of the shared budget.
+///
+/// Invariant: the parts of all instances add up to no more than the budget, since the ratio counts
+/// each instance's own requests and the shares of the extra add up to one at most.
+#[derive(Debug, Default)]
+pub struct RetryShare {
+    windows: BTreeMap<ServiceId, ServiceWindow>,
+    share_of_extra: f64,
+}
+
+impl RetryShare {
+    /// Sets the part of the extra retries that belongs to this instance, from 0 to 1.
+    pub fn set_share(&mut self, share: f64) {
+        self.share_of_extra = share.clamp(0.0, 1.0);
+    }
+
+    /// Counts a request of a caller.
+    pub fn note_request(&mut self, service: &ServiceId, bounds: &RetryBounds, now: Moment) {
+        let window = self.windows.entry(service.clone()).or_default();
+        forget_old(&mut window.requests, bounds.window, now);
+        window.requests.push_back(now);
+    }
+
+    /// Takes one retry from the budget, if there is one left.
+    pub fn take(&mut self, service: &ServiceId, bounds: &RetryBounds, now: Moment) -> bool {
+        let window = self.windows.entry(service.clone()).or_default();
+        forget_old(&mut window.requests, bounds.window, now);
+        forget_old(&mut window.retries, bounds.window, now);
+        let by_ratio = window.requests.len() as f64 * bounds.ratio * RATIO_MARGIN;
+        let by_share = bounds.extra * self.share_of_extra * EXTRA_MARGIN;
+        if (window.retries.len() + 1) as f64 > by_ratio + by_share {
+            return false;
+        }
+        window.retries.push_back(now);
+        true
+    }
+}
+
+fn forget_old(moments: &mut VecDeque<Moment>, window: Duration, now: Moment) {
+    while moments.front().is_some_and(|at| now.since(*at) >= window) {
+        moments.pop_front();
+    }
+}
--- a/crates/banyan-entry/src/journal.rs
+++ b/crates/banyan-entry/src/journal.rs
@@ -6,12 +6,12 @@
 
 use smol_str::SmolStr;
 
-use crate::clock::wall_millis;
 use banyan_core::event::EventKind;
 use banyan_core::event::EventRing;
 use banyan_core::event::HybridClock;
 use banyan_core::event::HybridStamp;
 use banyan_core::event::TimelineEvent;
+use banyan_http::clock::wall_millis;
 
 /// The number of events kept.
 const EVENT_LIMIT: usize = 20_000;
--- a/crates/banyan-entry/src/lib.rs
+++ b/crates/banyan-entry/src/lib.rs
@@ -13,7 +13,6 @@
 pub mod checkpoints;
 pub mod claim_route;
 pub mod claims;
-pub mod clock;
 pub mod completion;
 pub mod counted;
 pub mod crashes;
--- a/crates/banyan-entry/src/state.rs
+++ b/crates/banyan-entry/src/state.rs
@@ -19,7 +19,6 @@
 use crate::admission::AdmissionTable;
 use crate::claim_route::FactOutbox;
 use crate::claims::ClaimLedger;
-use crate::clock::RuntimeClock;
 use crate::follower::FoldHub;
 use crate::journal::EventJournal;
 use crate::leaving::LeavingTable;
@@ -47,6 +46,7 @@
 use banyan_core::serving::ring::InstanceRing;
 use banyan_core::serving::targets::TargetTable;
 use banyan_core::units::Moment;
+use banyan_http::clock::RuntimeClock;
 
 /// Whether the instance takes new requests.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
--- /dev/null
+++ b/crates/banyan-forward/src/lib.rs
@@ -0,0 +1,28 @@
+//! The daemon that forwards whole requests: to engines that pass tokens on among themselves, and to
+//! replicas of plain services.
+//!
+//! A caller's connection is served by [`front`]; [`serve`] finds a request's route, workspace and
+//! time, and hands it to [`stream`] (which relays what [`opening`] got from a chain of engines) or to
+//! [`call`] (one replica, whole answers). Both send through [`link`]. [`feeds`] follows the
+//! platform's configuration and list of targets, [`leadership`] decides which instance orders layers
+//! onto engines and does so, [`readiness`] answers the balancer, and [`daemon`] starts and stops all
+//! of it. What the platform looks like stands behind the traits of [`edges`]; what the tasks share is
+//! [`state`].
+
+pub mod answer;
+pub mod call;
+pub mod daemon;
+pub mod edges;
+pub mod events;
+pub mod feeds;
+pub mod front;
+pub mod leadership;
+pub mod link;
+pub mod logs;
+pub mod opening;
+pub mod readiness;
+pub mod relay;
+pub mod serve;
+pub mod settings;
+pub mod state;
+pub mod stream;
--- /dev/null
+++ b/crates/banyan-forward/src/logs.rs
@@ -0,0 +1,142 @@
+//! Structured log lines: one JSON object for each decision.
+//!
+//! [`start_logging`] sets up the writer. It never holds up a request: lines go to a bounded queue that
+//! a thread of its own empties, and what the queue cannot take is dropped and counted.
+
+use std::time::Duration;
+
+use http::StatusCode;
+use tracing_appender::non_blocking::NonBlockingBuilder;
+use tracing_appender::non_blocking::WorkerGuard;
+use tracing_subscriber::EnvFilter;
+
+use crate::answer::Refusal;
+use crate::edges::RequestToken;
+use crate::serve::RequestTicket;
+use banyan_core::ids::TargetId;
+use banyan_core::pipeline::chain::TargetChain;
+
+/// Lines that wait to be written at most.
+const QUEUE_LINES: usize = 4_096;
+
+/// Writes structured lines to standard output until the guard is dropped; `filter` is the lowest level
+/// in the usual form, such as `info`.
+pub fn start_logging(filter: &str) -> WorkerGuard {
+    let builder = NonBlockingBuilder::default().lossy(true).buffered_lines_limit(QUEUE_LINES);
+    let (writer, guard) = builder.finish(std::io::stdout());
+    tracing_subscriber::fmt()
+        .json()
+        .flatten_event(true)
+        .with_target(false)
+        .with_env_filter(EnvFilter::new(filter))
+        .with_writer(writer)
+        .init();
+    guard
+}
+
+/// Logs that a request got an answer of the daemon's own.
+pub fn refused(token: Option<&RequestToken>, refusal: Refusal, took: Option<Duration>) {
+    let request = token.map_or("", |token| token.0.as_str());
+    let status = refusal.status().as_u16();
+    let cause = refusal.as_str();
+    let after_ms = match refusal {
+        Refusal::NotRun(_, after) => after.as_millis() as u64,
+        _ => 0,
+    };
+    let took_ms = took.unwrap_or_default().as_millis() as u64;
+    metrics::counter!("banyan_refusals_total", "cause" => cause).increment(1);
+    tracing::info!(part = "request", request, status, cause, after_ms, took_ms, "Refused.");
+}
+
+/// Logs that a target's answer was passed on whole.
+pub fn answered(
+    ticket: &RequestTicket,
+    status: StatusCode,
+    target: Option<&TargetId>,
+    attempts: u32,
+    took: Duration,
+) {
+    let target = target.map_or("", TargetId::as_str);
+    metrics::histogram!("banyan_answer_seconds").record(took.as_secs_f64());
+    tracing::info!(
+        part = "request",
+        request = %ticket.token,
+        route = %ticket.route.name,
+        version = ticket.version,
+        target,
+        attempts,
+        status = status.as_u16(),
+        took_ms = took.as_millis() as u64,
+        "Answered."
+    );
+}
+
+/// Logs that one attempt of a request failed.
+pub fn attempt_failed(token: &RequestToken, target: &TargetId, cause: &str) {
+    metrics::counter!("banyan_attempt_failures_total").increment(1);
+    tracing::info!(part = "request", request = %token, %target, cause, "An attempt failed.");
+}
+
+/// Logs that a target is avoided for a while.
+pub fn doubted(token: &RequestToken, target: &TargetId, cause: &str, silence: Duration) {
+    let silence_ms = silence.as_millis() as u64;
+    tracing::info!(part = "health", request = %token, %target, cause, silence_ms, "Doubted.");
+}
+
+/// Logs that a chain gave its first event.
+pub fn stream_opened(ticket: &RequestTicket, chain: &TargetChain, took: Duration) {
+    metrics::histogram!("banyan_first_event_seconds").record(took.as_secs_f64());
+    tracing::info!(
+        part = "request",
+        request = %ticket.token,
+        route = %ticket.route.name,
+        version = ticket.version,
+        chain = %chain_text(chain),
+        took_ms = took.as_millis() as u64,
+        "The stream began."
+    );
+}
+
+/// Logs that a stream broke off or stands still.
+pub fn stream_interrupted(
+    ticket: &RequestTicket,
+    chain: &TargetChain,
+    after: Option<u64>,
+    cause: &str,
+) {
+    metrics::counter!("banyan_stream_interruptions_total").increment(1);
+    tracing::info!(
+        part = "request",
+        request = %ticket.token,
+        chain = %chain_text(chain),
+        last_event = after,
+        cause,
+        "The stream was interrupted."
+    );
+}
+
+/// Logs how a stream ended.
+pub fn stream_ended(
+    ticket: &RequestTicket,
+    outcome: &str,
+    last_event: Option<u64>,
+    resumed: u32,
+    took: Duration,
+) {
+    tracing::info!(
+        part = "request",
+        request = %ticket.token,
+        outcome,
+        last_event,
+        resumed,
+        took_ms = took.as_millis() as u64,
+        "The stream ended."
+    );
+}
+
+/// The engines of a chain with their layers.
+fn chain_text(chain: &TargetChain) -> String {
+    let parts: Vec<String> =
+        chain.parts.iter().map(|part| format!("{}:{}", part.target, part.range)).collect();
+    parts.join(" ")
+}
--- /dev/null
+++ b/crates/banyan-forward/src/relay.rs
@@ -0,0 +1,75 @@
+//! What a request holds while it is under way, given back on drop: [`ActiveRequest`], [`LoadLease`].
+
+use std::sync::Arc;
+
+use crate::state::ForwardState;
+use banyan_core::ids::TargetId;
+use banyan_core::pipeline::chain::TargetChain;
+use banyan_core::units::TokenCount;
+
+/// A request that counts as under way until this is dropped.
+pub struct ActiveRequest {
+    release: Option<Box<dyn FnOnce() + Send>>,
+}
+
+impl Drop for ActiveRequest {
+    fn drop(&mut self) {
+        if let Some(release) = self.release.take() {
+            release();
+        }
+    }
+}
+
+/// Counts a request as under way.
+pub fn count_active<P: Send + Sync + 'static>(state: &Arc<ForwardState<P>>) -> ActiveRequest {
+    state.tables().active += 1;
+    let state = state.clone();
+    ActiveRequest { release: Some(Box::new(move || state.tables().active -= 1)) }
+}
+
+/// Room that a request takes up at targets until this is dropped.
+pub struct LoadLease {
+    release: Option<Box<dyn FnOnce() + Send>>,
+}
+
+impl Drop for LoadLease {
+    fn drop(&mut self) {
+        if let Some(release) = self.release.take() {
+            release();
+        }
+    }
+}
+
+/// Takes up room for a request of `tokens` tokens at all engines of a chain.
+pub fn lease_chain<P: Send + Sync + 'static>(
+    state: &Arc<ForwardState<P>>,
+    chain: &Arc<TargetChain>,
+    tokens: TokenCount,
+) -> LoadLease {
+    let mut tables = state.tables();
+    for (index, part) in chain.parts.iter().enumerate() {
+        tables.loads.add(&part.target, tokens, part.range.count(), index == 0);
+    }
+    drop(tables);
+    let state = state.clone();
+    let chain = chain.clone();
+    let release = move || {
+        let mut tables = state.tables();
+        for (index, part) in chain.parts.iter().enumerate() {
+            tables.loads.remove(&part.target, tokens, part.range.count(), index == 0);
+        }
+    };
+    LoadLease { release: Some(Box::new(release)) }
+}
+
+/// Takes up a place for one call at a replica.
+pub fn lease_replica<P: Send + Sync + 'static>(
+    state: &Arc<ForwardState<P>>,
+    target: &TargetId,
+) -> LoadLease {
+    state.tables().loads.add(target, TokenCount(0), 0, true);
+    let state = state.clone();
+    let target = target.clone();
+    let release = move || state.tables().loads.remove(&target, TokenCount(0), 0, true);
+    LoadLease { release: Some(Box::new(release)) }
+}
--- /dev/null
+++ b/crates/banyan-forward/src/state.rs
@@ -0,0 +1,158 @@
+//! What the daemon's tasks share: [`ForwardState`].
+//!
+//! Tables stand behind one short lock that is never held over an await.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+
+use tokio::sync::watch;
+
+use crate::edges::Membership;
+use crate::settings::ForwardSettings;
+use crate::settings::ServiceBounds;
+use banyan_core::ids::ServiceId;
+use banyan_core::pipeline::chain::ChainPool;
+use banyan_core::pipeline::chain::TargetChain;
+use banyan_core::pipeline::comeback::ComebackTable;
+use banyan_core::pipeline::fleet::FleetTable;
+use banyan_core::pipeline::load::LoadTable;
+use banyan_core::pipeline::retries::RetryShare;
+use banyan_core::pipeline::routes::RouteTable;
+use banyan_core::pipeline::suspicion::SuspicionTable;
+use banyan_core::units::Moment;
+use banyan_core::units::TokenCount;
+use banyan_http::clock::RuntimeClock;
+
+/// How many times as many instances as parts there are taken to be where this one has no part.
+const CROWD_FACTOR: f64 = 2.0;
+
+/// Whether the instance takes new requests.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum DaemonPhase {
+    /// It does.
+    Serving,
+    /// It tells the balancer that it will not, but still serves what arrives.
+    Leaving,
+    /// It refuses new requests and finishes those under way.
+    Draining,
+}
+
+/// The tables that decisions run over.
+#[derive(Debug, Default)]
+pub struct ForwardTables {
+    /// The configuration in force, once one is known.
+    pub routes: Option<Arc<RouteTable>>,
+    /// The targets, once they were listed.
+    pub fleet: FleetTable,
+    /// Whether the targets were listed since the start.
+    pub fleet_known: bool,
+    /// Which targets are doubted.
+    pub suspicions: SuspicionTable,
+    /// What this instance has under way at targets.
+    pub loads: LoadTable,
+    /// The chains of each service that serves a model.
+    pub pools: BTreeMap<ServiceId, ChainPool>,
+    /// This instance's part of the retry budget.
+    pub retries: RetryShare,
+    /// The times to come back that were given out.
+    pub comebacks: ComebackTable,
+    /// This instance's place among the live ones, as last heard.
+    pub membership: Option<Membership>,
+    /// When the platform's store last failed a call.
+    pub store_trouble: Option<Moment>,
+    /// Requests that have been read and not been answered whole.
+    pub active: u64,
+    draws: u64,
+}
+
+impl ForwardTables {
+    /// A number that differs from call to call, to spread choices.
+    pub fn draw(&mut self) -> u64 {
+        self.draws += 1;
+        xxhash_rust::xxh3::xxh3_64(&self.draws.to_le_bytes())
+    }
+
+    /// About how many instances carry as much as this one.
+    pub fn instances(&self) -> f64 {
+        match self.membership {
+            Some(place) if place.parts > 0 => f64::from(place.all_parts) / f64::from(place.parts),
+            Some(place) => f64::from(place.all_parts) * CROWD_FACTOR,
+            None => 1.0,
+        }
+    }
+
+    /// Takes in this instance's place among the live ones.
+    pub fn set_membership(&mut self, place: Membership) {
+        self.membership = Some(place);
+        self.retries.set_share(f64::from(place.parts) / f64::from(place.all_parts.max(1)));
+    }
+
+    /// The chain for a request of `tokens` tokens that uses none of `avoided`.
+    pub fn choose_chain(
+        &mut self,
+        service: &ServiceId,
+        settings: &ForwardSettings,
+        tokens: TokenCount,
+        avoided: &[banyan_core::ids::TargetId],
+        now: Moment,
+    ) -> Option<Arc<TargetChain>> {
+        let routes = self.routes.clone()?;
+        let model = routes.services.get(service)?.model.clone()?;
+        let instances = self.instances();
+        let pool = self.pools.entry(service.clone()).or_default();
+        pool.refresh(&model, service, routes.version, &self.fleet, &self.suspicions, now);
+        pool.choose(&self.loads, &settings.zone, tokens, instances, avoided)
+    }
+}
+
+/// Everything that the daemon's tasks share.
+#[derive(Debug)]
+pub struct ForwardState<P> {
+    /// The platform.
+    pub platform: P,
+    /// The clock for decisions.
+    pub clock: RuntimeClock,
+    /// Whether new requests are taken.
+    pub phase: watch::Sender<DaemonPhase>,
+    settings: Mutex<Arc<ForwardSettings>>,
+    tables: Mutex<ForwardTables>,
+}
+
+impl<P> ForwardState<P> {
+    /// The state of a daemon that starts now.
+    pub fn new(settings: ForwardSettings, platform: P) -> Self {
+        Self {
+            platform,
+            clock: RuntimeClock::start(),
+            phase: watch::Sender::new(DaemonPhase::Serving),
+            settings: Mutex::new(Arc::new(settings)),
+            tables: Mutex::new(ForwardTables::default()),
+        }
+    }
+
+    /// The settings in force.
+    pub fn settings(&self) -> Arc<ForwardSettings> {
+        self.settings.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    /// Puts new bounds in force; addresses and names stay as they were at the start.
+    pub fn set_bounds(&self, bounds: ServiceBounds) {
+        let mut settings = self.settings.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut changed = ForwardSettings::clone(&settings);
+        changed.bounds = bounds;
+        *settings = Arc::new(changed);
+    }
+
+    /// The tables, locked. The guard must not be held over an await.
+    pub fn tables(&self) -> MutexGuard<'_, ForwardTables> {
+        self.tables.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// The time of the daemon's clock.
+    pub fn now(&self) -> Moment {
+        self.clock.now()
+    }
+}
--- /dev/null
+++ b/crates/banyan-forward/src/stream.rs
@@ -0,0 +1,234 @@
+//! Streams from chains of engines: [`serve_stream`].
+//!
+//! The head of the answer is held until the first event is there, so that a chain that gives none can
+//! be replaced unseen. After that whole events are passed on as they come; where a stream may be
+//! resumed and stands still or breaks off, [`StreamRelay`] goes on at another chain behind the last
+//! event that the caller was sent.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Response;
+use http::header;
+use http::response::Parts;
+use http_body_util::BodyExt;
+use http_body_util::StreamBody;
+use hyper::body::Frame;
+use tokio::time::Instant;
+
+use crate::answer::AnswerBody;
+use crate::answer::AnswerBroken;
+use crate::answer::whole_body;
+use crate::edges::Platform;
+use crate::events::EventBatch;
+use crate::logs;
+use crate::opening::OpenedStream;
+use crate::opening::StreamOpener;
+use crate::opening::note_progress;
+use crate::relay::ActiveRequest;
+use crate::serve::RequestTicket;
+use crate::serve::strip_connection_headers;
+use crate::state::ForwardState;
+
+/// The part of the pause target after which a stream that stands still is checked.
+const PAUSE_PART: f64 = 0.6;
+/// The pause after which a stream is checked where its route has no pause target.
+const DEFAULT_PAUSE: Duration = Duration::from_millis(500);
+/// The time between two checks of a stream that goes on standing still.
+const CHECK_PAUSE: Duration = Duration::from_millis(50);
+
+/// Serves a stream: opens a chain and relays what it sends.
+pub async fn serve_stream<P: Platform>(
+    state: Arc<ForwardState<P>>,
+    ticket: RequestTicket,
+    active: ActiveRequest,
+) -> Response<AnswerBody> {
+    let ticket = Arc::new(ticket);
+    let mut opener = StreamOpener::new(state.clone(), ticket.clone());
+    let opened = match opener.open().await {
+        Ok(opened) => opened,
+        Err(refusal) => {
+            let took = state.now().since(ticket.received);
+            if let Some((head, body)) = opener.take_failure() {
+                logs::answered(&ticket, head.status, None, opener.attempts(), took);
+                return with_body(head, whole_body(body));
+            }
+            logs::refused(Some(&ticket.token), refusal, Some(took));
+            return refusal.response("no chain of engines gave a stream");
+        }
+    };
+    logs::stream_opened(&ticket, &opened.chain, state.now().since(ticket.received));
+    let head = opened.head.clone();
+    let relay = StreamRelay::new(state, ticket, opener, opened, active);
+    let frames = futures::stream::unfold(relay, |mut relay| async move {
+        let next = relay.next().await?;
+        Some((next.map(Frame::data), relay))
+    });
+    with_body(head, StreamBody::new(frames).boxed_unsync())
+}
+
+/// A target's head over a body whose length and connection are the daemon's own matter.
+fn with_body(mut head: Parts, body: AnswerBody) -> Response<AnswerBody> {
+    strip_connection_headers(&mut head.headers);
+    head.headers.remove(header::CONTENT_LENGTH);
+    Response::from_parts(head, body)
+}
+
+/// Passes a stream's events on to the caller and goes on elsewhere where it must.
+struct StreamRelay<P: Platform> {
+    state: Arc<ForwardState<P>>,
+    ticket: Arc<RequestTicket>,
+    opener: StreamOpener<P>,
+    opened: OpenedStream,
+    first: Option<EventBatch>,
+    /// When the last event came.
+    moved: Instant,
+    pause: Duration,
+    ended: bool,
+    resumed: u32,
+    _active: ActiveRequest,
+}
+
+/// What happened to a stream that is being relayed.
+enum StreamTurn {
+    Bytes(Bytes),
+    End,
+    Broken(&'static str),
+    Check,
+    TimeOver,
+}
+
+impl<P: Platform> StreamRelay<P> {
+    fn new(
+        state: Arc<ForwardState<P>>,
+        ticket: Arc<RequestTicket>,
+        opener: StreamOpener<P>,
+        mut opened: OpenedStream,
+        active: ActiveRequest,
+    ) -> Self {
+        let pause = ticket.route.pause_target.map_or(DEFAULT_PAUSE, |t| t.mul_f64(PAUSE_PART));
+        let first = opened.first.take();
+        Self {
+            state,
+            ticket,
+            opener,
+            opened,
+            first,
+            moved: Instant::now(),
+            pause,
+            ended: false,
+            resumed: 0,
+            _active: active,
+        }
+    }
+
+    /// The next events, `None` at the end of the whole stream, or an error where it must break off.
+    async fn next(&mut self) -> Option<Result<Bytes, AnswerBroken>> {
+        if self.ended {
+            return None;
+        }
+        if let Some(first) = self.first.take() {
+            return Some(Ok(first.bytes));
+        }
+        let mut check = self.moved + self.pause;
+        loop {
+            match self.turn(check).await {
+                StreamTurn::Bytes(bytes) => match self.opened.splitter.push(bytes) {
+                    Ok(Some(batch)) => {
+                        self.moved = Instant::now();
+                        note_progress(&self.state, &self.opened.chain);
+                        return Some(Ok(batch.bytes));
+                    }
+                    Ok(None) => {}
+                    Err(fault) => {
+                        logs::attempt_failed(
+                            &self.ticket.token,
+                            &self.opened.chain.parts[0].target,
+                            &fault.to_string(),
+                        );
+                        if let Some(broken) = self.resume("its events are damaged").await {
+                            return Some(Err(broken));
+                        }
+                    }
+                },
+                StreamTurn::End => {
+                    self.ended = true;
+                    self.log_end("complete");
+                    return None;
+                }
+                StreamTurn::Broken(cause) => {
+                    if let Some(broken) = self.resume(cause).await {
+                        return Some(Err(broken));
+                    }
+                }
+                StreamTurn::Check => {
+                    check = Instant::now() + CHECK_PAUSE;
+                    if self.stands_still()
+                        && let Some(broken) = self.resume("it stands still").await
+                    {
+                        return Some(Err(broken));
+                    }
+                }
+                StreamTurn::TimeOver => return Some(Err(self.break_off("time_over"))),
+            }
+            if let Some(first) = self.first.take() {
+                return Some(Ok(first.bytes));
+            }
+        }
+    }
+
+    async fn turn(&mut self, check: Instant) -> StreamTurn {
+        let limit = self.state.clock.instant(self.ticket.limit);
+        tokio::select! {
+            biased;
+            frame = self.opened.body.frame() => match frame {
+                Some(Ok(frame)) => StreamTurn::Bytes(frame.into_data().unwrap_or_default()),
+                Some(Err(_)) => StreamTurn::Broken("its connection broke off"),
+                None if self.opened.splitter.has_partial() => {
+                    StreamTurn::Broken("it ended within an event")
+                }
+                None => StreamTurn::End,
+            },
+            () = tokio::time::sleep_until(limit) => StreamTurn::TimeOver,
+            () = tokio::time::sleep_until(check) => StreamTurn::Check,
+        }
+    }
+
+    /// Whether the stream stands still because of an engine that does nothing else either.
+    fn stands_still(&mut self) -> bool {
+        self.opener.can_resume() && self.opener.doubt_silent(&self.opened.chain, self.pause)
+    }
+
+    /// Goes on at another chain; gives an error if there is none that will.
+    async fn resume(&mut self, cause: &'static str) -> Option<AnswerBroken> {
+        let after = self.opened.splitter.last_id();
+        logs::stream_interrupted(&self.ticket, &self.opened.chain, after, cause);
+        if !self.opener.can_resume() || after.is_none() {
+            return Some(self.break_off(cause));
+        }
+        self.opener.resume_after(after);
+        match self.opener.open().await {
+            Ok(mut opened) => {
+                self.first = opened.first.take();
+                self.opened = opened;
+                self.moved = Instant::now();
+                self.resumed += 1;
+                None
+            }
+            Err(refusal) => Some(self.break_off(refusal.as_str())),
+        }
+    }
+
+    fn break_off(&mut self, cause: &'static str) -> AnswerBroken {
+        self.ended = true;
+        self.log_end(cause);
+        AnswerBroken(cause)
+    }
+
+    fn log_end(&self, outcome: &'static str) {
+        let took = self.state.now().since(self.ticket.received);
+        let last = self.opened.splitter.last_id();
+        logs::stream_ended(&self.ticket, outcome, last, self.resumed, took);
+    }
+}
