--- a/crates/banyan-forward/src/leadership.rs
+++ b/crates/banyan-forward/src/leadership.rs
@@ -19,6 +19,7 @@
 use banyan_core::ids::LayerRange;
 use banyan_core::ids::ServiceId;
 use banyan_core::ids::TargetId;
+use banyan_core::pipeline::fleet::FleetTable;
 use banyan_core::pipeline::fleet::TargetRow;
 use banyan_core::pipeline::model::PipelineModel;
 use banyan_core::pipeline::placement::PlacementOrder;
@@ -36,6 +37,11 @@
 const LATE_ORDER_TIME: Duration = Duration::from_secs(3);
 /// The time for which an engine is left alone after it refused an order.
 const REFUSED_PAUSE: Duration = Duration::from_millis(500);
+/// The time without new engines after which the first layout is planned: engines that start together
+/// are listed one after the other, and a layout over the first few would crowd them.
+const SETTLE_TIME: Duration = Duration::from_millis(800);
+/// The longest time that the first layout waits for the list of engines to settle.
+const SETTLE_LIMIT: Duration = Duration::from_secs(3);
 /// How much longer than its share of the load time a load may take before it is ordered again.
 const LOAD_MARGIN: Duration = Duration::from_secs(3);
 
@@ -129,12 +135,25 @@
     for (service, spec) in &routes.services {
         let Some(model) = &spec.model else { continue };
         let targets = placement_targets(model, service, &tables.fleet.rows, &mut desk.pending);
+        if targets.iter().all(|target| target.range.is_none())
+            && !has_settled(&tables.fleet, service, now)
+        {
+            continue;
+        }
         let orders = plan_placement(model, &targets);
         due.extend(orders.into_iter().map(|order| (model.clone(), order)));
     }
     due
 }
 
+/// Whether no engine was listed lately, or the first one long enough ago.
+fn has_settled(fleet: &FleetTable, service: &ServiceId, now: Moment) -> bool {
+    let listed = || fleet.of_service(service).map(|(_, row)| row.changed);
+    let newest = listed().max().unwrap_or_default();
+    let oldest = listed().min().unwrap_or_default();
+    now.since(newest) >= SETTLE_TIME || now.since(oldest) >= SETTLE_LIMIT
+}
+
 fn placement_targets(
     model: &PipelineModel,
     service: &ServiceId,
