A chain counts as full only well above what this instance computes

Ruled out: engines that refuse (98 of 2,464 arrivals). The bound itself is to be replaced by what engines and peers say.

--- a/crates/banyan-core/src/pipeline/chain.rs
+++ b/crates/banyan-core/src/pipeline/chain.rs
@@ -160,7 +160,7 @@
                 continue;
             }
             let fullness = chain.fullness(loads, tokens, instances);
-            if fullness > 1.0 {
+            if fullness > 3.0 {
                 continue;
             }
             let near = chain.zone.as_ref() == Some(zone);
