--- a/crates/banyan-forward/src/logs.rs
+++ b/crates/banyan-forward/src/logs.rs
@@ -3,6 +3,8 @@
 //! [`start_logging`] sets up the writer. It never holds up a request: lines go to a bounded queue that
 //! a thread of its own empties, and what the queue cannot take is dropped and counted.
 
+use std::collections::BTreeMap;
+use std::sync::Arc;
 use std::time::Duration;
 
 use http::StatusCode;
@@ -13,7 +15,9 @@
 use crate::answer::Refusal;
 use crate::edges::RequestToken;
 use crate::serve::RequestTicket;
+use banyan_core::ids::ServiceId;
 use banyan_core::ids::TargetId;
+use banyan_core::ids::ZoneId;
 use banyan_core::pipeline::chain::TargetChain;
 
 /// Lines that wait to be written at most.
@@ -97,6 +101,16 @@
     );
 }
 
+/// Logs which chains are worth using now.
+pub fn chains_changed(service: &ServiceId, chains: &[Arc<TargetChain>], fleet: u64) {
+    let mut zones: BTreeMap<&str, u32> = BTreeMap::new();
+    for chain in chains {
+        *zones.entry(chain.zone.as_ref().map_or("several", ZoneId::as_str)).or_default() += 1;
+    }
+    let zones = format!("{zones:?}");
+    tracing::info!(part = "health", %service, fleet, zones, "The chains changed.");
+}
+
 /// Logs that a stream broke off or stands still.
 pub fn stream_interrupted(
     ticket: &RequestTicket,
--- a/crates/banyan-forward/src/state.rs
+++ b/crates/banyan-forward/src/state.rs
@@ -11,6 +11,7 @@
 use tokio::sync::watch;
 
 use crate::edges::Membership;
+use crate::logs;
 use crate::settings::ForwardSettings;
 use crate::settings::ServiceBounds;
 use banyan_core::ids::ServiceId;
@@ -103,7 +104,10 @@
         let model = routes.services.get(service)?.model.clone()?;
         let instances = self.instances();
         let pool = self.pools.entry(service.clone()).or_default();
-        pool.refresh(&model, service, routes.version, &self.fleet, &self.suspicions, now);
+        let version = routes.version;
+        if pool.refresh(&model, service, version, &self.fleet, &self.suspicions, now) {
+            logs::chains_changed(service, pool.chains(), self.fleet.revision);
+        }
         pool.choose(&self.loads, &settings.zone, tokens, instances, avoided)
     }
 }
