Instances exchange load, what they cannot reach and how far they have read

Cause: after a restart while the store is away an instance knew nothing, and the room of a chain was computed from the instance's own load alone.

--- a/crates/banyan-core/src/pipeline/chain.rs
+++ b/crates/banyan-core/src/pipeline/chain.rs
@@ -17,7 +17,7 @@
 use crate::ids::TargetId;
 use crate::ids::ZoneId;
 use crate::pipeline::fleet::FleetTable;
-use crate::pipeline::load::LoadTable;
+use crate::pipeline::load::LoadView;
 use crate::pipeline::model::PipelineModel;
 use crate::pipeline::suspicion::SuspicionTable;
 use crate::units::Moment;
@@ -31,6 +31,9 @@
 const HOP_COST: f64 = 0.01;
 /// How much longer a chain in another zone may take before the nearer one is chosen.
 const FAR_FACTOR: f64 = 1.15;
+/// How full a chain may be. Requests take up less than they are counted for, since an answer fills
+/// its room only at its end.
+const FULLEST: f64 = 1.4;
 /// How much longer a chain counts as taking when it is full.
 const CROWDED_FACTOR: f64 = 1.5;
 
@@ -69,11 +72,10 @@
         self.parts.iter().any(|part| targets.contains(&part.target))
     }
 
-    /// How full the fullest engine would be with `tokens` more; one is full. `instances` is how many
-    /// instances carry as much as `loads` says.
-    pub fn fullness(&self, loads: &LoadTable, tokens: TokenCount, instances: f64) -> f64 {
+    /// How full the fullest engine would be with `tokens` more; one is full.
+    pub fn fullness(&self, loads: &LoadView<'_>, tokens: TokenCount) -> f64 {
         let part_fullness = |part: &ChainPart| {
-            let used = loads.get(&part.target).token_layers as f64 * instances;
+            let used = loads.token_layers(&part.target);
             let asked = (tokens.0 * u64::from(part.range.count())) as f64;
             (used + asked) / part.token_layers.max(1) as f64
         };
@@ -144,14 +146,13 @@
         true
     }
 
-    /// Chooses the chain for a request of `tokens` tokens; chains that use one of `avoided` come last
-    /// and only if `last_resort` is set, and a chain without room is never chosen.
+    /// Chooses the chain for a request of `tokens` tokens; one that uses one of `avoided` or has no room
+    /// is never chosen.
     pub fn choose(
         &self,
-        loads: &LoadTable,
+        loads: &LoadView<'_>,
         zone: &ZoneId,
         tokens: TokenCount,
-        instances: f64,
         avoided: &[TargetId],
     ) -> Option<Arc<TargetChain>> {
         let mut best: Option<(f64, &Arc<TargetChain>)> = None;
@@ -159,8 +160,8 @@
             if chain.uses_any(avoided) {
                 continue;
             }
-            let fullness = chain.fullness(loads, tokens, instances);
-            if fullness > 3.0 {
+            let fullness = chain.fullness(loads, tokens);
+            if fullness > FULLEST {
                 continue;
             }
             let near = chain.zone.as_ref() == Some(zone);
--- a/crates/banyan-core/src/pipeline/load.rs
+++ b/crates/banyan-core/src/pipeline/load.rs
@@ -1,10 +1,17 @@
-//! What this instance's requests take up at each target: [`LoadTable`].
+//! What requests take up at each target: [`LoadTable`] for this instance's, [`PeerLoadTable`] for what
+//! other instances tell of theirs, [`LoadView`] for all together.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
+use crate::ids::InstanceId;
 use crate::ids::TargetId;
+use crate::units::Moment;
 use crate::units::TokenCount;
 
+/// The time for which what a peer said counts.
+const PEER_LOAD_TIME: Duration = Duration::from_millis(2_000);
+
 /// What this instance has under way at one target.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct TargetLoad {
@@ -23,6 +30,11 @@
 }
 
 impl LoadTable {
+    /// All targets at which something is under way.
+    pub fn rows(&self) -> impl Iterator<Item = (&TargetId, TargetLoad)> {
+        self.rows.iter().map(|(id, load)| (id, *load))
+    }
+
     /// What is under way at a target.
     pub fn get(&self, id: &TargetId) -> TargetLoad {
         self.rows.get(id).copied().unwrap_or_default()
@@ -47,3 +59,73 @@
         }
     }
 }
+
+/// What one peer said.
+#[derive(Debug)]
+struct PeerRow {
+    heard: Moment,
+    loads: BTreeMap<TargetId, TargetLoad>,
+    unreachable: Vec<TargetId>,
+}
+
+/// What other instances say that they have under way.
+#[derive(Debug, Default)]
+pub struct PeerLoadTable {
+    peers: BTreeMap<InstanceId, PeerRow>,
+    /// The token layers of all peers that count, by target.
+    sums: BTreeMap<TargetId, u64>,
+}
+
+impl PeerLoadTable {
+    /// Takes in what a peer says.
+    pub fn hear(
+        &mut self,
+        peer: InstanceId,
+        loads: BTreeMap<TargetId, TargetLoad>,
+        unreachable: Vec<TargetId>,
+        now: Moment,
+    ) {
+        self.peers.insert(peer, PeerRow { heard: now, loads, unreachable });
+        self.peers.retain(|_, row| now.since(row.heard) < PEER_LOAD_TIME);
+        self.sums.clear();
+        for row in self.peers.values() {
+            for (target, load) in &row.loads {
+                *self.sums.entry(target.clone()).or_default() += load.token_layers;
+            }
+        }
+    }
+
+    /// The peers whose word counts now.
+    pub fn heard(&self, now: Moment) -> usize {
+        self.peers.values().filter(|row| now.since(row.heard) < PEER_LOAD_TIME).count()
+    }
+
+    /// The targets that some peer cannot reach.
+    pub fn unreachable(&self, now: Moment) -> impl Iterator<Item = &TargetId> {
+        let fresh = move |row: &&PeerRow| now.since(row.heard) < PEER_LOAD_TIME;
+        self.peers.values().filter(fresh).flat_map(|row| &row.unreachable)
+    }
+
+    fn token_layers(&self, id: &TargetId) -> u64 {
+        self.sums.get(id).copied().unwrap_or_default()
+    }
+}
+
+/// What all instances have under way, as far as this one can tell.
+#[derive(Clone, Copy, Debug)]
+pub struct LoadView<'a> {
+    /// This instance's part.
+    pub own: &'a LoadTable,
+    /// What peers say.
+    pub peers: &'a PeerLoadTable,
+    /// How many instances each peer that was heard stands for.
+    pub peer_scale: f64,
+}
+
+impl LoadView<'_> {
+    /// Tokens of requests at a target, times the layers that they pass through there.
+    pub fn token_layers(&self, id: &TargetId) -> f64 {
+        let peers = self.peers.token_layers(id) as f64;
+        self.own.get(id).token_layers as f64 + peers * self.peer_scale
+    }
+}
--- a/crates/banyan-core/src/pipeline/suspicion.rs
+++ b/crates/banyan-core/src/pipeline/suspicion.rs
@@ -4,6 +4,7 @@
 //! streams that stand still. It is soft state: a doubted target is avoided while there is another.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use crate::ids::TargetId;
@@ -16,6 +17,9 @@
 /// The time after which an earlier failure no longer lengthens the next doubt.
 const FORGET_TIME: Duration = Duration::from_secs(10);
 
+/// The time for which a target counts as unreachable after it did not answer a probe.
+const UNREACHABLE_TIME: Duration = Duration::from_millis(1_500);
+
 /// What is held against one target.
 #[derive(Clone, Copy, Debug)]
 struct DoubtRow {
@@ -29,6 +33,8 @@
 pub struct SuspicionTable {
     rows: BTreeMap<TargetId, DoubtRow>,
     progress: BTreeMap<TargetId, Moment>,
+    unreachable: BTreeMap<TargetId, Moment>,
+    probing: BTreeSet<TargetId>,
     /// Grows with each change of who is doubted.
     pub revision: u64,
 }
@@ -45,6 +51,30 @@
         self.revision += 1;
     }
 
+    /// Takes the targets out of `ids` that no probe is under way to, and notes that one is now.
+    pub fn begin_probes(&mut self, ids: &[TargetId]) -> Vec<TargetId> {
+        ids.iter().filter(|id| self.probing.insert((*id).clone())).cloned().collect()
+    }
+
+    /// Takes in whether a target answered a probe.
+    pub fn end_probe(&mut self, id: &TargetId, answered: bool, now: Moment) {
+        self.probing.remove(id);
+        if answered {
+            self.rows.remove(id);
+            self.unreachable.remove(id);
+        } else {
+            self.note_failure(id, now);
+            self.unreachable.insert(id.clone(), now + UNREACHABLE_TIME);
+        }
+        self.revision += 1;
+    }
+
+    /// The targets that did not answer a probe lately.
+    pub fn unreachable(&self, now: Moment) -> Vec<TargetId> {
+        let lately = self.unreachable.iter().filter(|(_, until)| now < **until);
+        lately.map(|(id, _)| id.clone()).collect()
+    }
+
     /// Notes that a target answered or passed a token on.
     pub fn note_progress(&mut self, id: &TargetId, now: Moment) {
         match self.progress.get_mut(id) {
@@ -74,5 +104,6 @@
     pub fn forget(&mut self, id: &TargetId) {
         self.rows.remove(id);
         self.progress.remove(id);
+        self.unreachable.remove(id);
     }
 }
--- a/crates/banyan-forward/src/daemon.rs
+++ b/crates/banyan-forward/src/daemon.rs
@@ -13,6 +13,8 @@
 use crate::feeds;
 use crate::front;
 use crate::leadership;
+use crate::peers;
+use crate::probes;
 use crate::readiness;
 use crate::settings::ForwardSettings;
 use crate::state::DaemonPhase;
@@ -48,6 +50,7 @@
 ) -> eyre::Result<RunningForwarder<P>> {
     let callers = bind(settings.caller_address, "the callers' address").await?;
     let ready = bind(settings.ready_address, "the balancer's address").await?;
+    let peer_listener = bind(settings.peer_address, "the peers' address").await?;
     let caller_address = callers.local_addr()?;
     let ready_address = ready.local_addr()?;
     let mut tasks = JoinSet::new();
@@ -60,6 +63,9 @@
     tasks.spawn(feeds::follow_configuration(state.clone()));
     tasks.spawn(feeds::follow_fleet(state.clone()));
     tasks.spawn(leadership::run_leadership(state.clone()));
+    tasks.spawn(peers::serve_peers(state.clone(), peer_listener));
+    tasks.spawn(peers::run_peers(state.clone()));
+    tasks.spawn(probes::watch_unreachable(state.clone()));
     tasks.spawn(front::serve_callers(state.clone(), callers));
     tasks.spawn(readiness::serve_readiness(state.clone(), ready));
     tracing::info!(part = "daemon", %instance, %caller_address, %ready_address, "Started.");
--- a/crates/banyan-forward/src/edges.rs
+++ b/crates/banyan-forward/src/edges.rs
@@ -10,12 +10,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use http::HeaderMap;
 use http::StatusCode;
 use smol_str::SmolStr;
 use thiserror::Error;
 
 use banyan_core::ids::FenceNumber;
+use banyan_core::ids::InstanceId;
 use banyan_core::ids::LayerRange;
 use banyan_core::ids::LogOffset;
 use banyan_core::ids::TargetId;
@@ -153,6 +155,15 @@
     pub next: LogOffset,
 }
 
+/// The newest configuration record.
+#[derive(Clone, Debug)]
+pub struct ConfigurationRecord {
+    /// What it says.
+    pub table: Arc<RouteTable>,
+    /// The record as the platform holds it, for peers that cannot reach the platform.
+    pub bytes: Bytes,
+}
+
 /// This instance's place among the live instances.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Membership {
@@ -172,13 +183,16 @@
     /// The configuration in force, if one was ever accepted.
     fn configuration(
         &self,
-    ) -> impl Future<Output = Result<FeedListing<Option<Arc<RouteTable>>>, StoreError>> + Send;
+    ) -> impl Future<Output = Result<FeedListing<Option<ConfigurationRecord>>, StoreError>> + Send;
 
     /// Waits for configurations behind `from` and returns the newest one, or `None` if none came.
     fn configuration_after(
         &self,
         from: LogOffset,
-    ) -> impl Future<Output = Result<FeedListing<Option<Arc<RouteTable>>>, StoreError>> + Send;
+    ) -> impl Future<Output = Result<FeedListing<Option<ConfigurationRecord>>, StoreError>> + Send;
+
+    /// Reads a configuration record that a peer passed on.
+    fn read_configuration(&self, bytes: Bytes) -> Result<ConfigurationRecord, StoreError>;
 
     /// All targets.
     fn fleet(
@@ -197,6 +211,18 @@
         generation: u64,
     ) -> impl Future<Output = Result<Membership, StoreError>> + Send;
 
+    /// Tells the other instances where this one answers them.
+    fn announce(
+        &self,
+        instance: &InstanceId,
+        address: SocketAddr,
+    ) -> impl Future<Output = Result<(), StoreError>> + Send;
+
+    /// Where the instances answer each other, as they announced it.
+    fn peers(
+        &self,
+    ) -> impl Future<Output = Result<BTreeMap<InstanceId, SocketAddr>, StoreError>> + Send;
+
     /// Leaves the group of instances.
     fn leave(&self) -> impl Future<Output = Result<(), StoreError>> + Send;
 }
--- a/crates/banyan-forward/src/feeds.rs
+++ b/crates/banyan-forward/src/feeds.rs
@@ -1,14 +1,17 @@
 //! Follows what the platform keeps: [`follow_configuration`] and [`follow_fleet`].
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::edges::ConfigurationRecord;
 use crate::edges::Platform;
 use crate::edges::StoreError;
 use crate::state::ForwardState;
 use banyan_core::ids::LogOffset;
+use banyan_core::ids::TargetId;
 use banyan_core::pipeline::fleet::FleetChange;
-use banyan_core::pipeline::routes::RouteTable;
+use banyan_core::pipeline::fleet::TargetReport;
 
 /// The time between two reads of the changes of targets.
 const FLEET_PAUSE: Duration = Duration::from_millis(500);
@@ -31,8 +34,8 @@
         match read {
             Ok(listing) => {
                 next = Some(listing.next);
-                if let Some(table) = listing.content {
-                    put_in_force(&state, table);
+                if let Some(record) = listing.content {
+                    put_in_force(&state, record);
                 }
             }
             Err(StoreError::Forgotten) => next = None,
@@ -46,44 +49,70 @@
 
 /// Keeps the table of targets up to date.
 pub async fn follow_fleet<P: Platform>(state: Arc<ForwardState<P>>) {
-    let mut next: Option<LogOffset> = None;
+    let mut relist = true;
     loop {
-        match next {
-            Some(from) => match state.platform.fleet_after(from).await {
-                Ok(listing) => {
-                    next = Some(listing.next);
-                    apply_changes(&state, listing.content);
-                }
-                Err(StoreError::Forgotten) => {
-                    next = None;
-                    continue;
-                }
-                Err(error) => note_trouble(&state, "targets", &error),
-            },
-            None => match state.platform.fleet().await {
-                Ok(listing) => {
-                    next = Some(listing.next);
-                    let now = state.now();
-                    let mut tables = state.tables();
-                    tables.fleet.replace(listing.content, now);
-                    tables.fleet_known = true;
-                }
-                Err(error) => note_trouble(&state, "targets", &error),
-            },
+        let next = state.tables().fleet_next.filter(|_| !relist);
+        let read = match next {
+            Some(from) => read_changes(&state, from).await,
+            None => read_listing(&state).await,
+        };
+        match read {
+            Ok(()) => {
+                relist = false;
+                state.tables().fleet_read = state.now();
+            }
+            Err(StoreError::Forgotten) => relist = true,
+            Err(error) => note_trouble(&state, "targets", &error),
         }
         drop_removed(&state);
         tokio::time::sleep(FLEET_PAUSE).await;
     }
 }
 
-fn put_in_force<P>(state: &ForwardState<P>, table: Arc<RouteTable>) {
+async fn read_listing<P: Platform>(state: &ForwardState<P>) -> Result<(), StoreError> {
+    let listing = state.platform.fleet().await?;
+    put_listing(state, listing.content, listing.next);
+    Ok(())
+}
+
+async fn read_changes<P: Platform>(
+    state: &ForwardState<P>,
+    from: LogOffset,
+) -> Result<(), StoreError> {
+    let listing = state.platform.fleet_after(from).await?;
+    // A peer's snapshot that came meanwhile may be further on.
+    if state.tables().fleet_next == Some(from) {
+        apply_changes(state, listing.content);
+        state.tables().fleet_next = Some(listing.next);
+    }
+    Ok(())
+}
+
+/// Takes in a full listing of targets, unless what is known is newer.
+pub fn put_listing<P>(
+    state: &ForwardState<P>,
+    listing: BTreeMap<TargetId, TargetReport>,
+    next: LogOffset,
+) {
+    let now = state.now();
+    let mut tables = state.tables();
+    if tables.fleet_next.is_some_and(|known| known > next) {
+        return;
+    }
+    tables.fleet.replace(listing, now);
+    tables.fleet_next = Some(next);
+    tables.fleet_known = true;
+}
+
+/// Puts a configuration in force, unless the one in force is as new.
+pub fn put_in_force<P>(state: &ForwardState<P>, record: ConfigurationRecord) {
     let mut tables = state.tables();
-    let current = tables.routes.as_ref().map(|routes| routes.version);
-    if current.is_some_and(|current| current >= table.version) {
+    let current = tables.routes.as_ref().map(|record| record.table.version);
+    if current.is_some_and(|current| current >= record.table.version) {
         return;
     }
-    let version = table.version;
-    tables.routes = Some(table);
+    let version = record.table.version;
+    tables.routes = Some(record);
     drop(tables);
     metrics::gauge!("banyan_configuration_version").set(version as f64);
     tracing::info!(part = "configuration", version, was = current, "In force.");
--- a/crates/banyan-forward/src/front.rs
+++ b/crates/banyan-forward/src/front.rs
@@ -130,5 +130,5 @@
 }
 
 fn limits<P>(state: &ForwardState<P>) -> CallerLimits {
-    state.tables().routes.as_ref().map_or(FIRST_LIMITS, |routes| routes.limits)
+    state.tables().routes.as_ref().map_or(FIRST_LIMITS, |record| record.table.limits)
 }
--- a/crates/banyan-forward/src/leadership.rs
+++ b/crates/banyan-forward/src/leadership.rs
@@ -129,7 +129,7 @@
 ) -> Vec<(Arc<PipelineModel>, PlacementOrder)> {
     let now = state.now();
     let tables = state.tables();
-    let Some(routes) = tables.routes.clone() else { return Vec::new() };
+    let Some(routes) = tables.route_table() else { return Vec::new() };
     desk.pending.retain(|_, order| now < order.until);
     let mut due = Vec::new();
     for (service, spec) in &routes.services {
--- a/crates/banyan-forward/src/lib.rs
+++ b/crates/banyan-forward/src/lib.rs
@@ -20,6 +20,8 @@
 pub mod link;
 pub mod logs;
 pub mod opening;
+pub mod peers;
+pub mod probes;
 pub mod readiness;
 pub mod relay;
 pub mod serve;
--- a/crates/banyan-forward/src/opening.rs
+++ b/crates/banyan-forward/src/opening.rs
@@ -24,6 +24,7 @@
 use crate::link::LinkError;
 use crate::link::send_request;
 use crate::logs;
+use crate::probes::probe_targets;
 use crate::relay::LoadLease;
 use crate::relay::lease_chain;
 use crate::serve::NO_ROOM_TIME;
@@ -149,6 +150,7 @@
         for id in &silent {
             logs::doubted(&self.ticket.token, id, "no progress", silence);
         }
+        probe_targets(&self.state, &silent);
         let any = !silent.is_empty();
         self.avoided.extend(silent);
         any
--- a/crates/banyan-forward/src/serve.rs
+++ b/crates/banyan-forward/src/serve.rs
@@ -169,7 +169,7 @@
     body: Incoming,
     received: Moment,
 ) -> Result<RequestTicket, Refusal> {
-    let routes = state.tables().routes.clone();
+    let routes = state.tables().route_table();
     let routes = routes.ok_or(Refusal::NotRun(NotRunCause::NoConfiguration, ELSEWHERE_TIME))?;
     if *state.phase.borrow() == DaemonPhase::Draining {
         return Err(Refusal::NotRun(NotRunCause::Stopping, ELSEWHERE_TIME));
--- a/crates/banyan-forward/src/settings.rs
+++ b/crates/banyan-forward/src/settings.rs
@@ -18,6 +18,10 @@
     pub caller_address: SocketAddr,
     /// Where the balancer asks whether it is ready.
     pub ready_address: SocketAddr,
+    /// Where its peers reach it.
+    pub peer_address: SocketAddr,
+    /// Where some peers may be reached before any is known.
+    pub seeds: Vec<SocketAddr>,
     /// Where its metrics are read, if anywhere.
     pub metrics_address: Option<SocketAddr>,
     /// The bounds that the users set.
--- a/crates/banyan-forward/src/state.rs
+++ b/crates/banyan-forward/src/state.rs
@@ -10,16 +10,20 @@
 
 use tokio::sync::watch;
 
+use crate::edges::ConfigurationRecord;
 use crate::edges::Membership;
 use crate::logs;
 use crate::settings::ForwardSettings;
 use crate::settings::ServiceBounds;
+use banyan_core::ids::LogOffset;
 use banyan_core::ids::ServiceId;
 use banyan_core::pipeline::chain::ChainPool;
 use banyan_core::pipeline::chain::TargetChain;
 use banyan_core::pipeline::comeback::ComebackTable;
 use banyan_core::pipeline::fleet::FleetTable;
 use banyan_core::pipeline::load::LoadTable;
+use banyan_core::pipeline::load::LoadView;
+use banyan_core::pipeline::load::PeerLoadTable;
 use banyan_core::pipeline::retries::RetryShare;
 use banyan_core::pipeline::routes::RouteTable;
 use banyan_core::pipeline::suspicion::SuspicionTable;
@@ -27,9 +31,6 @@
 use banyan_core::units::TokenCount;
 use banyan_http::clock::RuntimeClock;
 
-/// How many times as many instances as parts there are taken to be where this one has no part.
-const CROWD_FACTOR: f64 = 2.0;
-
 /// Whether the instance takes new requests.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub enum DaemonPhase {
@@ -45,15 +46,21 @@
 #[derive(Debug, Default)]
 pub struct ForwardTables {
     /// The configuration in force, once one is known.
-    pub routes: Option<Arc<RouteTable>>,
+    pub routes: Option<ConfigurationRecord>,
     /// The targets, once they were listed.
     pub fleet: FleetTable,
     /// Whether the targets were listed since the start.
     pub fleet_known: bool,
+    /// Where the changes of targets begin that were not read, once they were listed.
+    pub fleet_next: Option<LogOffset>,
+    /// When the platform's store last told of the targets.
+    pub fleet_read: Moment,
     /// Which targets are doubted.
     pub suspicions: SuspicionTable,
     /// What this instance has under way at targets.
     pub loads: LoadTable,
+    /// What peers have under way at targets.
+    pub peer_loads: PeerLoadTable,
     /// The chains of each service that serves a model.
     pub pools: BTreeMap<ServiceId, ChainPool>,
     /// This instance's part of the retry budget.
@@ -76,13 +83,9 @@
         xxhash_rust::xxh3::xxh3_64(&self.draws.to_le_bytes())
     }
 
-    /// About how many instances carry as much as this one.
-    pub fn instances(&self) -> f64 {
-        match self.membership {
-            Some(place) if place.parts > 0 => f64::from(place.all_parts) / f64::from(place.parts),
-            Some(place) => f64::from(place.all_parts) * CROWD_FACTOR,
-            None => 1.0,
-        }
+    /// The configuration in force, once one is known.
+    pub fn route_table(&self) -> Option<Arc<RouteTable>> {
+        self.routes.as_ref().map(|record| record.table.clone())
     }
 
     /// Takes in this instance's place among the live ones.
@@ -100,15 +103,15 @@
         avoided: &[banyan_core::ids::TargetId],
         now: Moment,
     ) -> Option<Arc<TargetChain>> {
-        let routes = self.routes.clone()?;
+        let routes = self.route_table()?;
         let model = routes.services.get(service)?.model.clone()?;
-        let instances = self.instances();
         let pool = self.pools.entry(service.clone()).or_default();
         let version = routes.version;
         if pool.refresh(&model, service, version, &self.fleet, &self.suspicions, now) {
             logs::chains_changed(service, pool.chains(), self.fleet.revision);
         }
-        pool.choose(&self.loads, &settings.zone, tokens, instances, avoided)
+        let loads = LoadView { own: &self.loads, peers: &self.peer_loads, peer_scale: 1.0 };
+        pool.choose(&loads, &settings.zone, tokens, avoided)
     }
 }
 
--- /dev/null
+++ b/crates/banyan-wire/src/forward.rs
@@ -0,0 +1,167 @@
+//! What forwarding daemons say to each other, over tarpc.
+//!
+//! A digest is soft state: what its sender has under way and whom it cannot reach. A snapshot carries
+//! what the sender has read from the platform, for an instance that cannot reach the platform itself.
+
+use std::net::SocketAddr;
+
+use serde::Deserialize;
+use serde::Serialize;
+use smol_str::SmolStr;
+use thiserror::Error;
+
+use banyan_core::ids::IdError;
+use banyan_core::ids::LayerRange;
+use banyan_core::ids::TargetId;
+use banyan_core::pipeline::fleet::TargetPhase;
+use banyan_core::pipeline::fleet::TargetReport;
+use banyan_core::pipeline::load::TargetLoad;
+
+/// The calls that a peer answers. tarpc makes `ForwardServiceClient` from it.
+#[tarpc::service]
+pub trait ForwardService {
+    /// Exchanges digests; both sides learn.
+    async fn exchange(digest: ForwardDigest) -> ForwardDigest;
+    /// The configuration and the targets that this peer knows.
+    async fn snapshot() -> ForwardSnapshot;
+}
+
+/// What a peer has under way and whom it cannot reach.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ForwardDigest {
+    /// Who speaks.
+    pub instance: SmolStr,
+    /// The version of the configuration in force there; zero is none.
+    pub configuration: u64,
+    /// Where the changes of targets begin that it has not read.
+    pub fleet_next: u64,
+    /// What it has under way.
+    pub loads: Vec<LoadWire>,
+    /// Targets that did not answer it.
+    pub unreachable: Vec<SmolStr>,
+}
+
+/// What one instance has under way at one target.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct LoadWire {
+    /// The target.
+    pub target: SmolStr,
+    /// Requests under way.
+    pub requests: u32,
+    /// Those for which the target is the first of the chain.
+    pub first_requests: u32,
+    /// Tokens of those requests, times the layers that they pass through there.
+    pub token_layers: u64,
+}
+
+/// What a peer has read from the platform.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ForwardSnapshot {
+    /// The newest configuration record as the platform holds it; empty is none.
+    pub configuration: Vec<u8>,
+    /// Where the changes of targets begin that it has not read.
+    pub fleet_next: u64,
+    /// The targets.
+    pub fleet: Vec<TargetWire>,
+}
+
+/// A target as a peer knows it.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct TargetWire {
+    /// Its id.
+    pub id: SmolStr,
+    /// Its service.
+    pub service: SmolStr,
+    /// Where it is reached.
+    pub address: SocketAddr,
+    /// Its availability zone.
+    pub zone: SmolStr,
+    /// Whether it is leaving.
+    pub draining: bool,
+    /// The most requests that it works on at once.
+    pub slots: u32,
+    /// The kind of its accelerator.
+    pub kind: Option<SmolStr>,
+    /// The first layer and the layer behind the last one of each range that it holds.
+    pub held: Vec<(u32, u32)>,
+    /// The wall-clock millisecond of its start.
+    pub born: Option<u64>,
+}
+
+/// Why a peer's word cannot be taken.
+#[derive(Debug, Error)]
+pub enum ForwardWireError {
+    /// It holds a name that is none.
+    #[error("a peer sent a bad name: {0}")]
+    Name(#[from] IdError),
+    /// It holds a range of layers that is none.
+    #[error("a peer sent the layers {0}-{1}: the first must be below the second")]
+    Layers(u32, u32),
+}
+
+impl From<(&TargetId, &TargetReport)> for TargetWire {
+    fn from((id, report): (&TargetId, &TargetReport)) -> Self {
+        Self {
+            id: SmolStr::new(id.as_str()),
+            service: SmolStr::new(report.service.as_str()),
+            address: report.address,
+            zone: SmolStr::new(report.zone.as_str()),
+            draining: report.phase == TargetPhase::Draining,
+            slots: report.slots,
+            kind: report.kind.clone(),
+            held: report.held.iter().map(|range| (range.first, range.end)).collect(),
+            born: report.born,
+        }
+    }
+}
+
+impl TryFrom<TargetWire> for (TargetId, TargetReport) {
+    type Error = ForwardWireError;
+
+    fn try_from(wire: TargetWire) -> Result<Self, ForwardWireError> {
+        let held: Result<Vec<LayerRange>, _> = wire.held.into_iter().map(layer_range).collect();
+        let phase = if wire.draining { TargetPhase::Draining } else { TargetPhase::Ready };
+        let report = TargetReport {
+            service: wire.service.parse()?,
+            address: wire.address,
+            zone: wire.zone.parse()?,
+            phase,
+            slots: wire.slots,
+            kind: wire.kind,
+            held: held?,
+            born: wire.born,
+        };
+        Ok((wire.id.parse()?, report))
+    }
+}
+
+fn layer_range((first, end): (u32, u32)) -> Result<LayerRange, ForwardWireError> {
+    if first < end {
+        return Ok(LayerRange { first, end });
+    }
+    Err(ForwardWireError::Layers(first, end))
+}
+
+impl From<(&TargetId, TargetLoad)> for LoadWire {
+    fn from((id, load): (&TargetId, TargetLoad)) -> Self {
+        Self {
+            target: SmolStr::new(id.as_str()),
+            requests: load.requests,
+            first_requests: load.first_requests,
+            token_layers: load.token_layers,
+        }
+    }
+}
+
+impl TryFrom<LoadWire> for (TargetId, TargetLoad) {
+    type Error = IdError;
+
+    fn try_from(wire: LoadWire) -> Result<Self, IdError> {
+        let load = TargetLoad {
+            requests: wire.requests,
+            first_requests: wire.first_requests,
+            token_layers: wire.token_layers,
+        };
+        Ok((wire.target.parse()?, load))
+    }
+}
