Lost engines are replaced before their records lapse, also while the store is away

Cause: a lost engine's layers were ordered elsewhere only 3.1 s after it fell silent, and nobody ordered anything while the store was down. Doubted engines are probed and told to peers; the leader goes on while the group is silent, and the lowest peer stands in for one that is not heard (engines check the numbers). Ruled out: chains that find no room, which follow from missing copies.

--- a/crates/banyan-core/src/pipeline/fleet.rs
+++ b/crates/banyan-core/src/pipeline/fleet.rs
@@ -51,8 +51,14 @@
     pub removed: Option<Moment>,
     /// When an address, phase or set of layers last changed.
     pub changed: Moment,
+    /// When the target itself last told which layers it holds.
+    pub observed: Option<Moment>,
 }
 
+/// The time for which a target's own word on its layers goes before its record, which may have been
+/// written earlier.
+const OBSERVED_TIME: Duration = Duration::from_millis(1_500);
+
 impl TargetRow {
     /// Whether new work may go to the target.
     pub fn takes_work(&self) -> bool {
@@ -136,15 +142,36 @@
         self.rows.iter().find(|(_, row)| row.report.address == address).map(|(id, _)| id)
     }
 
-    fn report(&mut self, id: TargetId, report: TargetReport, now: Moment) {
-        if let Some(row) = self.rows.get_mut(&id) {
-            if row.report == report && row.removed.is_none() {
-                return;
-            }
-            *row = TargetRow { report, removed: None, changed: now };
-        } else {
-            self.rows.insert(id, TargetRow { report, removed: None, changed: now });
+    /// Takes in which layers a target itself says that it holds, as of `at`.
+    pub fn observe(&mut self, id: &TargetId, held: &[LayerRange], at: Moment, now: Moment) {
+        let Some(row) = self.rows.get_mut(id) else { return };
+        if row.observed.is_some_and(|seen| seen >= at) {
+            return;
+        }
+        row.observed = Some(at);
+        if row.report.held != held {
+            row.report.held = held.to_vec();
+            row.changed = now;
+            self.revision += 1;
+        }
+    }
+
+    fn report(&mut self, id: TargetId, mut report: TargetReport, now: Moment) {
+        let Some(row) = self.rows.get_mut(&id) else {
+            let row = TargetRow { report, removed: None, changed: now, observed: None };
+            self.rows.insert(id, row);
+            self.revision += 1;
+            return;
+        };
+        let same_run = row.report.born == report.born && row.report.address == report.address;
+        if same_run && row.observed.is_some_and(|at| now.since(at) < OBSERVED_TIME) {
+            report.held.clone_from(&row.report.held);
+        }
+        if row.report == report && row.removed.is_none() {
+            return;
         }
+        let observed = row.observed.filter(|_| same_run);
+        *row = TargetRow { report, removed: None, changed: now, observed };
         self.revision += 1;
     }
 
--- a/crates/banyan-core/src/pipeline/load.rs
+++ b/crates/banyan-core/src/pipeline/load.rs
@@ -100,6 +100,12 @@
         self.peers.values().filter(|row| now.since(row.heard) < PEER_LOAD_TIME).count()
     }
 
+    /// The lowest name among the peers whose word counts now.
+    pub fn lowest(&self, now: Moment) -> Option<&InstanceId> {
+        let fresh = |(_, row): &(&InstanceId, &PeerRow)| now.since(row.heard) < PEER_LOAD_TIME;
+        self.peers.iter().find(fresh).map(|(instance, _)| instance)
+    }
+
     /// The targets that some peer cannot reach.
     pub fn unreachable(&self, now: Moment) -> impl Iterator<Item = &TargetId> {
         let fresh = move |row: &&PeerRow| now.since(row.heard) < PEER_LOAD_TIME;
--- a/crates/banyan-core/src/pipeline/suspicion.rs
+++ b/crates/banyan-core/src/pipeline/suspicion.rs
@@ -56,17 +56,21 @@
         ids.iter().filter(|id| self.probing.insert((*id).clone())).cloned().collect()
     }
 
-    /// Takes in whether a target answered a probe.
-    pub fn end_probe(&mut self, id: &TargetId, answered: bool, now: Moment) {
+    /// Takes in whether a target answered a probe; tells whether that is news.
+    pub fn end_probe(&mut self, id: &TargetId, answered: bool, now: Moment) -> bool {
         self.probing.remove(id);
+        self.revision += 1;
         if answered {
             self.rows.remove(id);
-            self.unreachable.remove(id);
-        } else {
-            self.note_failure(id, now);
-            self.unreachable.insert(id.clone(), now + UNREACHABLE_TIME);
+            return self.unreachable.remove(id).is_some();
         }
-        self.revision += 1;
+        self.note_failure(id, now);
+        self.unreachable.insert(id.clone(), now + UNREACHABLE_TIME).is_none()
+    }
+
+    /// Whether a target did not answer a probe lately.
+    pub fn is_unreachable(&self, id: &TargetId, now: Moment) -> bool {
+        self.unreachable.get(id).is_some_and(|until| now < *until)
     }
 
     /// The targets that did not answer a probe lately.
--- a/crates/banyan-forward/src/edges.rs
+++ b/crates/banyan-forward/src/edges.rs
@@ -234,6 +234,8 @@
     pub busy: bool,
     /// The orders that it has begun since it started.
     pub accepted_orders: u64,
+    /// The wall-clock millisecond of its start.
+    pub born: Option<u64>,
     /// The layers that it holds.
     pub held: Vec<LayerRange>,
 }
--- a/crates/banyan-forward/src/leadership.rs
+++ b/crates/banyan-forward/src/leadership.rs
@@ -14,7 +14,9 @@
 use crate::edges::OrderOutcome;
 use crate::edges::Platform;
 use crate::feeds::note_trouble;
+use crate::probes::observe_target;
 use crate::state::ForwardState;
+use crate::state::ForwardTables;
 use banyan_core::ids::FenceNumber;
 use banyan_core::ids::LayerRange;
 use banyan_core::ids::ServiceId;
@@ -42,6 +44,12 @@
 const SETTLE_TIME: Duration = Duration::from_millis(800);
 /// The longest time that the first layout waits for the list of engines to settle.
 const SETTLE_LIMIT: Duration = Duration::from_secs(3);
+/// The time after which a peer stands in for a leader that is not heard while the group is silent.
+const DEPUTY_TIME: Duration = Duration::from_millis(2_500);
+/// The time between two questions to an engine that is loading layers.
+const LOADING_PAUSE: Duration = Duration::from_millis(300);
+/// The time that an engine may take to tell its state.
+const STATE_LIMIT: Duration = Duration::from_millis(600);
 /// How much longer than its share of the load time a load may take before it is ordered again.
 const LOAD_MARGIN: Duration = Duration::from_secs(3);
 
@@ -49,6 +57,9 @@
 #[derive(Clone, Copy, Debug)]
 struct PendingOrder {
     range: Option<LayerRange>,
+    /// When the engine is asked next whether it holds them.
+    ask: Moment,
+    /// When the order is taken as lost.
     until: Moment,
 }
 
@@ -74,8 +85,11 @@
             Ok(place) => {
                 heard = asked;
                 generation = place.generation;
-                let before = state.tables().membership;
-                state.tables().set_membership(place);
+                let mut tables = state.tables();
+                let before = tables.membership;
+                tables.set_membership(place);
+                tables.membership_heard = asked;
+                drop(tables);
                 if before.is_none_or(|before| before.leads != place.leads) {
                     let leads = place.leads;
                     tracing::info!(part = "leadership", generation, leads, "The group answered.");
@@ -83,7 +97,10 @@
             }
             Err(error) => note_trouble(&state, "membership", &error),
         }
-        if state.now().since(heard) >= MEMBERSHIP_TTL {
+        // Engines that check fencing numbers refuse an earlier leader, so that it may go on while the
+        // group is silent; otherwise another instance may lead by now.
+        let fenced = state.settings().bounds.engines_check_fences;
+        if !fenced && state.now().since(heard) >= MEMBERSHIP_TTL {
             step_down(&state);
         }
         tokio::time::sleep(MEMBERSHIP_PAUSE).await;
@@ -112,14 +129,54 @@
         if desk.fenced.is_some_and(|fenced| fenced >= generation) {
             continue;
         }
+        observe_pending(&state, &mut desk).await;
         let orders = due_orders(&state, &mut desk);
         carry_out(&state, &mut desk, generation, orders).await;
     }
 }
 
+/// The fencing number with which this instance may order layers now, if it may.
 fn leading_generation<P>(state: &ForwardState<P>) -> Option<u64> {
     let tables = state.tables();
-    tables.membership.filter(|place| place.leads).map(|place| place.generation)
+    let place = tables.membership;
+    match place {
+        Some(place) if place.leads => Some(place.generation),
+        _ => deputy_generation(state, &tables),
+    }
+}
+
+/// While the group is silent and no leader is heard, the peer with the lowest name orders layers with
+/// the newest number that any of them has heard. Two that both take themselves for it do no harm: each
+/// order names the orders that the engine has begun before, and never more layers than fit.
+fn deputy_generation<P>(state: &ForwardState<P>, tables: &ForwardTables) -> Option<u64> {
+    let now = state.now();
+    let settings = state.settings();
+    let group_silent = now.since(tables.membership_heard) >= DEPUTY_TIME;
+    let leader_silent = tables.leader_heard.is_none_or(|at| now.since(at) >= DEPUTY_TIME);
+    if !settings.bounds.engines_check_fences || !group_silent || !leader_silent {
+        return None;
+    }
+    let lowest = tables.peer_loads.lowest(now).is_none_or(|peer| settings.instance < *peer);
+    let heard = tables.membership.map_or(0, |place| place.generation);
+    let generation = heard.max(tables.generation_heard);
+    (lowest && generation > 0).then_some(generation)
+}
+
+/// Asks the engines whose loads should be done by now which layers they hold.
+async fn observe_pending<P: Platform>(state: &Arc<ForwardState<P>>, desk: &mut LeaderDesk) {
+    let now = state.now();
+    let asking: FuturesUnordered<_> = FuturesUnordered::new();
+    for (id, order) in &mut desk.pending {
+        if order.range.is_none() || now < order.ask {
+            continue;
+        }
+        order.ask = now + LOADING_PAUSE;
+        let address = state.tables().fleet.rows.get(id).map(|row| row.report.address);
+        if let Some(address) = address {
+            asking.push(observe_target(state, id, address, STATE_LIMIT));
+        }
+    }
+    let _: Vec<_> = asking.collect().await;
 }
 
 /// The orders that are due now for all models.
@@ -134,7 +191,8 @@
     let mut due = Vec::new();
     for (service, spec) in &routes.services {
         let Some(model) = &spec.model else { continue };
-        let targets = placement_targets(model, service, &tables.fleet.rows, &mut desk.pending);
+        let mut targets = placement_targets(model, service, &tables.fleet.rows, &mut desk.pending);
+        targets.retain(|target| !is_lost(&tables, &target.id, now));
         if targets.iter().all(|target| target.range.is_none())
             && !has_settled(&tables.fleet, service, now)
         {
@@ -146,6 +204,13 @@
     due
 }
 
+/// Whether an engine is taken as lost: it does not answer this instance, nor some peer.
+fn is_lost(tables: &ForwardTables, id: &TargetId, now: Moment) -> bool {
+    let alone = tables.peer_loads.heard(now) == 0;
+    let peer_agrees = || tables.peer_loads.unreachable(now).any(|other| other == id);
+    tables.suspicions.is_unreachable(id, now) && (alone || peer_agrees())
+}
+
 /// Whether no engine was listed lately, or the first one long enough ago.
 fn has_settled(fleet: &FleetTable, service: &ServiceId, now: Moment) -> bool {
     let listed = || fleet.of_service(service).map(|(_, row)| row.changed);
@@ -203,8 +268,8 @@
     let ends: Vec<_> = running.collect().await;
     for (model, order, end) in ends {
         let stretch = count.div_ceil(model.loads_at_once.max(1)).max(1);
-        let load = model.load_time_of(order.range.count()) * stretch + LOAD_MARGIN;
-        note_end(state, desk, generation, order, end, load);
+        let load = model.load_time_of(order.range.count());
+        note_end(state, desk, generation, order, end, load, load * stretch + LOAD_MARGIN);
     }
 }
 
@@ -225,12 +290,8 @@
 ) -> OrderEnd {
     let address = state.tables().fleet.rows.get(&order.target).map(|row| row.report.address);
     let Some(address) = address else { return OrderEnd::Busy };
-    let engine = match state.platform.engine_state(address).await {
-        Ok(engine) => engine,
-        Err(error) => {
-            tracing::info!(part = "placement", target = %order.target, %error, "Not asked.");
-            return OrderEnd::Busy;
-        }
+    let Some(engine) = observe_target(state, &order.target, address, STATE_LIMIT).await else {
+        return OrderEnd::Busy;
     };
     if engine.busy {
         return OrderEnd::Busy;
@@ -257,6 +318,7 @@
     order: PlacementOrder,
     end: OrderEnd,
     load: Duration,
+    load_limit: Duration,
 ) {
     let now = state.now();
     let range = order.range;
@@ -265,16 +327,18 @@
     tracing::info!(part = "placement", %target, %layers, generation, ?end, "Ordered layers.");
     let pending = match end {
         OrderEnd::Outcome(OrderOutcome::Taken) => {
-            PendingOrder { range: Some(range), until: now + load }
+            PendingOrder { range: Some(range), ask: now + load, until: now + load_limit }
         }
         OrderEnd::Outcome(OrderOutcome::Fenced) => {
             desk.fenced = Some(generation);
             return;
         }
         OrderEnd::Outcome(OrderOutcome::Conflict | OrderOutcome::Refused(_)) | OrderEnd::Busy => {
-            PendingOrder { range: None, until: now + REFUSED_PAUSE }
+            PendingOrder { range: None, ask: now, until: now + REFUSED_PAUSE }
+        }
+        OrderEnd::Unknown => {
+            PendingOrder { range: Some(range), ask: now + load, until: now + LATE_ORDER_TIME }
         }
-        OrderEnd::Unknown => PendingOrder { range: Some(range), until: now + LATE_ORDER_TIME },
     };
     desk.pending.insert(target, pending);
 }
--- a/crates/banyan-forward/src/peers.rs
+++ b/crates/banyan-forward/src/peers.rs
@@ -32,6 +32,7 @@
 use banyan_core::ids::LogOffset;
 use banyan_core::ids::TargetId;
 use banyan_core::pipeline::fleet::TargetReport;
+use banyan_core::pipeline::fleet::TargetRow;
 use banyan_core::pipeline::load::TargetLoad;
 use banyan_core::units::Moment;
 use banyan_wire::forward::ForwardDigest;
@@ -39,7 +40,9 @@
 use banyan_wire::forward::ForwardServiceClient;
 use banyan_wire::forward::ForwardSnapshot;
 use banyan_wire::forward::LoadWire;
+use banyan_wire::forward::ObservedWire;
 use banyan_wire::forward::TargetWire;
+use banyan_wire::forward::layer_ranges;
 
 /// The time between two rounds.
 const ROUND_PAUSE: Duration = Duration::from_millis(400);
@@ -57,6 +60,8 @@
 const LISTING_RETRY: Duration = Duration::from_millis(1_500);
 /// The time for which an instance may lag behind a peer before it takes the peer's snapshot.
 const LAG_LIMIT: Duration = Duration::from_millis(900);
+/// The time for which what a target said of its layers is passed on.
+const OBSERVED_TIME: Duration = Duration::from_secs(3);
 /// The longest message, in bytes.
 const FRAME_LIMIT_BYTES: usize = 32 << 20;
 
@@ -239,9 +244,23 @@
             .iter()
             .map(|id| SmolStr::new(id.as_str()))
             .collect(),
+        observed: tables.fleet.rows.iter().filter_map(|row| observed_wire(row, now)).collect(),
+        generation: tables.membership.map_or(0, |place| place.generation),
+        leads: tables.membership.is_some_and(|place| place.leads),
     }
 }
 
+/// What a target told this instance of its layers, if that is fresh.
+fn observed_wire((id, row): (&TargetId, &TargetRow), now: Moment) -> Option<ObservedWire> {
+    let age = now.since(row.observed?);
+    let wire = || ObservedWire {
+        target: SmolStr::new(id.as_str()),
+        held: row.report.held.iter().map(|range| (range.first, range.end)).collect(),
+        age_ms: age.as_millis() as u64,
+    };
+    (age < OBSERVED_TIME).then(wire)
+}
+
 /// Takes in what a peer tells.
 pub fn take_digest<P>(state: &ForwardState<P>, digest: ForwardDigest) {
     let Ok(instance) = digest.instance.parse::<InstanceId>() else {
@@ -257,7 +276,17 @@
         return;
     };
     let now = state.now();
-    state.tables().peer_loads.hear(instance, loads, unreachable, now);
+    let mut tables = state.tables();
+    tables.peer_loads.hear(instance, loads, unreachable, now);
+    tables.leader_heard = if digest.leads { Some(now) } else { tables.leader_heard };
+    tables.generation_heard = tables.generation_heard.max(digest.generation);
+    for observed in digest.observed {
+        let at = Moment(now.0.saturating_sub(observed.age_ms * 1_000));
+        match (observed.target.parse(), layer_ranges(observed.held)) {
+            (Ok(id), Ok(held)) => tables.fleet.observe(&id, &held, at, now),
+            _ => tracing::warn!(part = "peers", "A bad observation was passed over."),
+        }
+    }
 }
 
 fn own_snapshot<P>(state: &ForwardState<P>) -> ForwardSnapshot {
--- a/crates/banyan-forward/src/probes.rs
+++ b/crates/banyan-forward/src/probes.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::edges::EngineState;
 use crate::edges::Platform;
 use crate::state::ForwardState;
 use banyan_core::ids::TargetId;
@@ -11,7 +12,10 @@
 /// The time within which a target that is there answers.
 const PROBE_LIMIT: Duration = Duration::from_millis(200);
 /// The time between two probes of targets that did not answer.
-const REPEAT_PAUSE: Duration = Duration::from_millis(500);
+const REPEAT_PAUSE: Duration = Duration::from_millis(400);
+
+/// About how many instances check what peers say of a target.
+const CHECKERS: u64 = 7;
 
 /// Begins to probe the targets to which no probe is under way.
 pub fn probe_targets<P: Platform>(state: &Arc<ForwardState<P>>, ids: &[TargetId]) {
@@ -28,24 +32,67 @@
         let now = state.now();
         let unreachable = state.tables().suspicions.unreachable(now);
         probe_targets(&state, &unreachable);
+        check_hints(&state);
     }
 }
 
 async fn probe_target<P: Platform>(state: Arc<ForwardState<P>>, id: TargetId) {
     let address = state.tables().fleet.rows.get(&id).map(|row| row.report.address);
     let answered = match address {
-        Some(address) => answers(&state, address).await,
+        Some(address) => observe_target(&state, &id, address, PROBE_LIMIT).await.is_some(),
         None => true,
     };
     let now = state.now();
-    state.tables().suspicions.end_probe(&id, answered, now);
-    if !answered {
-        tracing::info!(part = "health", target = %id, "It does not answer.");
+    if state.tables().suspicions.end_probe(&id, answered, now) {
+        tracing::info!(part = "health", target = %id, answered, "A doubted target was probed.");
     }
 }
 
-/// Whether a target answers a probe in time.
-pub async fn answers<P: Platform>(state: &ForwardState<P>, address: SocketAddr) -> bool {
+/// Asks a target for its state and takes in which layers it holds; `None` if it does not answer.
+pub async fn observe_target<P: Platform>(
+    state: &ForwardState<P>,
+    id: &TargetId,
+    address: SocketAddr,
+    limit: Duration,
+) -> Option<EngineState> {
+    let asked = state.now();
     let asking = state.platform.engine_state(address);
-    matches!(tokio::time::timeout(PROBE_LIMIT, asking).await, Ok(Ok(_)))
+    let engine = match tokio::time::timeout(limit, asking).await {
+        Ok(Ok(engine)) => engine,
+        Ok(Err(error)) => {
+            tracing::debug!(part = "health", target = %id, %error, "It was not asked.");
+            return None;
+        }
+        Err(_) => return None,
+    };
+    // While layers come and go, the target's record is the better word.
+    if !engine.busy {
+        let now = state.now();
+        state.tables().fleet.observe(id, &engine.held, asked, now);
+    }
+    Some(engine)
+}
+
+/// Probes targets that peers cannot reach, if it falls to this instance to check their word.
+pub fn check_hints<P: Platform>(state: &Arc<ForwardState<P>>) {
+    let now = state.now();
+    let settings = state.settings();
+    let tables = state.tables();
+    let instances = tables.peer_loads.heard(now) as u64 + 1;
+    let hinted: Vec<TargetId> = tables
+        .peer_loads
+        .unreachable(now)
+        .filter(|id| !tables.suspicions.is_unreachable(id, now))
+        .filter(|id| is_checker(settings.instance.as_str(), id, instances))
+        .cloned()
+        .collect();
+    drop(tables);
+    probe_targets(state, &hinted);
+}
+
+/// Whether an instance is among the few that check what peers say of a target.
+fn is_checker(instance: &str, id: &TargetId, instances: u64) -> bool {
+    let seed = xxhash_rust::xxh3::xxh3_64(id.as_str().as_bytes());
+    let place = xxhash_rust::xxh3::xxh3_64_with_seed(instance.as_bytes(), seed);
+    place % instances < CHECKERS
 }
--- a/crates/banyan-forward/src/state.rs
+++ b/crates/banyan-forward/src/state.rs
@@ -69,6 +69,12 @@
     pub comebacks: ComebackTable,
     /// This instance's place among the live ones, as last heard.
     pub membership: Option<Membership>,
+    /// When a peer last said that it leads.
+    pub leader_heard: Option<Moment>,
+    /// The highest generation of the group that a peer told.
+    pub generation_heard: u64,
+    /// When the group last answered.
+    pub membership_heard: Moment,
     /// When the platform's store last failed a call.
     pub store_trouble: Option<Moment>,
     /// Requests that have been read and not been answered whole.
--- a/crates/banyan-wire/src/forward.rs
+++ b/crates/banyan-wire/src/forward.rs
@@ -39,6 +39,23 @@
     pub loads: Vec<LoadWire>,
     /// Targets that did not answer it.
     pub unreachable: Vec<SmolStr>,
+    /// What targets themselves told it lately of their layers.
+    pub observed: Vec<ObservedWire>,
+    /// The generation of the group, as it last heard it.
+    pub generation: u64,
+    /// Whether it leads.
+    pub leads: bool,
+}
+
+/// What a target said of its layers.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ObservedWire {
+    /// The target.
+    pub target: SmolStr,
+    /// The first layer and the layer behind the last one of each range that it holds.
+    pub held: Vec<(u32, u32)>,
+    /// How long ago it said so, in milliseconds.
+    pub age_ms: u64,
 }
 
 /// What one instance has under way at one target.
@@ -119,7 +136,6 @@
     type Error = ForwardWireError;
 
     fn try_from(wire: TargetWire) -> Result<Self, ForwardWireError> {
-        let held: Result<Vec<LayerRange>, _> = wire.held.into_iter().map(layer_range).collect();
         let phase = if wire.draining { TargetPhase::Draining } else { TargetPhase::Ready };
         let report = TargetReport {
             service: wire.service.parse()?,
@@ -128,13 +144,18 @@
             phase,
             slots: wire.slots,
             kind: wire.kind,
-            held: held?,
+            held: layer_ranges(wire.held)?,
             born: wire.born,
         };
         Ok((wire.id.parse()?, report))
     }
 }
 
+/// The ranges of layers in a peer's word.
+pub fn layer_ranges(wire: Vec<(u32, u32)>) -> Result<Vec<LayerRange>, ForwardWireError> {
+    wire.into_iter().map(layer_range).collect()
+}
+
 fn layer_range((first, end): (u32, u32)) -> Result<LayerRange, ForwardWireError> {
     if first < end {
         return Ok(LayerRange { first, end });
