--- a/crates/banyan-core/src/pipeline/placement.rs
+++ b/crates/banyan-core/src/pipeline/placement.rs
@@ -126,6 +126,9 @@
         if layout.missing() == 0 {
             return orders;
         }
+        if orders.iter().any(|order| order.target == target.id) {
+            continue;
+        }
         let fit = model.layers_that_fit(target.memory, TokenCount(0));
         if let Some(range) = layout.grown(&target.id, fit) {
             layout.release(&target.id);
--- a/crates/banyan-core/src/pipeline/suspicion.rs
+++ b/crates/banyan-core/src/pipeline/suspicion.rs
@@ -4,7 +4,6 @@
 //! streams that stand still. It is soft state: a doubted target is avoided while there is another.
 
 use std::collections::BTreeMap;
-use std::collections::BTreeSet;
 use std::time::Duration;
 
 use crate::ids::TargetId;
@@ -20,6 +19,11 @@
 /// The time for which a target counts as unreachable after it did not answer a probe.
 const UNREACHABLE_TIME: Duration = Duration::from_millis(1_500);
 
+/// The time between two probes of one target at least.
+const PROBE_PAUSE: Duration = Duration::from_millis(300);
+/// The time for which an answered probe shows that a target is there.
+const ANSWER_TIME: Duration = Duration::from_millis(1_000);
+
 /// What is held against one target.
 #[derive(Clone, Copy, Debug)]
 struct DoubtRow {
@@ -34,7 +38,8 @@
     rows: BTreeMap<TargetId, DoubtRow>,
     progress: BTreeMap<TargetId, Moment>,
     unreachable: BTreeMap<TargetId, Moment>,
-    probing: BTreeSet<TargetId>,
+    probing: BTreeMap<TargetId, Moment>,
+    answered: BTreeMap<TargetId, Moment>,
     /// Grows with each change of who is doubted.
     pub revision: u64,
 }
@@ -51,19 +56,44 @@
         self.revision += 1;
     }
 
-    /// Takes the targets out of `ids` that no probe is under way to, and notes that one is now.
-    pub fn begin_probes(&mut self, ids: &[TargetId]) -> Vec<TargetId> {
-        ids.iter().filter(|id| self.probing.insert((*id).clone())).cloned().collect()
+    /// Takes the targets out of `ids` that no probe was begun to lately, and notes that one is now.
+    pub fn begin_probes(&mut self, ids: &[TargetId], now: Moment) -> Vec<TargetId> {
+        let mut fresh = Vec::new();
+        for id in ids {
+            if self.probing.get(id).is_some_and(|begun| now.since(*begun) < PROBE_PAUSE) {
+                continue;
+            }
+            self.probing.insert(id.clone(), now);
+            fresh.push(id.clone());
+        }
+        fresh
+    }
+
+    /// The targets of `ids` that neither passed a token on for `silence` nor answered a probe lately.
+    pub fn silent<'a>(
+        &self,
+        ids: impl Iterator<Item = &'a TargetId>,
+        silence: Duration,
+        now: Moment,
+    ) -> Vec<TargetId> {
+        let lately = |seen: Option<&Moment>, time: Duration| {
+            seen.is_some_and(|seen| now.since(*seen) < time)
+        };
+        ids.filter(|id| !lately(self.progress.get(*id), silence))
+            .filter(|id| !lately(self.answered.get(*id), ANSWER_TIME))
+            .cloned()
+            .collect()
     }
 
     /// Takes in whether a target answered a probe; tells whether that is news.
     pub fn end_probe(&mut self, id: &TargetId, answered: bool, now: Moment) -> bool {
-        self.probing.remove(id);
         self.revision += 1;
         if answered {
+            self.answered.insert(id.clone(), now);
             self.rows.remove(id);
             return self.unreachable.remove(id).is_some();
         }
+        self.answered.remove(id);
         self.note_failure(id, now);
         self.unreachable.insert(id.clone(), now + UNREACHABLE_TIME).is_none()
     }
@@ -89,11 +119,6 @@
         }
     }
 
-    /// When a target was last seen to work.
-    pub fn last_progress(&self, id: &TargetId) -> Option<Moment> {
-        self.progress.get(id).copied()
-    }
-
     /// Whether a target is doubted now.
     pub fn is_doubted(&self, id: &TargetId, now: Moment) -> bool {
         self.rows.get(id).is_some_and(|row| now < row.until)
@@ -109,5 +134,7 @@
         self.rows.remove(id);
         self.progress.remove(id);
         self.unreachable.remove(id);
+        self.probing.remove(id);
+        self.answered.remove(id);
     }
 }
--- a/crates/banyan-forward/src/feeds.rs
+++ b/crates/banyan-forward/src/feeds.rs
@@ -14,7 +14,7 @@
 use banyan_core::pipeline::fleet::TargetReport;
 
 /// The time between two reads of the changes of targets.
-const FLEET_PAUSE: Duration = Duration::from_millis(500);
+const FLEET_PAUSE: Duration = Duration::from_millis(800);
 /// The time after a failed call before the next one.
 const FAILURE_PAUSE: Duration = Duration::from_millis(250);
 /// The part of the time to leave for which a target stays usable after its record was removed.
--- a/crates/banyan-forward/src/leadership.rs
+++ b/crates/banyan-forward/src/leadership.rs
@@ -5,6 +5,7 @@
 //! hold is compared with the plan, and the difference is ordered.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -17,8 +18,8 @@
 use crate::probes::observe_target;
 use crate::state::ForwardState;
 use crate::state::ForwardTables;
+use crate::state::PendingOrder;
 use banyan_core::ids::FenceNumber;
-use banyan_core::ids::LayerRange;
 use banyan_core::ids::ServiceId;
 use banyan_core::ids::TargetId;
 use banyan_core::pipeline::fleet::FleetTable;
@@ -53,24 +54,6 @@
 /// How much longer than its share of the load time a load may take before it is ordered again.
 const LOAD_MARGIN: Duration = Duration::from_secs(3);
 
-/// An order that an engine has been given.
-#[derive(Clone, Copy, Debug)]
-struct PendingOrder {
-    range: Option<LayerRange>,
-    /// When the engine is asked next whether it holds them.
-    ask: Moment,
-    /// When the order is taken as lost.
-    until: Moment,
-}
-
-/// What the leader knows beside the tables.
-#[derive(Debug, Default)]
-struct LeaderDesk {
-    pending: BTreeMap<TargetId, PendingOrder>,
-    /// The generation in which an engine told this instance that it has been replaced.
-    fenced: Option<u64>,
-}
-
 /// Keeps this instance in the group; where it leads, orders layers onto engines.
 pub async fn run_leadership<P: Platform>(state: Arc<ForwardState<P>>) {
     tokio::join!(keep_membership(state.clone()), run_placement(state));
@@ -119,19 +102,19 @@
 }
 
 async fn run_placement<P: Platform>(state: Arc<ForwardState<P>>) {
-    let mut desk = LeaderDesk::default();
+    // The generation in which an engine told this instance that it has been replaced.
+    let mut fenced = 0;
     loop {
         tokio::time::sleep(PLAN_PAUSE).await;
-        let Some(generation) = leading_generation(&state) else {
-            desk.pending.clear();
-            continue;
-        };
-        if desk.fenced.is_some_and(|fenced| fenced >= generation) {
+        let Some(generation) = leading_generation(&state) else { continue };
+        if fenced >= generation {
             continue;
         }
-        observe_pending(&state, &mut desk).await;
-        let orders = due_orders(&state, &mut desk);
-        carry_out(&state, &mut desk, generation, orders).await;
+        observe_pending(&state).await;
+        let orders = due_orders(&state);
+        if carry_out(&state, generation, orders).await {
+            fenced = generation;
+        }
     }
 }
 
@@ -163,36 +146,46 @@
 }
 
 /// Asks the engines whose loads should be done by now which layers they hold.
-async fn observe_pending<P: Platform>(state: &Arc<ForwardState<P>>, desk: &mut LeaderDesk) {
+async fn observe_pending<P: Platform>(state: &Arc<ForwardState<P>>) {
+    let due = due_questions(state);
+    let asking: FuturesUnordered<_> = due
+        .iter()
+        .map(|(id, address)| observe_target(state, id, *address, STATE_LIMIT))
+        .collect();
+    let _: Vec<_> = asking.collect().await;
+}
+
+/// The engines that are asked now which layers they hold.
+fn due_questions<P>(state: &ForwardState<P>) -> Vec<(TargetId, SocketAddr)> {
     let now = state.now();
-    let asking: FuturesUnordered<_> = FuturesUnordered::new();
-    for (id, order) in &mut desk.pending {
+    let mut guard = state.tables();
+    let tables = &mut *guard;
+    let mut due = Vec::new();
+    for (id, order) in &mut tables.pending_orders {
         if order.range.is_none() || now < order.ask {
             continue;
         }
         order.ask = now + LOADING_PAUSE;
-        let address = state.tables().fleet.rows.get(id).map(|row| row.report.address);
-        if let Some(address) = address {
-            asking.push(observe_target(state, id, address, STATE_LIMIT));
+        if let Some(row) = tables.fleet.rows.get(id) {
+            due.push((id.clone(), row.report.address));
         }
     }
-    let _: Vec<_> = asking.collect().await;
+    due
 }
 
 /// The orders that are due now for all models.
-fn due_orders<P>(
-    state: &ForwardState<P>,
-    desk: &mut LeaderDesk,
-) -> Vec<(Arc<PipelineModel>, PlacementOrder)> {
+fn due_orders<P>(state: &ForwardState<P>) -> Vec<(Arc<PipelineModel>, PlacementOrder)> {
     let now = state.now();
-    let tables = state.tables();
+    let mut guard = state.tables();
+    let tables = &mut *guard;
     let Some(routes) = tables.route_table() else { return Vec::new() };
-    desk.pending.retain(|_, order| now < order.until);
+    tables.pending_orders.retain(|_, order| now < order.until);
     let mut due = Vec::new();
     for (service, spec) in &routes.services {
         let Some(model) = &spec.model else { continue };
-        let mut targets = placement_targets(model, service, &tables.fleet.rows, &mut desk.pending);
-        targets.retain(|target| !is_lost(&tables, &target.id, now));
+        let pending = &mut tables.pending_orders;
+        let mut targets = placement_targets(model, service, &tables.fleet.rows, pending);
+        targets.retain(|target| !is_lost(tables, &target.id, now));
         if targets.iter().all(|target| target.range.is_none())
             && !has_settled(&tables.fleet, service, now)
         {
@@ -251,12 +244,12 @@
     targets
 }
 
+/// Gives orders; tells whether an engine has heard of a later leader.
 async fn carry_out<P: Platform>(
     state: &Arc<ForwardState<P>>,
-    desk: &mut LeaderDesk,
     generation: u64,
     orders: Vec<(Arc<PipelineModel>, PlacementOrder)>,
-) {
+) -> bool {
     let count = orders.len() as u32;
     let running: FuturesUnordered<_> = orders
         .into_iter()
@@ -266,11 +259,14 @@
         })
         .collect();
     let ends: Vec<_> = running.collect().await;
+    let mut fenced = false;
     for (model, order, end) in ends {
+        fenced |= matches!(end, OrderEnd::Outcome(OrderOutcome::Fenced));
         let stretch = count.div_ceil(model.loads_at_once.max(1)).max(1);
         let load = model.load_time_of(order.range.count());
-        note_end(state, desk, generation, order, end, load, load * stretch + LOAD_MARGIN);
+        note_end(state, generation, order, end, load, load * stretch + LOAD_MARGIN);
     }
+    fenced
 }
 
 /// How an order ended.
@@ -313,7 +309,6 @@
 
 fn note_end<P>(
     state: &ForwardState<P>,
-    desk: &mut LeaderDesk,
     generation: u64,
     order: PlacementOrder,
     end: OrderEnd,
@@ -329,10 +324,7 @@
         OrderEnd::Outcome(OrderOutcome::Taken) => {
             PendingOrder { range: Some(range), ask: now + load, until: now + load_limit }
         }
-        OrderEnd::Outcome(OrderOutcome::Fenced) => {
-            desk.fenced = Some(generation);
-            return;
-        }
+        OrderEnd::Outcome(OrderOutcome::Fenced) => return,
         OrderEnd::Outcome(OrderOutcome::Conflict | OrderOutcome::Refused(_)) | OrderEnd::Busy => {
             PendingOrder { range: None, ask: now, until: now + REFUSED_PAUSE }
         }
@@ -340,5 +332,5 @@
             PendingOrder { range: Some(range), ask: now + load, until: now + LATE_ORDER_TIME }
         }
     };
-    desk.pending.insert(target, pending);
+    state.tables().pending_orders.insert(target, pending);
 }
--- a/crates/banyan-forward/src/opening.rs
+++ b/crates/banyan-forward/src/opening.rs
@@ -134,15 +134,8 @@
     pub fn doubt_silent(&mut self, chain: &TargetChain, silence: Duration) -> bool {
         let now = self.state.now();
         let mut tables = self.state.tables();
-        let silent: Vec<TargetId> = chain
-            .parts
-            .iter()
-            .map(|part| &part.target)
-            .filter(|id| {
-                tables.suspicions.last_progress(id).is_none_or(|seen| now.since(seen) >= silence)
-            })
-            .cloned()
-            .collect();
+        let targets = chain.parts.iter().map(|part| &part.target);
+        let silent = tables.suspicions.silent(targets, silence, now);
         for id in &silent {
             tables.suspicions.note_failure(id, now);
         }
--- a/crates/banyan-forward/src/peers.rs
+++ b/crates/banyan-forward/src/peers.rs
@@ -28,6 +28,8 @@
 use crate::edges::Platform;
 use crate::feeds;
 use crate::state::ForwardState;
+use crate::state::ForwardTables;
+use crate::state::PendingOrder;
 use banyan_core::ids::InstanceId;
 use banyan_core::ids::LogOffset;
 use banyan_core::ids::TargetId;
@@ -41,7 +43,9 @@
 use banyan_wire::forward::ForwardSnapshot;
 use banyan_wire::forward::LoadWire;
 use banyan_wire::forward::ObservedWire;
+use banyan_wire::forward::OrderedWire;
 use banyan_wire::forward::TargetWire;
+use banyan_wire::forward::layer_range;
 use banyan_wire::forward::layer_ranges;
 
 /// The time between two rounds.
@@ -247,9 +251,19 @@
         observed: tables.fleet.rows.iter().filter_map(|row| observed_wire(row, now)).collect(),
         generation: tables.membership.map_or(0, |place| place.generation),
         leads: tables.membership.is_some_and(|place| place.leads),
+        ordered: tables.pending_orders.iter().filter_map(|row| ordered_wire(row, now)).collect(),
     }
 }
 
+fn ordered_wire((id, order): (&TargetId, &PendingOrder), now: Moment) -> Option<OrderedWire> {
+    let range = order.range?;
+    Some(OrderedWire {
+        target: SmolStr::new(id.as_str()),
+        range: (range.first, range.end),
+        left_ms: order.until.since(now).as_millis() as u64,
+    })
+}
+
 /// What a target told this instance of its layers, if that is fresh.
 fn observed_wire((id, row): (&TargetId, &TargetRow), now: Moment) -> Option<ObservedWire> {
     let age = now.since(row.observed?);
@@ -280,6 +294,9 @@
     tables.peer_loads.hear(instance, loads, unreachable, now);
     tables.leader_heard = if digest.leads { Some(now) } else { tables.leader_heard };
     tables.generation_heard = tables.generation_heard.max(digest.generation);
+    if digest.leads {
+        take_orders(&mut tables, digest.ordered, now);
+    }
     for observed in digest.observed {
         let at = Moment(now.0.saturating_sub(observed.age_ms * 1_000));
         match (observed.target.parse(), layer_ranges(observed.held)) {
@@ -289,6 +306,22 @@
     }
 }
 
+/// Remembers what the leader has ordered, for the case that this instance leads next.
+fn take_orders(tables: &mut ForwardTables, ordered: Vec<OrderedWire>, now: Moment) {
+    if tables.membership.is_some_and(|place| place.leads) {
+        return;
+    }
+    tables.pending_orders.clear();
+    for order in ordered {
+        let (Ok(id), Ok(range)) = (order.target.parse(), layer_range(order.range)) else {
+            tracing::warn!(part = "peers", "A bad order was passed over.");
+            continue;
+        };
+        let until = now + Duration::from_millis(order.left_ms);
+        tables.pending_orders.insert(id, PendingOrder { range: Some(range), ask: now, until });
+    }
+}
+
 fn own_snapshot<P>(state: &ForwardState<P>) -> ForwardSnapshot {
     let tables = state.tables();
     let listed = tables.fleet.rows.iter().filter(|(_, row)| row.removed.is_none());
--- a/crates/banyan-forward/src/probes.rs
+++ b/crates/banyan-forward/src/probes.rs
@@ -19,7 +19,8 @@
 
 /// Begins to probe the targets to which no probe is under way.
 pub fn probe_targets<P: Platform>(state: &Arc<ForwardState<P>>, ids: &[TargetId]) {
-    let fresh = state.tables().suspicions.begin_probes(ids);
+    let now = state.now();
+    let fresh = state.tables().suspicions.begin_probes(ids, now);
     for id in fresh {
         tokio::spawn(probe_target(state.clone(), id));
     }
--- a/crates/banyan-forward/src/state.rs
+++ b/crates/banyan-forward/src/state.rs
@@ -15,8 +15,10 @@
 use crate::logs;
 use crate::settings::ForwardSettings;
 use crate::settings::ServiceBounds;
+use banyan_core::ids::LayerRange;
 use banyan_core::ids::LogOffset;
 use banyan_core::ids::ServiceId;
+use banyan_core::ids::TargetId;
 use banyan_core::pipeline::chain::ChainPool;
 use banyan_core::pipeline::chain::TargetChain;
 use banyan_core::pipeline::comeback::ComebackTable;
@@ -42,6 +44,17 @@
     Draining,
 }
 
+/// An order that an engine has been given.
+#[derive(Clone, Copy, Debug)]
+pub struct PendingOrder {
+    /// The layers that it will hold, or `None` if it is only left alone for a while.
+    pub range: Option<LayerRange>,
+    /// When the engine is asked next whether it holds them.
+    pub ask: Moment,
+    /// When the order is taken as lost.
+    pub until: Moment,
+}
+
 /// The tables that decisions run over.
 #[derive(Debug, Default)]
 pub struct ForwardTables {
@@ -69,6 +82,9 @@
     pub comebacks: ComebackTable,
     /// This instance's place among the live ones, as last heard.
     pub membership: Option<Membership>,
+    /// Layers that were ordered by this instance or by the leader that it last heard, and that engines
+    /// may still be loading.
+    pub pending_orders: BTreeMap<TargetId, PendingOrder>,
     /// When a peer last said that it leads.
     pub leader_heard: Option<Moment>,
     /// The highest generation of the group that a peer told.
@@ -106,7 +122,7 @@
         service: &ServiceId,
         settings: &ForwardSettings,
         tokens: TokenCount,
-        avoided: &[banyan_core::ids::TargetId],
+        avoided: &[TargetId],
         now: Moment,
     ) -> Option<Arc<TargetChain>> {
         let routes = self.route_table()?;
--- a/crates/banyan-wire/src/forward.rs
+++ b/crates/banyan-wire/src/forward.rs
@@ -45,6 +45,19 @@
     pub generation: u64,
     /// Whether it leads.
     pub leads: bool,
+    /// The layers that it has ordered and that engines may still be loading.
+    pub ordered: Vec<OrderedWire>,
+}
+
+/// Layers that an engine was ordered to hold.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct OrderedWire {
+    /// The engine.
+    pub target: SmolStr,
+    /// The first layer and the layer behind the last one.
+    pub range: (u32, u32),
+    /// How long the order may still take, in milliseconds.
+    pub left_ms: u64,
 }
 
 /// What a target said of its layers.
@@ -156,7 +169,8 @@
     wire.into_iter().map(layer_range).collect()
 }
 
-fn layer_range((first, end): (u32, u32)) -> Result<LayerRange, ForwardWireError> {
+/// A range of layers in a peer's word.
+pub fn layer_range((first, end): (u32, u32)) -> Result<LayerRange, ForwardWireError> {
     if first < end {
         return Ok(LayerRange { first, end });
     }
