The first layout waits for a whole heartbeat without news; tight engines give layers up

Cause: with changes read every 800 ms a layout was planned over half of the engines, so that one held 20 layers with room for 8,700 tokens, which then refused 2,213 requests. Ruled out: the probes, which only made it dearer.

--- a/crates/banyan-core/src/pipeline/placement.rs
+++ b/crates/banyan-core/src/pipeline/placement.rs
@@ -93,6 +93,32 @@
         }
     }
     orders.extend(fill_holes(model, targets, room, &mut layout));
+    if layout.missing() == 0 {
+        orders.extend(trim(model, targets, room, &mut layout, &orders));
+    }
+    orders
+}
+
+/// Takes layers that have other holders off engines that hold more than leaves room for requests.
+fn trim(
+    model: &PipelineModel,
+    targets: &[&PlacementTarget],
+    room: TokenCount,
+    layout: &mut GroupLayout,
+    ordered: &[PlacementOrder],
+) -> Vec<PlacementOrder> {
+    let mut orders = Vec::new();
+    for target in targets {
+        let fit = model.layers_that_fit(target.memory, room);
+        let taken = target.busy || ordered.iter().any(|order| order.target == target.id);
+        let Some(held) = target.range.filter(|held| held.count() > fit && !taken) else { continue };
+        let range = layout.trimmed(held, fit);
+        if range != held {
+            layout.release(&target.id);
+            layout.hold(&target.id, range);
+            orders.push(PlacementOrder { target: target.id.clone(), range });
+        }
+    }
     orders
 }
 
@@ -235,6 +261,20 @@
         (range != held).then_some(range)
     }
 
+    /// What is left of an engine's layers when those at its ends that have other holders are taken
+    /// off, down to `fit`.
+    fn trimmed(&self, held: LayerRange, fit: u32) -> LayerRange {
+        let shared = |layer: u32| self.holders[layer as usize] > 1;
+        let mut range = held;
+        while range.count() > fit.max(1) && shared(range.end - 1) {
+            range.end -= 1;
+        }
+        while range.count() > fit.max(1) && shared(range.first) {
+            range.first += 1;
+        }
+        range
+    }
+
     fn is_missing(&self, layer: u32) -> bool {
         self.holders.get(layer as usize).is_some_and(|holders| *holders == 0)
     }
--- a/crates/banyan-forward/src/leadership.rs
+++ b/crates/banyan-forward/src/leadership.rs
@@ -42,9 +42,9 @@
 const REFUSED_PAUSE: Duration = Duration::from_millis(500);
 /// The time without new engines after which the first layout is planned: engines that start together
 /// are listed one after the other, and a layout over the first few would crowd them.
-const SETTLE_TIME: Duration = Duration::from_millis(800);
+const SETTLE_TIME: Duration = Duration::from_millis(1_700);
 /// The longest time that the first layout waits for the list of engines to settle.
-const SETTLE_LIMIT: Duration = Duration::from_secs(3);
+const SETTLE_LIMIT: Duration = Duration::from_secs(4);
 /// The time after which a peer stands in for a leader that is not heard while the group is silent.
 const DEPUTY_TIME: Duration = Duration::from_millis(2_500);
 /// The time between two questions to an engine that is loading layers.
