--- a/crates/banyan-forward/src/logs.rs
+++ b/crates/banyan-forward/src/logs.rs
@@ -135,14 +135,17 @@
     outcome: &str,
     last_event: Option<u64>,
     resumed: u32,
+    longest_pause: Duration,
     took: Duration,
 ) {
+    metrics::histogram!("banyan_longest_pause_seconds").record(longest_pause.as_secs_f64());
     tracing::info!(
         part = "request",
         request = %ticket.token,
         outcome,
         last_event,
         resumed,
+        longest_pause_ms = longest_pause.as_millis() as u64,
         took_ms = took.as_millis() as u64,
         "The stream ended."
     );
--- a/crates/banyan-forward/src/stream.rs
+++ b/crates/banyan-forward/src/stream.rs
@@ -85,6 +85,7 @@
     /// When the last event came.
     moved: Instant,
     pause: Duration,
+    longest_pause: Duration,
     ended: bool,
     resumed: u32,
     _active: ActiveRequest,
@@ -117,6 +118,7 @@
             first,
             moved: Instant::now(),
             pause,
+            longest_pause: Duration::ZERO,
             ended: false,
             resumed: 0,
             _active: active,
@@ -136,7 +138,7 @@
             match self.turn(check).await {
                 StreamTurn::Bytes(bytes) => match self.opened.splitter.push(bytes) {
                     Ok(Some(batch)) => {
-                        self.moved = Instant::now();
+                        self.note_move();
                         note_progress(&self.state, &self.opened.chain);
                         return Some(Ok(batch.bytes));
                     }
@@ -212,7 +214,7 @@
             Ok(mut opened) => {
                 self.first = opened.first.take();
                 self.opened = opened;
-                self.moved = Instant::now();
+                self.note_move();
                 self.resumed += 1;
                 None
             }
@@ -220,6 +222,12 @@
         }
     }
 
+    fn note_move(&mut self) {
+        let now = Instant::now();
+        self.longest_pause = self.longest_pause.max(now - self.moved);
+        self.moved = now;
+    }
+
     fn break_off(&mut self, cause: &'static str) -> AnswerBroken {
         self.ended = true;
         self.log_end(cause);
@@ -229,6 +237,6 @@
     fn log_end(&self, outcome: &'static str) {
         let took = self.state.now().since(self.ticket.received);
         let last = self.opened.splitter.last_id();
-        logs::stream_ended(&self.ticket, outcome, last, self.resumed, took);
+        logs::stream_ended(&self.ticket, outcome, last, self.resumed, self.longest_pause, took);
     }
 }
