Streams are moved sooner; idle engines are moved first; chains by time to the first event

Cause: a dead stage was noticed after 120 ms and up to 70 streams then queued to be read again (220 to 520 ms pauses, the limit is 200); two holes were filled by moving engines that carried streams, which waited 5 s for them; layers being given up still stood in chains (612 refusals); with all zones doubted chains crossed zones. Ruled out: refused orders, and the store. Now engines of a silent chain are probed after 70 ms, those that give layers up are left out at once, and doubted engines come before chains over several zones.

--- a/crates/banyan-core/src/pipeline/chain.rs
+++ b/crates/banyan-core/src/pipeline/chain.rs
@@ -29,6 +29,8 @@
 const REUSE_FACTOR: f64 = 2.0;
 /// What a hand-over between two engines costs, as a part of the whole model's step.
 const HOP_COST: f64 = 0.01;
+/// Token steps that pass before a first event reaches the caller.
+const FIRST_STEPS: f64 = 3.0;
 /// How much longer a chain in another zone may take before the nearer one is chosen.
 const FAR_FACTOR: f64 = 1.15;
 /// How full a chain may be. Requests take up less than they are counted for, since an answer fills
@@ -48,6 +50,8 @@
     pub range: LayerRange,
     /// What it has room for: tokens of requests times layers.
     pub token_layers: u64,
+    /// The time that it takes to read one token of a prompt through its layers.
+    pub read_time: Duration,
 }
 
 /// Engines that run all layers of a model in order.
@@ -62,8 +66,15 @@
     pub parts: Vec<ChainPart>,
     /// The time of one token step without other requests.
     pub step_time: Duration,
-    /// The time that a prompt of the usual length takes to read.
-    pub read_time: Duration,
+}
+
+/// How many tokens a request is about.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct RequestSize {
+    /// Tokens that are read before the first event.
+    pub prompt: TokenCount,
+    /// Tokens that it takes up in the end.
+    pub total: TokenCount,
 }
 
 impl TargetChain {
@@ -72,6 +83,18 @@
         self.parts.iter().any(|part| targets.contains(&part.target))
     }
 
+    /// The time until the first event of a request, by what is waiting to be read.
+    pub fn first_event_time(&self, loads: &LoadView<'_>, prompt: TokenCount, heard: usize) -> f64 {
+        let mut reading = 0.0;
+        let mut waiting: f64 = 0.0;
+        for part in &self.parts {
+            let token_time = part.read_time.as_secs_f64();
+            reading += token_time * prompt.0 as f64;
+            waiting = waiting.max(token_time * loads.unread(&part.target, heard));
+        }
+        reading + waiting + FIRST_STEPS * self.step_time.as_secs_f64()
+    }
+
     /// How full the fullest engine would be with `tokens` more; one is full.
     pub fn fullness(&self, loads: &LoadView<'_>, tokens: TokenCount) -> f64 {
         let part_fullness = |part: &ChainPart| {
@@ -146,13 +169,14 @@
         true
     }
 
-    /// Chooses the chain for a request of `tokens` tokens; one that uses one of `avoided` or has no room
-    /// is never chosen.
+    /// Chooses the chain that gives a request its first event soonest; one that uses one of `avoided` or
+    /// has no room is never chosen. `heard` is the number of peers whose load is known.
     pub fn choose(
         &self,
         loads: &LoadView<'_>,
         zone: &ZoneId,
-        tokens: TokenCount,
+        size: RequestSize,
+        heard: usize,
         avoided: &[TargetId],
     ) -> Option<Arc<TargetChain>> {
         let mut best: Option<(f64, &Arc<TargetChain>)> = None;
@@ -160,14 +184,15 @@
             if chain.uses_any(avoided) {
                 continue;
             }
-            let fullness = chain.fullness(loads, tokens);
+            let fullness = chain.fullness(loads, size.total);
             if fullness > FULLEST {
                 continue;
             }
             let near = chain.zone.as_ref() == Some(zone);
             let distance = if near { 1.0 } else { FAR_FACTOR };
             let crowding = 1.0 + CROWDED_FACTOR * fullness * fullness;
-            let score = chain.step_time.as_secs_f64() * distance * crowding;
+            let first_event = chain.first_event_time(loads, size.prompt, heard);
+            let score = first_event * distance * crowding;
             if best.is_none_or(|(least, _)| score < least) {
                 best = Some((score, chain));
             }
@@ -185,21 +210,21 @@
     now: Moment,
 ) -> Vec<Arc<TargetChain>> {
     let candidates = candidates(model, service, fleet);
-    let trusted: Vec<StageCandidate> = candidates
-        .iter()
-        .filter(|candidate| !suspicions.is_doubted(&candidate.target, now))
-        .cloned()
-        .collect();
-    let chains = chains_by_zone(model, &trusted);
+    let select = |keep: &dyn Fn(&TargetId) -> bool| -> Vec<StageCandidate> {
+        candidates.iter().filter(|candidate| keep(&candidate.target)).cloned().collect()
+    };
+    let chains = chains_by_zone(model, &select(&|id| !suspicions.is_doubted(id, now)));
     if !chains.is_empty() {
         return chains;
     }
-    let crossing = several_chains(model, trusted);
-    if !crossing.is_empty() {
-        return crossing;
+    // A chain over several zones is so dear that engines which are only doubted come before it.
+    let reachable = select(&|id| !suspicions.is_unreachable(id, now));
+    let chains = chains_by_zone(model, &reachable);
+    if !chains.is_empty() {
+        return chains;
     }
-    let chains = chains_by_zone(model, &candidates);
-    if chains.is_empty() { several_chains(model, candidates) } else { chains }
+    let crossing = several_chains(model, reachable);
+    if crossing.is_empty() { chains_by_zone(model, &candidates) } else { crossing }
 }
 
 fn candidates(
@@ -209,7 +234,8 @@
 ) -> Vec<StageCandidate> {
     let mut candidates = Vec::new();
     for (id, row) in fleet.of_service(service) {
-        if !row.takes_work() || row.report.held.is_empty() {
+        let kept = row.kept_layers();
+        if !row.takes_work() || kept.is_empty() {
             continue;
         }
         let Some(kind) = row.report.kind.as_ref().and_then(|kind| model.kinds.get(kind)) else {
@@ -220,7 +246,7 @@
             target: id.clone(),
             address: row.report.address,
             zone: row.report.zone.clone(),
-            held: row.report.held.clone(),
+            held: kept,
             step_factor: kind.step_factor,
             read_factor: kind.read_factor,
             search_factor: kind.step_factor,
@@ -329,26 +355,23 @@
     parts: &[PartChoice],
 ) -> TargetChain {
     let mut step = 0.0;
-    let mut read = 0.0;
     let mut chain_parts = Vec::with_capacity(parts.len());
     for (index, range) in parts {
         let candidate = &candidates[*index];
         step += model.share(range.count()) * candidate.step_factor;
-        read += model.share(range.count()) * candidate.read_factor;
         chain_parts.push(ChainPart {
             target: candidate.target.clone(),
             address: candidate.address,
             range: *range,
             token_layers: candidate.token_layers,
+            read_time: model.token_read_time(range.count(), candidate.read_factor),
         });
     }
     let zone = &candidates[parts[0].0].zone;
     let one_zone = parts.iter().all(|(index, _)| candidates[*index].zone == *zone);
-    let usual_read = model.usual_prompt.0 as f64 / model.timing.read_rate;
     TargetChain {
         zone: one_zone.then(|| zone.clone()),
         parts: chain_parts,
         step_time: model.timing.step.mul_f64(step),
-        read_time: Duration::from_secs_f64(usual_read * read),
     }
 }
--- a/crates/banyan-core/src/pipeline/fleet.rs
+++ b/crates/banyan-core/src/pipeline/fleet.rs
@@ -53,6 +53,9 @@
     pub changed: Moment,
     /// When the target itself last told which layers it holds.
     pub observed: Option<Moment>,
+    /// The layers that it has been ordered to hold and may still be loading. It takes no new work for
+    /// those that it gives up.
+    pub ordered: Option<LayerRange>,
 }
 
 /// The time for which a target's own word on its layers goes before its record, which may have been
@@ -64,6 +67,17 @@
     pub fn takes_work(&self) -> bool {
         self.removed.is_none() && self.report.phase == TargetPhase::Ready
     }
+
+    /// The layers that it holds and goes on holding.
+    pub fn kept_layers(&self) -> Vec<LayerRange> {
+        let Some(ordered) = self.ordered else { return self.report.held.clone() };
+        let kept = |held: &LayerRange| {
+            let first = held.first.max(ordered.first);
+            let end = held.end.min(ordered.end);
+            (first < end).then_some(LayerRange { first, end })
+        };
+        self.report.held.iter().filter_map(kept).collect()
+    }
 }
 
 /// A change of the fleet, in the order in which the platform made it.
@@ -156,9 +170,26 @@
         }
     }
 
+    /// Notes which layers targets have been ordered to hold; `ordered` tells of one target.
+    pub fn set_ordered(&mut self, ordered: impl Fn(&TargetId) -> Option<LayerRange>) {
+        for (id, row) in &mut self.rows {
+            let range = ordered(id);
+            if row.ordered != range {
+                row.ordered = range;
+                self.revision += 1;
+            }
+        }
+    }
+
     fn report(&mut self, id: TargetId, mut report: TargetReport, now: Moment) {
         let Some(row) = self.rows.get_mut(&id) else {
-            let row = TargetRow { report, removed: None, changed: now, observed: None };
+            let row = TargetRow {
+                report,
+                removed: None,
+                changed: now,
+                observed: None,
+                ordered: None,
+            };
             self.rows.insert(id, row);
             self.revision += 1;
             return;
@@ -171,7 +202,8 @@
             return;
         }
         let observed = row.observed.filter(|_| same_run);
-        *row = TargetRow { report, removed: None, changed: now, observed };
+        let ordered = row.ordered.filter(|_| same_run);
+        *row = TargetRow { report, removed: None, changed: now, observed, ordered };
         self.revision += 1;
     }
 
--- a/crates/banyan-core/src/pipeline/load.rs
+++ b/crates/banyan-core/src/pipeline/load.rs
@@ -21,6 +21,8 @@
     pub first_requests: u32,
     /// Tokens of those requests, times the layers that they pass through here.
     pub token_layers: u64,
+    /// Prompt tokens of requests that have given no event yet.
+    pub unread: u64,
 }
 
 /// What this instance has under way, by target.
@@ -48,13 +50,25 @@
         row.token_layers += tokens.0 * u64::from(layers);
     }
 
+    /// Adds a prompt that has to be read here.
+    pub fn add_unread(&mut self, id: &TargetId, prompt: TokenCount) {
+        self.rows.entry(id.clone()).or_default().unread += prompt.0;
+    }
+
+    /// Takes a prompt away that has been read, or whose request has ended.
+    pub fn remove_unread(&mut self, id: &TargetId, prompt: TokenCount) {
+        if let Some(row) = self.rows.get_mut(id) {
+            row.unread = row.unread.saturating_sub(prompt.0);
+        }
+    }
+
     /// Takes one request away that was added with the same figures.
     pub fn remove(&mut self, id: &TargetId, tokens: TokenCount, layers: u32, first: bool) {
         let Some(row) = self.rows.get_mut(id) else { return };
         row.requests = row.requests.saturating_sub(1);
         row.first_requests = row.first_requests.saturating_sub(u32::from(first));
         row.token_layers = row.token_layers.saturating_sub(tokens.0 * u64::from(layers));
-        if row.requests == 0 {
+        if row.requests == 0 && row.unread == 0 {
             self.rows.remove(id);
         }
     }
@@ -129,6 +143,12 @@
 }
 
 impl LoadView<'_> {
+    /// Prompt tokens that are about to be read at a target. The other instances are taken to send as
+    /// many as this one, since what they say is older than a prompt takes.
+    pub fn unread(&self, id: &TargetId, heard: usize) -> f64 {
+        self.own.get(id).unread as f64 * (1.0 + heard as f64 * self.peer_scale)
+    }
+
     /// Tokens of requests at a target, times the layers that they pass through there.
     pub fn token_layers(&self, id: &TargetId) -> f64 {
         let peers = self.peers.token_layers(id) as f64;
--- a/crates/banyan-core/src/pipeline/model.rs
+++ b/crates/banyan-core/src/pipeline/model.rs
@@ -93,6 +93,11 @@
         f64::from(layers) / f64::from(self.layers)
     }
 
+    /// The time that reading one token of a prompt through `layers` layers takes.
+    pub fn token_read_time(&self, layers: u32, read_factor: f64) -> Duration {
+        Duration::from_secs_f64(self.share(layers) * read_factor / self.timing.read_rate)
+    }
+
     /// The time that loading `layers` layers takes while no more than [`Self::loads_at_once`] run.
     pub fn load_time_of(&self, layers: u32) -> Duration {
         self.load_time.mul_f64(self.share(layers))
--- a/crates/banyan-core/src/pipeline/placement.rs
+++ b/crates/banyan-core/src/pipeline/placement.rs
@@ -6,6 +6,7 @@
 //! them, unless a layer is missing and theirs have other holders: a new leader goes on with what the
 //! one before it began.
 
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 
 use crate::ids::LayerRange;
@@ -31,6 +32,8 @@
     pub slowness: u64,
     /// The layers that it holds or has been ordered to hold.
     pub range: Option<LayerRange>,
+    /// What requests take up there: tokens times layers.
+    pub load: u64,
     /// Whether an order is under way, so that it must not get another one.
     pub busy: bool,
 }
@@ -84,7 +87,7 @@
     let mut orders = Vec::new();
     let mut empty: Vec<&PlacementTarget> =
         targets.iter().copied().filter(|target| target.range.is_none() && !target.busy).collect();
-    empty.sort_by_key(|target| (target.slowness, std::cmp::Reverse(target.memory), &target.id));
+    empty.sort_by_key(|target| (target.slowness, Reverse(target.memory), &target.id));
     for target in empty {
         let fit = model.layers_that_fit(target.memory, room);
         if let Some(range) = layout.best_window(fit) {
@@ -133,7 +136,8 @@
     let mut orders = Vec::new();
     let mut movable: Vec<&PlacementTarget> =
         targets.iter().copied().filter(|target| target.range.is_some() && !target.busy).collect();
-    movable.sort_by_key(|target| (std::cmp::Reverse(target.slowness), &target.id));
+    // An engine waits for what is passing through the layers that it gives up.
+    movable.sort_by_key(|target| (target.load, Reverse(target.slowness), &target.id));
     for target in &movable {
         if layout.missing() == 0 {
             return orders;
@@ -224,13 +228,13 @@
     /// What a further holder of a window is worth: layers that nobody holds, then engines that could
     /// be lost without a gap, then layers with one holder; the first window of equals is taken while
     /// layers are missing.
-    fn window_rank(&self, range: LayerRange) -> (usize, usize, usize, u32, std::cmp::Reverse<u32>) {
+    fn window_rank(&self, range: LayerRange) -> (usize, usize, usize, u32, Reverse<u32>) {
         let window = &self.holders[indices(range)];
         let missing = window.iter().filter(|holders| **holders == 0).count();
         let single = window.iter().filter(|holders| **holders == 1).count();
         let freed = self.held.values().filter(|held| self.becomes_spare(**held, range)).count();
         let thin: u32 = window.iter().map(|holders| 8u32.saturating_sub(*holders)).sum();
-        (missing, freed, single, thin, std::cmp::Reverse(range.first))
+        (missing, freed, single, thin, Reverse(range.first))
     }
 
     /// Whether a holder of `held` could be lost once another one holds `added`, but not before.
--- a/crates/banyan-core/src/pipeline/suspicion.rs
+++ b/crates/banyan-core/src/pipeline/suspicion.rs
@@ -24,6 +24,9 @@
 /// The time for which an answered probe shows that a target is there.
 const ANSWER_TIME: Duration = Duration::from_millis(1_000);
 
+/// The time after which a probe that was not answered speaks against a target.
+const ANSWER_PATIENCE: Duration = Duration::from_millis(25);
+
 /// What is held against one target.
 #[derive(Clone, Copy, Debug)]
 struct DoubtRow {
@@ -85,6 +88,21 @@
             .collect()
     }
 
+    /// The targets of `ids` that have not answered a probe that was begun long enough ago.
+    pub fn unanswering<'a>(
+        &self,
+        ids: impl Iterator<Item = &'a TargetId>,
+        now: Moment,
+    ) -> Vec<TargetId> {
+        let overdue = |id: &&TargetId| {
+            let Some(begun) = self.probing.get(*id) else { return false };
+            let answered = self.answered.get(*id).is_some_and(|at| at >= begun);
+            let waited = now.since(*begun);
+            !answered && (ANSWER_PATIENCE..ANSWER_TIME).contains(&waited)
+        };
+        ids.filter(overdue).cloned().collect()
+    }
+
     /// Takes in whether a target answered a probe; tells whether that is news.
     pub fn end_probe(&mut self, id: &TargetId, answered: bool, now: Moment) -> bool {
         self.revision += 1;
--- a/crates/banyan-forward/src/call.rs
+++ b/crates/banyan-forward/src/call.rs
@@ -182,6 +182,7 @@
         workspace: ticket.workspace.as_ref(),
         chain: &[],
         last_event: None,
+        urgent: false,
     };
     let request = ticket.dispatch(&state.platform, &dispatch);
     let (head, body) = match send_request(choice.address, request).await {
--- a/crates/banyan-forward/src/edges.rs
+++ b/crates/banyan-forward/src/edges.rs
@@ -93,6 +93,8 @@
     pub chain: &'a [ChainPart],
     /// The last event that is known, where a stream goes on.
     pub last_event: Option<u64>,
+    /// Whether it should be taken before others, since a caller has a part of the answer already.
+    pub urgent: bool,
 }
 
 /// What the head of a target's answer says.
--- a/crates/banyan-forward/src/leadership.rs
+++ b/crates/banyan-forward/src/leadership.rs
@@ -4,7 +4,6 @@
 //! order, so that engines refuse an earlier leader. Orders are level-triggered: what engines say they
 //! hold is compared with the plan, and the difference is ordered.
 
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -18,12 +17,13 @@
 use crate::probes::observe_target;
 use crate::state::ForwardState;
 use crate::state::ForwardTables;
+use crate::state::PEER_SCALE;
 use crate::state::PendingOrder;
 use banyan_core::ids::FenceNumber;
 use banyan_core::ids::ServiceId;
 use banyan_core::ids::TargetId;
 use banyan_core::pipeline::fleet::FleetTable;
-use banyan_core::pipeline::fleet::TargetRow;
+use banyan_core::pipeline::load::LoadView;
 use banyan_core::pipeline::model::PipelineModel;
 use banyan_core::pipeline::placement::PlacementOrder;
 use banyan_core::pipeline::placement::PlacementTarget;
@@ -183,8 +183,7 @@
     let mut due = Vec::new();
     for (service, spec) in &routes.services {
         let Some(model) = &spec.model else { continue };
-        let pending = &mut tables.pending_orders;
-        let mut targets = placement_targets(model, service, &tables.fleet.rows, pending);
+        let mut targets = placement_targets(model, service, tables);
         targets.retain(|target| !is_lost(tables, &target.id, now));
         if targets.iter().all(|target| target.range.is_none())
             && !has_settled(&tables.fleet, service, now)
@@ -215,11 +214,13 @@
 fn placement_targets(
     model: &PipelineModel,
     service: &ServiceId,
-    rows: &BTreeMap<TargetId, TargetRow>,
-    pending: &mut BTreeMap<TargetId, PendingOrder>,
+    tables: &mut ForwardTables,
 ) -> Vec<PlacementTarget> {
+    let loads =
+        LoadView { own: &tables.loads, peers: &tables.peer_loads, peer_scale: PEER_SCALE };
+    let pending = &mut tables.pending_orders;
     let mut targets = Vec::new();
-    for (id, row) in rows {
+    for (id, row) in &tables.fleet.rows {
         if row.report.service != *service || !row.takes_work() {
             continue;
         }
@@ -238,9 +239,11 @@
             memory: kind.memory,
             slowness: (kind.step_factor * 1_000.0) as u64,
             range: order.and_then(|order| order.range).or(held),
+            load: loads.token_layers(id) as u64,
             busy: order.is_some(),
         });
     }
+    tables.sync_orders();
     targets
 }
 
@@ -332,5 +335,7 @@
             PendingOrder { range: Some(range), ask: now + load, until: now + LATE_ORDER_TIME }
         }
     };
-    state.tables().pending_orders.insert(target, pending);
+    let mut tables = state.tables();
+    tables.pending_orders.insert(target, pending);
+    tables.sync_orders();
 }
--- a/crates/banyan-forward/src/logs.rs
+++ b/crates/banyan-forward/src/logs.rs
@@ -82,9 +82,8 @@
 }
 
 /// Logs that a target is avoided for a while.
-pub fn doubted(token: &RequestToken, target: &TargetId, cause: &str, silence: Duration) {
-    let silence_ms = silence.as_millis() as u64;
-    tracing::info!(part = "health", request = %token, %target, cause, silence_ms, "Doubted.");
+pub fn doubted(token: &RequestToken, target: &TargetId, cause: &str) {
+    tracing::info!(part = "health", request = %token, %target, cause, "Doubted.");
 }
 
 /// Logs that a chain gave its first event.
--- a/crates/banyan-forward/src/opening.rs
+++ b/crates/banyan-forward/src/opening.rs
@@ -27,22 +27,26 @@
 use crate::probes::probe_targets;
 use crate::relay::LoadLease;
 use crate::relay::lease_chain;
+use crate::relay::lease_reading;
 use crate::serve::NO_ROOM_TIME;
 use crate::serve::NO_TARGET_TIME;
 use crate::serve::RequestTicket;
 use crate::state::ForwardState;
 use banyan_core::ids::TargetId;
+use banyan_core::pipeline::chain::RequestSize;
 use banyan_core::pipeline::chain::TargetChain;
 use banyan_core::units::TokenCount;
 
 /// The largest failure that is read whole, in bytes.
 const FAILURE_LIMIT_BYTES: usize = 1 << 20;
 /// The part of the latency target after which a chain that has given no event is checked.
-const FIRST_EVENT_PART: f64 = 0.45;
+const FIRST_EVENT_PART: f64 = 0.2;
+/// How many times the latency target a chain may take for its first event while others are open.
+const TOO_LONG_FACTOR: f64 = 3.0;
 /// The time between two checks of a chain that goes on giving no event.
-const CHECK_PAUSE: Duration = Duration::from_millis(50);
+const CHECK_PAUSE: Duration = Duration::from_millis(30);
 /// The time without any event of any stream after which an engine counts as silent.
-const SILENCE: Duration = Duration::from_millis(120);
+const SILENCE: Duration = Duration::from_millis(70);
 /// Tokens that a request is taken to have where it does not say.
 const DEFAULT_TOKENS: TokenCount = TokenCount(1_000);
 /// Chains that are opened side by side at most.
@@ -83,6 +87,8 @@
     state: Arc<ForwardState<P>>,
     ticket: Arc<RequestTicket>,
     last_event: Option<u64>,
+    /// Whether the caller has been sent a part of the stream.
+    resuming: bool,
     /// Engines that are not used again for this request.
     avoided: Vec<TargetId>,
     /// Attempts that may have reached an engine.
@@ -99,6 +105,7 @@
         Self {
             state,
             last_event: ticket.caller.last_event,
+            resuming: false,
             ticket,
             avoided: Vec::new(),
             attempts: 0,
@@ -127,34 +134,47 @@
     /// Opens the next chain behind an event that the caller has.
     pub fn resume_after(&mut self, last_event: Option<u64>) {
         self.last_event = last_event;
+        self.resuming = true;
     }
 
-    /// Doubts the engines of a chain that no stream has heard of for `silence`, and avoids them;
-    /// tells whether there are any.
-    pub fn doubt_silent(&mut self, chain: &TargetChain, silence: Duration) -> bool {
+    /// Probes the engines of a chain that no stream has heard of for `silence`.
+    pub fn probe_silent(&self, chain: &TargetChain, silence: Duration) {
+        let now = self.state.now();
+        let targets = chain.parts.iter().map(|part| &part.target);
+        let silent = self.state.tables().suspicions.silent(targets, silence, now);
+        probe_targets(&self.state, &silent);
+    }
+
+    /// Doubts and avoids the engines of a chain that do not answer probes; tells whether there are any.
+    pub fn doubt_unanswering(&mut self, chain: &TargetChain) -> bool {
         let now = self.state.now();
-        let mut tables = self.state.tables();
         let targets = chain.parts.iter().map(|part| &part.target);
-        let silent = tables.suspicions.silent(targets, silence, now);
-        for id in &silent {
+        let mut tables = self.state.tables();
+        let failing = tables.suspicions.unanswering(targets, now);
+        for id in &failing {
             tables.suspicions.note_failure(id, now);
         }
         drop(tables);
-        for id in &silent {
-            logs::doubted(&self.ticket.token, id, "no progress", silence);
+        for id in &failing {
+            logs::doubted(&self.ticket.token, id, "no answer to a probe");
         }
-        probe_targets(&self.state, &silent);
-        let any = !silent.is_empty();
-        self.avoided.extend(silent);
+        let any = !failing.is_empty();
+        self.avoided.extend(failing);
         any
     }
 
+    /// Avoids a chain that gives nothing although its engines answer.
+    pub fn avoid_chain(&mut self, chain: &TargetChain) {
+        self.avoided.push(chain.parts[0].target.clone());
+    }
+
     /// Opens a chain and waits for its first event.
     pub async fn open(&mut self) -> Result<OpenedStream, Refusal> {
         self.start()?;
         let limit = self.state.clock.instant(self.ticket.limit);
         let first_wait = self.ticket.route.latency_target.mul_f64(FIRST_EVENT_PART);
-        let mut check = Instant::now() + first_wait;
+        let begun = Instant::now();
+        let mut check = begun + first_wait;
         let may_repeat = self.ticket.route.kind.may_repeat();
         loop {
             tokio::select! {
@@ -170,11 +190,8 @@
                 }
                 () = tokio::time::sleep_until(check), if may_repeat => {
                     check = Instant::now() + CHECK_PAUSE;
-                    let chains = self.chains.clone();
-                    let silent = chains.iter().any(|chain| self.doubt_silent(chain, SILENCE));
-                    if silent && self.running.len() < OPEN_AT_ONCE && self.can_resume() {
-                        // Without another chain the one that is silent may still answer.
-                        let _ = self.start();
+                    if self.running.len() < OPEN_AT_ONCE && self.can_resume() {
+                        self.check_opening(begun.elapsed());
                     }
                 }
                 () = tokio::time::sleep_until(limit) => {
@@ -185,6 +202,21 @@
         }
     }
 
+    /// Opens another chain beside one whose engines do not answer, or that takes far too long.
+    fn check_opening(&mut self, waited: Duration) {
+        let Some(chain) = self.chains.last().cloned() else { return };
+        self.probe_silent(&chain, SILENCE);
+        let mut failing = self.doubt_unanswering(&chain);
+        if !failing && waited >= self.ticket.route.latency_target.mul_f64(TOO_LONG_FACTOR) {
+            self.avoid_chain(&chain);
+            failing = true;
+        }
+        if failing {
+            // Without another chain the one that is silent may still answer.
+            let _ = self.start();
+        }
+    }
+
     /// Takes the first chain that answered and lets go of the others.
     fn settle(&mut self, opened: OpenedStream) -> OpenedStream {
         self.running.clear();
@@ -197,10 +229,10 @@
     fn start(&mut self) -> Result<(), Refusal> {
         let now = self.state.now();
         let settings = self.state.settings();
-        let tokens = self.tokens();
+        let size = self.size();
         let service = &self.ticket.service.id;
         let mut tables = self.state.tables();
-        let chain = tables.choose_chain(service, &settings, tokens, &self.avoided, now);
+        let chain = tables.choose_chain(service, &settings, size, &self.avoided, now);
         let Some(chain) = chain else {
             let empty = tables.pools.get(service).is_none_or(|pool| pool.chains().is_empty());
             let (cause, wait) = if empty {
@@ -221,15 +253,21 @@
         drop(tables);
         self.attempts += 1;
         self.chains.push(chain.clone());
-        let lease = lease_chain(&self.state, &chain, tokens);
+        let lease = lease_chain(&self.state, &chain, size.total);
+        let reading = lease_reading(&self.state, &chain, size.prompt);
         let opening = open_chain(
             self.state.clone(),
             self.ticket.clone(),
             chain.clone(),
             self.last_event,
+            self.resuming,
             lease,
         );
-        self.running.push(Box::pin(async move { (chain, opening.await) }));
+        self.running.push(Box::pin(async move {
+            let end = opening.await;
+            drop(reading);
+            (chain, end)
+        }));
         Ok(())
     }
 
@@ -284,12 +322,15 @@
         self.avoided.push(at_fault);
     }
 
-    /// The tokens that the request is expected to take up.
-    fn tokens(&self) -> TokenCount {
-        let Some(demand) = self.ticket.caller.demand else { return DEFAULT_TOKENS };
+    /// The tokens that the request is expected to be about.
+    fn size(&self) -> RequestSize {
+        let Some(demand) = self.ticket.caller.demand else {
+            return RequestSize { prompt: DEFAULT_TOKENS, total: DEFAULT_TOKENS };
+        };
         let usual = self.ticket.service.model.as_ref().map(|model| model.usual_answer);
         let answer = demand.answer_hint.or(usual).unwrap_or(demand.answer_limit);
-        TokenCount(demand.prompt.0 + answer.0.min(demand.answer_limit.0))
+        let answer = answer.0.min(demand.answer_limit.0);
+        RequestSize { prompt: demand.prompt, total: TokenCount(demand.prompt.0 + answer) }
     }
 }
 
@@ -307,6 +348,7 @@
     ticket: Arc<RequestTicket>,
     chain: Arc<TargetChain>,
     last_event: Option<u64>,
+    resuming: bool,
     lease: LoadLease,
 ) -> Result<OpenedStream, OpenFailure> {
     let first = &chain.parts[0];
@@ -316,6 +358,7 @@
         workspace: ticket.workspace.as_ref(),
         chain: &chain.parts,
         last_event,
+        urgent: resuming,
     };
     let request = ticket.dispatch(&state.platform, &dispatch);
     let (head, mut body) = match send_request(first.address, request).await {
--- a/crates/banyan-forward/src/peers.rs
+++ b/crates/banyan-forward/src/peers.rs
@@ -320,6 +320,7 @@
         let until = now + Duration::from_millis(order.left_ms);
         tables.pending_orders.insert(id, PendingOrder { range: Some(range), ask: now, until });
     }
+    tables.sync_orders();
 }
 
 fn own_snapshot<P>(state: &ForwardState<P>) -> ForwardSnapshot {
--- a/crates/banyan-forward/src/relay.rs
+++ b/crates/banyan-forward/src/relay.rs
@@ -62,6 +62,28 @@
     LoadLease { release: Some(Box::new(release)) }
 }
 
+/// Counts a prompt as unread at all engines of a chain until the lease is dropped.
+pub fn lease_reading<P: Send + Sync + 'static>(
+    state: &Arc<ForwardState<P>>,
+    chain: &Arc<TargetChain>,
+    prompt: TokenCount,
+) -> LoadLease {
+    let mut tables = state.tables();
+    for part in &chain.parts {
+        tables.loads.add_unread(&part.target, prompt);
+    }
+    drop(tables);
+    let state = state.clone();
+    let chain = chain.clone();
+    let release = move || {
+        let mut tables = state.tables();
+        for part in &chain.parts {
+            tables.loads.remove_unread(&part.target, prompt);
+        }
+    };
+    LoadLease { release: Some(Box::new(release)) }
+}
+
 /// Takes up a place for one call at a replica.
 pub fn lease_replica<P: Send + Sync + 'static>(
     state: &Arc<ForwardState<P>>,
--- a/crates/banyan-forward/src/state.rs
+++ b/crates/banyan-forward/src/state.rs
@@ -20,6 +20,7 @@
 use banyan_core::ids::ServiceId;
 use banyan_core::ids::TargetId;
 use banyan_core::pipeline::chain::ChainPool;
+use banyan_core::pipeline::chain::RequestSize;
 use banyan_core::pipeline::chain::TargetChain;
 use banyan_core::pipeline::comeback::ComebackTable;
 use banyan_core::pipeline::fleet::FleetTable;
@@ -30,9 +31,11 @@
 use banyan_core::pipeline::routes::RouteTable;
 use banyan_core::pipeline::suspicion::SuspicionTable;
 use banyan_core::units::Moment;
-use banyan_core::units::TokenCount;
 use banyan_http::clock::RuntimeClock;
 
+/// How many instances each peer that was heard stands for.
+pub const PEER_SCALE: f64 = 1.0;
+
 /// Whether the instance takes new requests.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub enum DaemonPhase {
@@ -105,6 +108,12 @@
         xxhash_rust::xxh3::xxh3_64(&self.draws.to_le_bytes())
     }
 
+    /// Tells the table of targets which layers have been ordered.
+    pub fn sync_orders(&mut self) {
+        let pending = &self.pending_orders;
+        self.fleet.set_ordered(|id| pending.get(id).and_then(|order| order.range));
+    }
+
     /// The configuration in force, once one is known.
     pub fn route_table(&self) -> Option<Arc<RouteTable>> {
         self.routes.as_ref().map(|record| record.table.clone())
@@ -116,12 +125,12 @@
         self.retries.set_share(f64::from(place.parts) / f64::from(place.all_parts.max(1)));
     }
 
-    /// The chain for a request of `tokens` tokens that uses none of `avoided`.
+    /// The chain for a request that uses none of `avoided`.
     pub fn choose_chain(
         &mut self,
         service: &ServiceId,
         settings: &ForwardSettings,
-        tokens: TokenCount,
+        size: RequestSize,
         avoided: &[TargetId],
         now: Moment,
     ) -> Option<Arc<TargetChain>> {
@@ -132,8 +141,10 @@
         if pool.refresh(&model, service, version, &self.fleet, &self.suspicions, now) {
             logs::chains_changed(service, pool.chains(), self.fleet.revision);
         }
-        let loads = LoadView { own: &self.loads, peers: &self.peer_loads, peer_scale: 1.0 };
-        pool.choose(&loads, &settings.zone, tokens, avoided)
+        let loads =
+            LoadView { own: &self.loads, peers: &self.peer_loads, peer_scale: PEER_SCALE };
+        let heard = self.peer_loads.heard(now);
+        pool.choose(&loads, &settings.zone, size, heard, avoided)
     }
 }
 
--- a/crates/banyan-forward/src/stream.rs
+++ b/crates/banyan-forward/src/stream.rs
@@ -32,11 +32,13 @@
 use crate::state::ForwardState;
 
 /// The part of the pause target after which a stream that stands still is checked.
-const PAUSE_PART: f64 = 0.6;
+const PAUSE_PART: f64 = 0.35;
+/// How many times that long a chain may stand still whose engines answer.
+const TOO_LONG_FACTOR: f64 = 10.0;
 /// The pause after which a stream is checked where its route has no pause target.
 const DEFAULT_PAUSE: Duration = Duration::from_millis(500);
 /// The time between two checks of a stream that goes on standing still.
-const CHECK_PAUSE: Duration = Duration::from_millis(50);
+const CHECK_PAUSE: Duration = Duration::from_millis(27);
 
 /// Serves a stream: opens a chain and relays what it sends.
 pub async fn serve_stream<P: Platform>(
@@ -197,9 +199,21 @@
         }
     }
 
-    /// Whether the stream stands still because of an engine that does nothing else either.
+    /// Whether the stream should go on elsewhere: an engine of its chain does not answer, or the chain
+    /// has given nothing for so long that the caller is about to give up.
     fn stands_still(&mut self) -> bool {
-        self.opener.can_resume() && self.opener.doubt_silent(&self.opened.chain, self.pause)
+        if !self.opener.can_resume() {
+            return false;
+        }
+        self.opener.probe_silent(&self.opened.chain, self.pause);
+        if self.opener.doubt_unanswering(&self.opened.chain) {
+            return true;
+        }
+        let too_long = self.moved.elapsed() >= self.pause.mul_f64(TOO_LONG_FACTOR);
+        if too_long {
+            self.opener.avoid_chain(&self.opened.chain);
+        }
+        too_long
     }
 
     /// Goes on at another chain; gives an error if there is none that will.
--- a/crates/banyan-wire/src/forward.rs
+++ b/crates/banyan-wire/src/forward.rs
@@ -196,6 +196,7 @@
             requests: wire.requests,
             first_requests: wire.first_requests,
             token_layers: wire.token_layers,
+            unread: 0,
         };
         Ok((wire.target.parse()?, load))
     }
