--- a/crates/banyan-core/src/pipeline/fleet.rs
+++ b/crates/banyan-core/src/pipeline/fleet.rs
@@ -183,13 +183,8 @@
 
     fn report(&mut self, id: TargetId, mut report: TargetReport, now: Moment) {
         let Some(row) = self.rows.get_mut(&id) else {
-            let row = TargetRow {
-                report,
-                removed: None,
-                changed: now,
-                observed: None,
-                ordered: None,
-            };
+            let row =
+                TargetRow { report, removed: None, changed: now, observed: None, ordered: None };
             self.rows.insert(id, row);
             self.revision += 1;
             return;
--- a/crates/banyan-core/src/pipeline/placement.rs
+++ b/crates/banyan-core/src/pipeline/placement.rs
@@ -69,13 +69,12 @@
 
 /// The greatest room for requests with which the engines hold all layers together.
 fn room_for_copy(model: &PipelineModel, targets: &[&PlacementTarget]) -> Option<TokenCount> {
-    ROOM_STEPS
-        .iter()
-        .map(|part| TokenCount((model.request_room.0 as f64 * part) as u64))
-        .find(|room| {
+    ROOM_STEPS.iter().map(|part| TokenCount((model.request_room.0 as f64 * part) as u64)).find(
+        |room| {
             let fit = |target: &&PlacementTarget| model.layers_that_fit(target.memory, *room);
             targets.iter().map(fit).sum::<u32>() >= model.layers
-        })
+        },
+    )
 }
 
 fn plan_group(
@@ -179,8 +178,7 @@
 
 impl GroupLayout {
     fn new(model: &PipelineModel, targets: &[&PlacementTarget]) -> Self {
-        let mut layout =
-            Self { holders: vec![0; model.layers as usize], held: BTreeMap::new() };
+        let mut layout = Self { holders: vec![0; model.layers as usize], held: BTreeMap::new() };
         for target in targets {
             if let Some(range) = target.range {
                 layout.hold(&target.id, range);
--- a/crates/banyan-core/src/pipeline/replica.rs
+++ b/crates/banyan-core/src/pipeline/replica.rs
@@ -6,6 +6,8 @@
 use crate::ids::TargetId;
 use crate::ids::ZoneId;
 use crate::pipeline::fleet::FleetTable;
+use crate::pipeline::fleet::TargetPhase;
+use crate::pipeline::fleet::TargetRow;
 use crate::pipeline::load::LoadTable;
 use crate::pipeline::suspicion::SuspicionTable;
 use crate::units::Moment;
@@ -19,29 +21,39 @@
     pub address: SocketAddr,
 }
 
+/// What is asked for.
+#[derive(Clone, Copy, Debug)]
+pub struct ReplicaQuery<'a> {
+    /// The service.
+    pub service: &'a ServiceId,
+    /// The zone of this instance.
+    pub zone: &'a ZoneId,
+    /// Replicas that are not chosen again.
+    pub tried: &'a [TargetId],
+    /// Breaks ties, so that instances don't all choose the same.
+    pub draw: u64,
+}
+
 /// Chooses the replica with the fewest calls of ours among those that are trusted, the nearest first.
-///
-/// A doubted replica is chosen only where `last_resort` allows it and no other is left; `tried` are
-/// never chosen. `draw` breaks ties, so that instances don't all choose the same.
+/// A doubted replica, or one whose record was just removed, is chosen only where no other is left.
 pub fn choose_replica(
     fleet: &FleetTable,
     loads: &LoadTable,
     suspicions: &SuspicionTable,
-    service: &ServiceId,
-    zone: &ZoneId,
-    tried: &[TargetId],
-    draw: u64,
+    query: &ReplicaQuery<'_>,
     now: Moment,
 ) -> Option<ReplicaChoice> {
-    let rank = |id: &TargetId, listed: bool, near: bool| {
+    let rank = |id: &TargetId, row: &TargetRow| {
+        let doubted = suspicions.is_doubted(id, now);
         let load = loads.get(id).requests;
-        (suspicions.is_doubted(id, now), !listed, load, !near, tie_break(id, draw))
+        let far = row.report.zone != *query.zone;
+        (doubted, !row.takes_work(), load, far, tie_break(id, query.draw))
     };
     fleet
-        .of_service(service)
-        .filter(|(_, row)| row.report.phase == crate::pipeline::fleet::TargetPhase::Ready)
-        .filter(|(id, _)| !tried.contains(id))
-        .min_by_key(|(id, row)| rank(id, row.takes_work(), row.report.zone == *zone))
+        .of_service(query.service)
+        .filter(|(_, row)| row.report.phase == TargetPhase::Ready)
+        .filter(|(id, _)| !query.tried.contains(id))
+        .min_by_key(|(id, row)| rank(id, row))
         .map(|(id, row)| ReplicaChoice { target: id.clone(), address: row.report.address })
 }
 
--- /dev/null
+++ b/crates/banyan-core/tests/pipeline/chains.rs
@@ -0,0 +1,199 @@
+//! Choice of chains.
+
+use proptest::prelude::*;
+
+use crate::support::at;
+use crate::support::fleet;
+use crate::support::layers;
+use crate::support::model;
+use crate::support::service;
+use crate::support::target;
+use crate::support::zone;
+use banyan_core::ids::LayerRange;
+use banyan_core::pipeline::chain::ChainPool;
+use banyan_core::pipeline::chain::RequestSize;
+use banyan_core::pipeline::chain::TargetChain;
+use banyan_core::pipeline::fleet::FleetTable;
+use banyan_core::pipeline::load::LoadTable;
+use banyan_core::pipeline::load::LoadView;
+use banyan_core::pipeline::load::PeerLoadTable;
+use banyan_core::pipeline::suspicion::SuspicionTable;
+use banyan_core::units::Moment;
+use banyan_core::units::TokenCount;
+
+const SIZE: RequestSize = RequestSize { prompt: TokenCount(800), total: TokenCount(950) };
+
+fn pool(fleet: &FleetTable, suspicions: &SuspicionTable, now: Moment) -> ChainPool {
+    let mut pool = ChainPool::default();
+    pool.refresh(&model(), &service(), 1, fleet, suspicions, now);
+    pool
+}
+
+fn choose(pool: &ChainPool, loads: &LoadTable, from: &str) -> Option<std::sync::Arc<TargetChain>> {
+    let peers = PeerLoadTable::default();
+    let view = LoadView { own: loads, peers: &peers, peer_scale: 1.0 };
+    pool.choose(&view, &zone(from), SIZE, 0, &[])
+}
+
+fn ranges(chain: &TargetChain) -> Vec<LayerRange> {
+    chain.parts.iter().map(|part| part.range).collect()
+}
+
+/// Asserts that a chain runs every layer once and in order, each engine once.
+fn assert_whole(chain: &TargetChain, layers: u32) {
+    let mut at = 0;
+    let mut targets = Vec::new();
+    for part in &chain.parts {
+        assert_eq!(part.range.first, at, "{chain:?}");
+        at = part.range.end;
+        targets.push(&part.target);
+    }
+    assert_eq!(at, layers);
+    targets.sort();
+    targets.dedup();
+    assert_eq!(targets.len(), chain.parts.len(), "an engine stands in the chain twice");
+}
+
+#[test]
+fn a_chain_runs_every_layer_once_in_order() {
+    let fleet = fleet(&[
+        ("a1", "a", "fast-vast", layers(0, 15)),
+        ("a2", "a", "fast-vast", layers(12, 40)),
+        ("a3", "a", "slow-vast", layers(35, 60)),
+        ("a4", "a", "slow-vast", layers(60, 80)),
+    ]);
+    let pool = pool(&fleet, &SuspicionTable::default(), at(0));
+    for chain in pool.chains() {
+        assert_whole(chain, 80);
+    }
+    let chain = choose(&pool, &LoadTable::default(), "a").expect("a chain");
+    assert_eq!(ranges(&chain)[0].first, 0);
+}
+
+#[test]
+fn an_engine_within_another_s_layers_does_not_make_it_stand_twice() {
+    // The quick engine holds the middle of the slow one's layers: using it would need the slow one
+    // before it and after it.
+    let fleet = fleet(&[
+        ("wide", "a", "slow-vast", layers(0, 80)),
+        ("quick", "a", "fast-vast", layers(20, 60)),
+    ]);
+    let pool = pool(&fleet, &SuspicionTable::default(), at(0));
+    assert!(!pool.chains().is_empty());
+    for chain in pool.chains() {
+        assert_whole(chain, 80);
+    }
+}
+
+#[test]
+fn a_chain_stays_in_one_zone_where_one_holds_all_layers() {
+    let fleet = fleet(&[
+        ("a1", "a", "slow-vast", layers(0, 40)),
+        ("a2", "a", "slow-vast", layers(40, 80)),
+        ("b1", "b", "fast-vast", layers(0, 40)),
+    ]);
+    let pool = pool(&fleet, &SuspicionTable::default(), at(0));
+    assert!(pool.chains().iter().all(|chain| chain.zone == Some(zone("a"))));
+}
+
+#[test]
+fn a_chain_crosses_zones_only_where_no_zone_holds_all_layers() {
+    let fleet =
+        fleet(&[("a1", "a", "fast-vast", layers(0, 40)), ("b1", "b", "fast-vast", layers(40, 80))]);
+    let pool = pool(&fleet, &SuspicionTable::default(), at(0));
+    let chain = choose(&pool, &LoadTable::default(), "a").expect("a chain");
+    assert_eq!(chain.zone, None);
+    assert_whole(&chain, 80);
+}
+
+#[test]
+fn doubted_engines_come_before_a_chain_over_several_zones() {
+    // Activations over a zone's boundary cost more than a request is worth; a doubt lasts a second.
+    let fleet = fleet(&[
+        ("a1", "a", "fast-vast", layers(0, 40)),
+        ("a2", "a", "fast-vast", layers(40, 80)),
+        ("b1", "b", "fast-vast", layers(0, 40)),
+        ("b2", "b", "fast-vast", layers(40, 80)),
+    ]);
+    let mut suspicions = SuspicionTable::default();
+    suspicions.note_failure(&target("a1"), at(0));
+    suspicions.note_failure(&target("b2"), at(0));
+    let pool = pool(&fleet, &suspicions, at(10));
+    assert!(pool.chains().iter().all(|chain| chain.zone.is_some()), "{:?}", pool.chains());
+}
+
+#[test]
+fn unreachable_engines_are_left_out() {
+    let fleet =
+        fleet(&[("a1", "a", "fast-vast", layers(0, 80)), ("b1", "b", "slow-vast", layers(0, 80))]);
+    let mut suspicions = SuspicionTable::default();
+    suspicions.end_probe(&target("a1"), false, at(0));
+    let pool = pool(&fleet, &suspicions, at(10));
+    let chain = choose(&pool, &LoadTable::default(), "a").expect("a chain");
+    assert_eq!(chain.zone, Some(zone("b")));
+}
+
+#[test]
+fn layers_that_are_being_given_up_are_left_out() {
+    let mut fleet =
+        fleet(&[("a1", "a", "fast-vast", layers(0, 80)), ("b1", "b", "slow-vast", layers(0, 80))]);
+    fleet.set_ordered(|id| (id.as_str() == "a1").then_some(layers(0, 20)));
+    let pool = pool(&fleet, &SuspicionTable::default(), at(0));
+    let chain = choose(&pool, &LoadTable::default(), "a").expect("a chain");
+    assert_eq!(chain.zone, Some(zone("b")));
+}
+
+#[test]
+fn a_full_chain_is_not_chosen() {
+    let fleet =
+        fleet(&[("a1", "a", "fast-vast", layers(0, 15)), ("a2", "a", "fast-vast", layers(15, 80))]);
+    let pool = pool(&fleet, &SuspicionTable::default(), at(0));
+    let mut loads = LoadTable::default();
+    loads.add(&target("a1"), TokenCount(5_000_000), 15, true);
+    assert_eq!(choose(&pool, &loads, "a"), None);
+}
+
+#[test]
+fn prompts_that_wait_to_be_read_make_a_chain_less_attractive() {
+    // Seventy streams that move at once would queue up at one chain while another could share them.
+    let fleet =
+        fleet(&[("a1", "a", "slow-vast", layers(0, 80)), ("b1", "b", "slow-vast", layers(0, 80))]);
+    let pool = pool(&fleet, &SuspicionTable::default(), at(0));
+    let mut loads = LoadTable::default();
+    let near = choose(&pool, &loads, "a").expect("a chain");
+    assert_eq!(near.zone, Some(zone("a")));
+    for _ in 0..10 {
+        loads.add_unread(&target("a1"), TokenCount(800));
+    }
+    let other = choose(&pool, &loads, "a").expect("a chain");
+    assert_eq!(other.zone, Some(zone("b")));
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 128, ..ProptestConfig::default() })]
+
+    /// Whatever engines hold, every chain is whole.
+    #[test]
+    fn chains_are_always_whole(held in proptest::collection::vec((0u32..80, 1u32..60, 0usize..3), 1..16)) {
+        let names: Vec<String> = (0..held.len()).map(|index| format!("e{index}")).collect();
+        let kinds = ["fast", "slow", "fast-vast"];
+        let rows: Vec<(&str, &str, &str, LayerRange)> = held
+            .iter()
+            .enumerate()
+            .map(|(index, (first, length, kind))| {
+                let end = (first + length).min(80);
+                (names[index].as_str(), "a", kinds[*kind], layers(*first, end))
+            })
+            .collect();
+        let covered = (0..80).all(|layer| {
+            rows.iter().any(|(.., range)| range.first <= layer && layer < range.end)
+        });
+        let pool = pool(&fleet(&rows), &SuspicionTable::default(), at(0));
+        for chain in pool.chains() {
+            assert_whole(chain, 80);
+        }
+        if !covered {
+            prop_assert!(pool.chains().is_empty());
+        }
+    }
+}
--- /dev/null
+++ b/crates/banyan-core/tests/pipeline/comebacks.rs
@@ -0,0 +1,17 @@
+//! Times to come back.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use crate::support::at;
+use banyan_core::pipeline::comeback::ComebackTable;
+
+#[test]
+fn callers_refused_together_come_back_apart() {
+    let mut table = ComebackTable::default();
+    let times: Vec<Duration> = (0..16).map(|_| table.next(at(1_400), at(1_000))).collect();
+    let distinct: BTreeSet<Duration> = times.iter().copied().collect();
+    assert_eq!(distinct.len(), 16);
+    assert!(times.iter().all(|time| *time >= Duration::from_millis(400)), "never too early");
+    assert!(times.iter().all(|time| *time < Duration::from_millis(800)));
+}
--- /dev/null
+++ b/crates/banyan-core/tests/pipeline/fleets.rs
@@ -0,0 +1,78 @@
+//! The table of targets.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use crate::support::at;
+use crate::support::fleet;
+use crate::support::layers;
+use crate::support::report;
+use crate::support::target;
+use banyan_core::pipeline::fleet::FleetChange;
+
+#[test]
+fn a_record_that_says_nothing_new_changes_nothing() {
+    let mut table = fleet(&[("a1", "a", "fast", layers(0, 10))]);
+    let revision = table.revision;
+    let same = report("a", "fast", 1_000, &[layers(0, 10)]);
+    table.apply(FleetChange::Reported(target("a1"), same), at(10));
+    assert_eq!(table.revision, revision);
+}
+
+#[test]
+fn a_removed_target_takes_no_work_and_is_dropped_after_its_grace() {
+    let mut table = fleet(&[("a1", "a", "fast", layers(0, 10))]);
+    table.apply(FleetChange::Removed(target("a1")), at(100));
+    assert!(!table.rows[&target("a1")].takes_work());
+    assert!(table.drop_removed(Duration::from_millis(500), at(400)).is_empty());
+    assert_eq!(table.drop_removed(Duration::from_millis(500), at(600)), vec![target("a1")]);
+}
+
+#[test]
+fn a_target_that_is_listed_again_takes_work_again() {
+    let mut table = fleet(&[("a1", "a", "fast", layers(0, 10))]);
+    table.apply(FleetChange::Removed(target("a1")), at(100));
+    let back = report("a", "fast", 1_000, &[layers(0, 10)]);
+    table.apply(FleetChange::Reported(target("a1"), back), at(200));
+    assert!(table.rows[&target("a1")].takes_work());
+}
+
+#[test]
+fn a_listing_removes_what_it_lacks() {
+    let mut table =
+        fleet(&[("a1", "a", "fast", layers(0, 10)), ("a2", "a", "fast", layers(0, 10))]);
+    let kept = report("a", "fast", 1_000, &[layers(0, 10)]);
+    table.replace(BTreeMap::from([(target("a1"), kept)]), at(50));
+    assert!(table.rows[&target("a1")].takes_work());
+    assert!(!table.rows[&target("a2")].takes_work());
+}
+
+#[test]
+fn a_target_s_own_word_goes_before_an_older_record() {
+    let mut table = fleet(&[("a1", "a", "fast", layers(0, 10))]);
+    table.observe(&target("a1"), &[layers(10, 20)], at(100), at(100));
+    // A heartbeat that was written before the load ended comes after it.
+    let stale = report("a", "fast", 1_000, &[layers(0, 10)]);
+    table.apply(FleetChange::Reported(target("a1"), stale.clone()), at(200));
+    assert_eq!(table.rows[&target("a1")].report.held, vec![layers(10, 20)]);
+    table.apply(FleetChange::Reported(target("a1"), stale), at(5_000));
+    assert_eq!(table.rows[&target("a1")].report.held, vec![layers(0, 10)]);
+}
+
+#[test]
+fn a_new_run_under_the_same_id_holds_nothing_of_before() {
+    let mut table = fleet(&[("a1", "a", "fast", layers(0, 10))]);
+    table.observe(&target("a1"), &[layers(10, 20)], at(100), at(100));
+    let mut reborn = report("a", "fast", 1_000, &[]);
+    reborn.born = Some(2);
+    table.apply(FleetChange::Reported(target("a1"), reborn), at(200));
+    assert!(table.rows[&target("a1")].report.held.is_empty());
+}
+
+#[test]
+fn an_older_observation_does_not_undo_a_newer_one() {
+    let mut table = fleet(&[("a1", "a", "fast", layers(0, 10))]);
+    table.observe(&target("a1"), &[layers(10, 20)], at(100), at(100));
+    table.observe(&target("a1"), &[layers(0, 10)], at(50), at(120));
+    assert_eq!(table.rows[&target("a1")].report.held, vec![layers(10, 20)]);
+}
--- /dev/null
+++ b/crates/banyan-core/tests/pipeline/loads.rs
@@ -0,0 +1,47 @@
+//! What requests take up at targets.
+
+use std::collections::BTreeMap;
+
+use crate::support::at;
+use crate::support::target;
+use banyan_core::ids::InstanceId;
+use banyan_core::pipeline::load::LoadTable;
+use banyan_core::pipeline::load::LoadView;
+use banyan_core::pipeline::load::PeerLoadTable;
+use banyan_core::pipeline::load::TargetLoad;
+use banyan_core::units::TokenCount;
+
+fn peer(name: &str) -> InstanceId {
+    name.parse().expect("a name")
+}
+
+fn said(token_layers: u64) -> BTreeMap<banyan_core::ids::TargetId, TargetLoad> {
+    let load = TargetLoad { requests: 1, first_requests: 1, token_layers, unread: 0 };
+    BTreeMap::from([(target("a"), load)])
+}
+
+#[test]
+fn peers_add_to_what_is_under_way_until_their_word_is_old() {
+    let mut own = LoadTable::default();
+    own.add(&target("a"), TokenCount(100), 10, true);
+    let mut peers = PeerLoadTable::default();
+    peers.hear(peer("p1"), said(500), vec![], at(0));
+    peers.hear(peer("p2"), said(700), vec![target("dead")], at(1_500));
+    let view = LoadView { own: &own, peers: &peers, peer_scale: 1.0 };
+    assert_eq!(view.token_layers(&target("a")) as u64, 1_000 + 500 + 700);
+    assert_eq!(peers.heard(at(1_600)), 2);
+    peers.hear(peer("p2"), said(700), vec![target("dead")], at(2_100));
+    let view = LoadView { own: &own, peers: &peers, peer_scale: 1.0 };
+    assert_eq!(view.token_layers(&target("a")) as u64, 1_000 + 700);
+    assert_eq!(peers.unreachable(at(2_200)).collect::<Vec<_>>(), vec![&target("dead")]);
+}
+
+#[test]
+fn a_request_that_ends_leaves_nothing() {
+    let mut own = LoadTable::default();
+    own.add(&target("a"), TokenCount(100), 10, true);
+    own.add_unread(&target("a"), TokenCount(80));
+    own.remove_unread(&target("a"), TokenCount(80));
+    own.remove(&target("a"), TokenCount(100), 10, true);
+    assert_eq!(own.rows().count(), 0);
+}
--- /dev/null
+++ b/crates/banyan-core/tests/pipeline/main.rs
@@ -0,0 +1,11 @@
+//! Tests of the decisions about requests that engines pass along among themselves.
+
+mod chains;
+mod comebacks;
+mod fleets;
+mod layouts;
+mod loads;
+mod retry_budget;
+mod route_table;
+mod support;
+mod suspicions;
--- /dev/null
+++ b/crates/banyan-core/tests/pipeline/suspicions.rs
@@ -0,0 +1,61 @@
+//! Doubts about targets.
+
+use std::time::Duration;
+
+use crate::support::at;
+use crate::support::target;
+use banyan_core::pipeline::suspicion::SuspicionTable;
+
+const SILENCE: Duration = Duration::from_millis(70);
+
+#[test]
+fn a_doubt_ends_and_lengthens_with_repeats() {
+    let mut table = SuspicionTable::default();
+    table.note_failure(&target("a"), at(0));
+    assert!(table.is_doubted(&target("a"), at(500)));
+    assert!(!table.is_doubted(&target("a"), at(1_000)));
+    table.note_failure(&target("a"), at(1_000));
+    assert!(table.is_doubted(&target("a"), at(2_500)));
+}
+
+#[test]
+fn probes_of_one_target_are_bounded() {
+    // Without a bound every stream of a slow chain asked each of its engines at each check.
+    let mut table = SuspicionTable::default();
+    let ids = [target("a"), target("b")];
+    assert_eq!(table.begin_probes(&ids, at(0)).len(), 2);
+    let begun: usize = (1..300).map(|millis| table.begin_probes(&ids, at(millis)).len()).sum();
+    assert_eq!(begun, 0);
+    assert_eq!(table.begin_probes(&ids, at(300)).len(), 2);
+}
+
+#[test]
+fn a_target_is_silent_only_without_tokens_and_answers() {
+    let mut table = SuspicionTable::default();
+    let (moving, answering, dead) = (target("moving"), target("answering"), target("dead"));
+    table.note_progress(&moving, at(980));
+    table.end_probe(&answering, true, at(900));
+    let ids = [moving, answering, dead.clone()];
+    assert_eq!(table.silent(ids.iter(), SILENCE, at(1_000)), vec![dead]);
+}
+
+#[test]
+fn only_targets_that_leave_a_probe_unanswered_are_unanswering() {
+    let mut table = SuspicionTable::default();
+    let ids = [target("quick"), target("dead")];
+    table.begin_probes(&ids, at(0));
+    assert!(table.unanswering(ids.iter(), at(10)).is_empty(), "a probe takes a while");
+    table.end_probe(&ids[0], true, at(3));
+    assert_eq!(table.unanswering(ids.iter(), at(40)), vec![target("dead")]);
+}
+
+#[test]
+fn an_answer_ends_doubt() {
+    let mut table = SuspicionTable::default();
+    assert!(table.end_probe(&target("a"), false, at(0)));
+    assert!(!table.end_probe(&target("a"), false, at(300)), "the second time is no news");
+    assert!(table.is_unreachable(&target("a"), at(400)));
+    assert!(table.end_probe(&target("a"), true, at(500)));
+    assert!(!table.is_doubted(&target("a"), at(500)));
+    assert!(table.unreachable(at(500)).is_empty());
+}
--- a/crates/banyan-forward/src/call.rs
+++ b/crates/banyan-forward/src/call.rs
@@ -34,6 +34,7 @@
 use crate::state::ForwardState;
 use banyan_core::ids::TargetId;
 use banyan_core::pipeline::replica::ReplicaChoice;
+use banyan_core::pipeline::replica::ReplicaQuery;
 use banyan_core::pipeline::replica::choose_replica;
 use banyan_core::units::Moment;
 
@@ -137,17 +138,13 @@
     let now = state.now();
     let settings = state.settings();
     let mut tables = state.tables();
-    let draw = tables.draw();
-    let choice = choose_replica(
-        &tables.fleet,
-        &tables.loads,
-        &tables.suspicions,
-        &ticket.service.id,
-        &settings.zone,
-        &progress.tried,
-        draw,
-        now,
-    );
+    let query = ReplicaQuery {
+        service: &ticket.service.id,
+        zone: &settings.zone,
+        tried: &progress.tried,
+        draw: tables.draw(),
+    };
+    let choice = choose_replica(&tables.fleet, &tables.loads, &tables.suspicions, &query, now);
     let Some(choice) = choice else { return false };
     // A replica that could not be reached got nothing, so that going on is no repeat.
     let counts = repeat && progress.sent > 0;
--- a/crates/banyan-forward/src/feeds.rs
+++ b/crates/banyan-forward/src/feeds.rs
@@ -140,8 +140,7 @@
     let bounds = state.settings().bounds;
     let mut tables = state.tables();
     let unsound = tables.store_trouble.is_some_and(|at| now.since(at) < bounds.settle_time);
-    let grace =
-        if unsound { RELISTED_TIME } else { bounds.leave_time.mul_f64(REMOVED_PART) };
+    let grace = if unsound { RELISTED_TIME } else { bounds.leave_time.mul_f64(REMOVED_PART) };
     let gone = tables.fleet.drop_removed(grace, now);
     for id in &gone {
         tables.suspicions.forget(id);
--- a/crates/banyan-forward/src/leadership.rs
+++ b/crates/banyan-forward/src/leadership.rs
@@ -148,10 +148,8 @@
 /// Asks the engines whose loads should be done by now which layers they hold.
 async fn observe_pending<P: Platform>(state: &Arc<ForwardState<P>>) {
     let due = due_questions(state);
-    let asking: FuturesUnordered<_> = due
-        .iter()
-        .map(|(id, address)| observe_target(state, id, *address, STATE_LIMIT))
-        .collect();
+    let asking: FuturesUnordered<_> =
+        due.iter().map(|(id, address)| observe_target(state, id, *address, STATE_LIMIT)).collect();
     let _: Vec<_> = asking.collect().await;
 }
 
@@ -216,8 +214,7 @@
     service: &ServiceId,
     tables: &mut ForwardTables,
 ) -> Vec<PlacementTarget> {
-    let loads =
-        LoadView { own: &tables.loads, peers: &tables.peer_loads, peer_scale: PEER_SCALE };
+    let loads = LoadView { own: &tables.loads, peers: &tables.peer_loads, peer_scale: PEER_SCALE };
     let pending = &mut tables.pending_orders;
     let mut targets = Vec::new();
     for (id, row) in &tables.fleet.rows {
--- a/crates/banyan-forward/src/state.rs
+++ b/crates/banyan-forward/src/state.rs
@@ -141,8 +141,7 @@
         if pool.refresh(&model, service, version, &self.fleet, &self.suspicions, now) {
             logs::chains_changed(service, pool.chains(), self.fleet.revision);
         }
-        let loads =
-            LoadView { own: &self.loads, peers: &self.peer_loads, peer_scale: PEER_SCALE };
+        let loads = LoadView { own: &self.loads, peers: &self.peer_loads, peer_scale: PEER_SCALE };
         let heard = self.peer_loads.heard(now);
         pool.choose(&loads, &settings.zone, size, heard, avoided)
     }
--- a/crates/banyan-forward/src/stream.rs
+++ b/crates/banyan-forward/src/stream.rs
@@ -2,7 +2,7 @@
 //!
 //! The head of the answer is held until the first event is there, so that a chain that gives none can
 //! be replaced unseen. After that whole events are passed on as they come; where a stream may be
-//! resumed and stands still or breaks off, [`StreamRelay`] goes on at another chain behind the last
+//! resumed and stands still or breaks off, a relay goes on at another chain behind the last
 //! event that the caller was sent.
 
 use std::sync::Arc;
