--- a/crates/banyan-core/src/pipeline/chain.rs
+++ b/crates/banyan-core/src/pipeline/chain.rs
@@ -35,7 +35,7 @@
 const FAR_FACTOR: f64 = 1.15;
 /// How full a chain may be. Requests take up less than they are counted for, since an answer fills
 /// its room only at its end.
-const FULLEST: f64 = 1.4;
+const FULLEST: f64 = 1.1;
 /// How much longer a chain counts as taking when it is full.
 const CROWDED_FACTOR: f64 = 1.5;
 
@@ -129,6 +129,17 @@
     until: Option<Moment>,
 }
 
+/// The chain that was chosen for a request, and why.
+#[derive(Clone, Debug)]
+pub struct ChainChoice {
+    /// The chain.
+    pub chain: Arc<TargetChain>,
+    /// How full its fullest engine will be; one is full.
+    pub fullness: f64,
+    /// The time until the first event that is expected.
+    pub first_event: Duration,
+}
+
 /// The chains of one service that are worth using.
 #[derive(Debug, Default)]
 pub struct ChainPool {
@@ -178,8 +189,8 @@
         size: RequestSize,
         heard: usize,
         avoided: &[TargetId],
-    ) -> Option<Arc<TargetChain>> {
-        let mut best: Option<(f64, &Arc<TargetChain>)> = None;
+    ) -> Option<ChainChoice> {
+        let mut best: Option<(f64, ChainChoice)> = None;
         for chain in &self.chains {
             if chain.uses_any(avoided) {
                 continue;
@@ -193,11 +204,13 @@
             let crowding = 1.0 + CROWDED_FACTOR * fullness * fullness;
             let first_event = chain.first_event_time(loads, size.prompt, heard);
             let score = first_event * distance * crowding;
-            if best.is_none_or(|(least, _)| score < least) {
-                best = Some((score, chain));
+            if best.as_ref().is_none_or(|(least, _)| score < *least) {
+                let first_event = Duration::from_secs_f64(first_event);
+                let chain = chain.clone();
+                best = Some((score, ChainChoice { chain, fullness, first_event }));
             }
         }
-        best.map(|(_, chain)| chain.clone())
+        best.map(|(_, choice)| choice)
     }
 }
 
--- a/crates/banyan-core/tests/pipeline/chains.rs
+++ b/crates/banyan-core/tests/pipeline/chains.rs
@@ -32,7 +32,7 @@
 fn choose(pool: &ChainPool, loads: &LoadTable, from: &str) -> Option<std::sync::Arc<TargetChain>> {
     let peers = PeerLoadTable::default();
     let view = LoadView { own: loads, peers: &peers, peer_scale: 1.0 };
-    pool.choose(&view, &zone(from), SIZE, 0, &[])
+    pool.choose(&view, &zone(from), SIZE, 0, &[]).map(|choice| choice.chain)
 }
 
 fn ranges(chain: &TargetChain) -> Vec<LayerRange> {
--- a/crates/banyan-forward/src/leadership.rs
+++ b/crates/banyan-forward/src/leadership.rs
@@ -36,8 +36,6 @@
 pub const MEMBERSHIP_TTL: Duration = Duration::from_millis(2_200);
 /// The time between two looks at whether layers should be ordered.
 const PLAN_PAUSE: Duration = Duration::from_millis(250);
-/// The time that an order which was not answered may take to be carried out late.
-const LATE_ORDER_TIME: Duration = Duration::from_secs(3);
 /// The time for which an engine is left alone after it refused an order.
 const REFUSED_PAUSE: Duration = Duration::from_millis(500);
 /// The time without new engines after which the first layout is planned: engines that start together
@@ -328,9 +326,9 @@
         OrderEnd::Outcome(OrderOutcome::Conflict | OrderOutcome::Refused(_)) | OrderEnd::Busy => {
             PendingOrder { range: None, ask: now, until: now + REFUSED_PAUSE }
         }
-        OrderEnd::Unknown => {
-            PendingOrder { range: Some(range), ask: now + load, until: now + LATE_ORDER_TIME }
-        }
+        // Whether it was begun shows in the engine's state when the next plan is carried out; a copy
+        // that comes late names an earlier number of orders then, and is refused.
+        OrderEnd::Unknown => return,
     };
     let mut tables = state.tables();
     tables.pending_orders.insert(target, pending);
--- a/crates/banyan-forward/src/logs.rs
+++ b/crates/banyan-forward/src/logs.rs
@@ -18,6 +18,7 @@
 use banyan_core::ids::ServiceId;
 use banyan_core::ids::TargetId;
 use banyan_core::ids::ZoneId;
+use banyan_core::pipeline::chain::ChainChoice;
 use banyan_core::pipeline::chain::TargetChain;
 
 /// Lines that wait to be written at most.
@@ -75,6 +76,26 @@
     );
 }
 
+/// Logs which chain a request is sent to, and what decided it.
+pub fn chain_chosen(
+    token: &RequestToken,
+    choice: &ChainChoice,
+    attempts: u32,
+    last_event: Option<u64>,
+) {
+    tracing::info!(
+        part = "request",
+        request = %token,
+        first = %choice.chain.parts[0].target,
+        zone = choice.chain.zone.as_ref().map_or("several", ZoneId::as_str),
+        fullness = (choice.fullness * 100.0).round() / 100.0,
+        first_event_ms = choice.first_event.as_millis() as u64,
+        attempts,
+        last_event,
+        "A chain was chosen."
+    );
+}
+
 /// Logs that one attempt of a request failed.
 pub fn attempt_failed(token: &RequestToken, target: &TargetId, cause: &str) {
     metrics::counter!("banyan_attempt_failures_total").increment(1);
--- a/crates/banyan-forward/src/opening.rs
+++ b/crates/banyan-forward/src/opening.rs
@@ -232,8 +232,8 @@
         let size = self.size();
         let service = &self.ticket.service.id;
         let mut tables = self.state.tables();
-        let chain = tables.choose_chain(service, &settings, size, &self.avoided, now);
-        let Some(chain) = chain else {
+        let choice = tables.choose_chain(service, &settings, size, &self.avoided, now);
+        let Some(choice) = choice else {
             let empty = tables.pools.get(service).is_none_or(|pool| pool.chains().is_empty());
             let (cause, wait) = if empty {
                 (NotRunCause::NoTarget, NO_TARGET_TIME)
@@ -251,6 +251,8 @@
             return Err(self.refusal_for(Refusal::NotRun(NotRunCause::NoRoom, after)));
         }
         drop(tables);
+        logs::chain_chosen(&self.ticket.token, &choice, self.attempts, self.last_event);
+        let chain = choice.chain;
         self.attempts += 1;
         self.chains.push(chain.clone());
         let lease = lease_chain(&self.state, &chain, size.total);
--- a/crates/banyan-forward/src/state.rs
+++ b/crates/banyan-forward/src/state.rs
@@ -19,9 +19,9 @@
 use banyan_core::ids::LogOffset;
 use banyan_core::ids::ServiceId;
 use banyan_core::ids::TargetId;
+use banyan_core::pipeline::chain::ChainChoice;
 use banyan_core::pipeline::chain::ChainPool;
 use banyan_core::pipeline::chain::RequestSize;
-use banyan_core::pipeline::chain::TargetChain;
 use banyan_core::pipeline::comeback::ComebackTable;
 use banyan_core::pipeline::fleet::FleetTable;
 use banyan_core::pipeline::load::LoadTable;
@@ -133,7 +133,7 @@
         size: RequestSize,
         avoided: &[TargetId],
         now: Moment,
-    ) -> Option<Arc<TargetChain>> {
+    ) -> Option<ChainChoice> {
         let routes = self.route_table()?;
         let model = routes.services.get(service)?.model.clone()?;
         let pool = self.pools.entry(service.clone()).or_default();
