Neighbours with room relieve engines that hold too much

Cause: after repairs one engine held 12 layers with room for 8,700 tokens, so that its zone served one stream in ten, and nothing else could take them off it.

--- a/crates/banyan-core/src/pipeline/placement.rs
+++ b/crates/banyan-core/src/pipeline/placement.rs
@@ -97,10 +97,63 @@
     orders.extend(fill_holes(model, targets, room, &mut layout));
     if layout.missing() == 0 {
         orders.extend(trim(model, targets, room, &mut layout, &orders));
+        orders.extend(relieve(model, targets, room, &mut layout, &orders));
     }
     orders
 }
 
+/// Lets a neighbour with room hold the first or last layers of an engine that holds too many, which
+/// gives them up once the neighbour has them.
+fn relieve(
+    model: &PipelineModel,
+    targets: &[&PlacementTarget],
+    room: TokenCount,
+    layout: &mut GroupLayout,
+    ordered: &[PlacementOrder],
+) -> Vec<PlacementOrder> {
+    let mut orders: Vec<PlacementOrder> = Vec::new();
+    let fit = |target: &PlacementTarget| model.layers_that_fit(target.memory, room);
+    let tight = targets.iter().filter(|target| !target.busy);
+    for target in tight {
+        let Some(held) = target.range.filter(|held| held.count() > fit(target)) else { continue };
+        if ordered.iter().any(|order| order.target == target.id) {
+            continue;
+        }
+        let excess = held.count() - fit(target);
+        let helper = targets.iter().find_map(|other| {
+            let taken = other.busy
+                || other.id == target.id
+                || ordered.iter().chain(&orders).any(|order| order.target == other.id);
+            let range = other.range.filter(|_| !taken)?;
+            let slack = fit(other).saturating_sub(range.count()).min(excess);
+            let grown = grown_into(range, held, slack)?;
+            Some(PlacementOrder { target: other.id.clone(), range: grown })
+        });
+        if let Some(order) = helper {
+            layout.release(&order.target);
+            layout.hold(&order.target, order.range);
+            orders.push(order);
+        }
+    }
+    orders
+}
+
+/// A range that has grown by up to `slack` layers into the end of another one that it touches.
+fn grown_into(range: LayerRange, into: LayerRange, slack: u32) -> Option<LayerRange> {
+    if slack == 0 {
+        return None;
+    }
+    if range.end >= into.first && range.first < into.first && range.end < into.end {
+        let end = (into.first + slack).min(into.end).max(range.end);
+        return (end > range.end).then_some(LayerRange { first: range.first, end });
+    }
+    if range.first <= into.end && range.end > into.end && range.first > into.first {
+        let first = into.end.saturating_sub(slack).max(into.first).min(range.first);
+        return (first < range.first).then_some(LayerRange { first, end: range.end });
+    }
+    None
+}
+
 /// Takes layers that have other holders off engines that hold more than leaves room for requests.
 fn trim(
     model: &PipelineModel,
--- a/crates/banyan-core/tests/pipeline/layouts.rs
+++ b/crates/banyan-core/tests/pipeline/layouts.rs
@@ -157,6 +157,21 @@
     assert!(holders(&targets)[&crate::support::zone("a")].iter().all(|count| *count >= 1));
 }
 
+#[test]
+fn a_neighbour_with_room_relieves_an_engine_that_holds_too_much() {
+    // Grown over a hole, the middle engine has room for few requests; the last one has room to spare.
+    let mut targets = vec![
+        engine("first", "a", "fast-vast", Some(layers(0, 60))),
+        engine("tight", "a", "middle", Some(layers(60, 72))),
+        engine("last", "a", "fast", Some(layers(72, 80))),
+    ];
+    settle(&mut targets);
+    let model = model();
+    let tight = targets[1].range.expect("it holds layers");
+    assert!(tight.count() <= model.layers_that_fit(targets[1].memory, model.request_room));
+    assert!(holders(&targets)[&crate::support::zone("a")].iter().all(|count| *count >= 1));
+}
+
 #[test]
 fn zones_too_small_for_a_copy_hold_one_together() {
     let mut targets = engines("a", &[("fast", 3)]);
