An emulator of engines, instances and callers in virtual time, with patterns and naive counterparts

banyan-load emulate plays steady load, lost stages and bursts against the product's placement, choice of chains and admission, from a fleet file in JSON with comments.

--- a/crates/banyan-load/src/main.rs
+++ b/crates/banyan-load/src/main.rs
@@ -3,6 +3,13 @@
 mod command;
 mod naive_entry;
 
+use std::path::Path;
+
+use clap::ArgMatches;
+
+use banyan_load::emulate::fleet_file::FleetFile;
+use banyan_load::emulate::patterns::PATTERNS;
+use banyan_load::emulate::patterns::run_pattern;
 use banyan_load::experiments::ExperimentOrder;
 use banyan_load::experiments::run_experiment;
 use banyan_load::report::ExperimentLine;
@@ -13,6 +20,7 @@
     let matches = command::command().get_matches();
     match matches.subcommand() {
         Some(("naive-entry", matches)) => naive_entry::run(matches).await,
+        Some(("emulate", matches)) => emulate(matches),
         Some(("experiment", matches)) => {
             let name = matches.get_one::<String>("name").map_or("", String::as_str);
             let order = ExperimentOrder {
@@ -26,6 +34,20 @@
     }
 }
 
+fn emulate(matches: &ArgMatches) -> eyre::Result<()> {
+    if matches.get_flag("list") {
+        for (name, about) in PATTERNS {
+            println!("{name:<12}{about}");
+        }
+        return Ok(());
+    }
+    let name = matches.get_one::<String>("pattern").map_or("", String::as_str);
+    let fleet = matches.get_one::<String>("fleet").map_or("", String::as_str);
+    let seed = matches.get_one::<u64>("seed").copied().unwrap_or_default();
+    let file = FleetFile::read(Path::new(fleet))?;
+    print_line(&run_pattern(name, &file, seed)?, matches.get_flag("json"))
+}
+
 fn print_line(line: &ExperimentLine, json: bool) -> eyre::Result<()> {
     if json {
         println!("{}", serde_json::to_string(line)?);
