What the entry's tasks share stands in tables that import no task

Cause: eleven files round EntryState imported each other, so that a reader could begin nowhere. Queues, ledger, outbox, folds, leaving signs, links and trials moved to banyan-entry::tables; drivers import tables, tables import no driver.

--- a/crates/banyan-entry/src/admission.rs
+++ b/crates/banyan-entry/src/admission.rs
@@ -1,10 +1,9 @@
 //! Lets requests in: [`admit`] waits for the core's verdict and gives an [`AdmissionPass`].
 //!
-//! Each model has a queue of its own in the [`AdmissionTable`], so that one model's overload neither
+//! Each model has a queue of its own in the [`AdmissionTable`](crate::tables::admission_queues::AdmissionTable), so that one model's overload neither
 //! delays nor refuses requests for another. A queue's capacity is this instance's part of what the
 //! model's engines can run at once.
 
-use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -13,57 +12,17 @@
 use crate::refusal::Refusal;
 use crate::state::EntryState;
 use crate::state::EntryTables;
-use banyan_core::declaration::Declaration;
 use banyan_core::event::EventKind;
 use banyan_core::ids::ModelId;
 use banyan_core::ids::RequestId;
 use banyan_core::ids::WorkspaceId;
-use banyan_core::serving::admission::AdmissionQueue;
 use banyan_core::serving::admission::AdmissionRequest;
 use banyan_core::serving::admission::AdmissionVerdict;
-use banyan_core::serving::capacity::model_slots;
 use banyan_core::units::Moment;
 
 /// The time beyond its deadline for which a request is kept without fair admission.
 const UNFAIR_PATIENCE: Duration = Duration::from_secs(3600);
 
-/// The queues of one instance.
-#[derive(Clone, Debug, Default)]
-pub struct AdmissionTable {
-    /// The queues by model.
-    pub queues: BTreeMap<ModelId, AdmissionQueue>,
-    /// What the engines of each model can run at once, for all instances together.
-    slots: BTreeMap<ModelId, u64>,
-}
-
-impl AdmissionTable {
-    /// Brings the queues in line with the declaration in force. A queue whose model is gone stays
-    /// until its requests have ended.
-    pub fn sync(&mut self, declaration: &Declaration) {
-        self.slots = model_slots(declaration);
-        for model in declaration.models.keys() {
-            let queue = self.queues.entry(model.clone()).or_default();
-            queue.queue_limit = declaration.policy.queue_limit;
-        }
-    }
-
-    /// Sets each queue's capacity: an equal part for each of `live` instances, at most `limit`.
-    pub fn set_live(&mut self, live: u64, limit: u32) {
-        for (model, queue) in &mut self.queues {
-            let slots = self.slots.get(model).copied().unwrap_or(0);
-            let part = u32::try_from(slots.div_ceil(live.max(1))).unwrap_or(u32::MAX);
-            queue.capacity = part.clamp(1, limit);
-        }
-        self.queues
-            .retain(|model, queue| self.slots.contains_key(model) || !queue.active.is_empty());
-    }
-
-    /// The number of requests under way.
-    pub fn active(&self) -> usize {
-        self.queues.values().map(|queue| queue.active.len()).sum()
-    }
-}
-
 /// What a completion asks of admission.
 #[derive(Clone, Debug)]
 pub struct AdmissionOrder {
--- a/crates/banyan-entry/src/checkpoints.rs
+++ b/crates/banyan-entry/src/checkpoints.rs
@@ -8,9 +8,9 @@
 use thiserror::Error;
 use tokio::time::MissedTickBehavior;
 
-use crate::follower::all_streams;
 use crate::peer_server::fold_body;
 use crate::state::EntryState;
+use crate::tables::fold_hub::all_streams;
 use banyan_core::event::EventKind;
 use banyan_core::fold::CheckpointInputs;
 use banyan_core::fold::CheckpointPolicy;
--- a/crates/banyan-entry/src/claim_route.rs
+++ b/crates/banyan-entry/src/claim_route.rs
@@ -4,12 +4,8 @@
 //! The owner is for speed alone. Its answer to a claim is its fold's verdict, read back from the
 //! log; where it does not answer in time, this instance appends the same record itself.
 
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::Mutex;
-use std::sync::MutexGuard;
-use std::sync::PoisonError;
 use std::time::Duration;
 
 use futures::future::join_all;
@@ -18,17 +14,15 @@
 
 use crate::peer_link;
 use crate::state::EntryState;
+use crate::tables::fact_outbox::PendingClaim;
 use crate::writer::QueueFull;
 use banyan_core::fold::ClaimRow;
 use banyan_core::fold::ClaimState;
 use banyan_core::fold::ClaimVerdict;
-use banyan_core::ids::IncarnationId;
 use banyan_core::ids::LogOffset;
-use banyan_core::ids::RecordId;
 use banyan_core::record::CallOutcome;
 use banyan_core::record::ClaimKey;
 use banyan_core::record::ContentDigest;
-use banyan_core::record::FactBody;
 use banyan_core::record::LogFact;
 use banyan_core::record::StreamId;
 use banyan_core::rendezvous::preferred_owners;
@@ -54,61 +48,6 @@
 /// The most facts in one delivery to an owner.
 const DELIVER_FACTS: usize = 128;
 
-/// A claim that is on its way to the log.
-#[derive(Clone, Debug)]
-pub struct PendingClaim {
-    /// The record id.
-    pub claim: RecordId,
-    /// The key.
-    pub key: ClaimKey,
-    /// The only run that may dispatch it.
-    pub claimant: IncarnationId,
-    /// The digest of the call.
-    pub content: ContentDigest,
-    /// The time of the fold in which the claimant saw the key free.
-    pub seen: WallMillis,
-}
-
-/// Facts that must land and have not, with at most one task for each stream that sees to it.
-#[derive(Debug, Default)]
-pub struct FactOutbox {
-    rows: Mutex<BTreeMap<StreamId, OutboxRow>>,
-}
-
-/// The facts of one stream. Invariant: a task sees to them as long as the row stands.
-#[derive(Debug, Default)]
-struct OutboxRow {
-    waiting: Vec<LogFact>,
-    under_way: usize,
-}
-
-impl PendingClaim {
-    fn stream(&self) -> StreamId {
-        StreamId::Claims(self.key.partition())
-    }
-
-    fn fact(&self) -> LogFact {
-        let PendingClaim { claim, key, claimant, content, seen } = self.clone();
-        LogFact { id: claim, body: FactBody::Claim { key, claimant, content, seen } }
-    }
-}
-
-impl FactOutbox {
-    /// The number of facts that have not landed.
-    pub fn len(&self) -> usize {
-        self.lock().values().map(|row| row.waiting.len() + row.under_way).sum()
-    }
-
-    /// Whether every fact has landed.
-    pub fn is_empty(&self) -> bool {
-        self.lock().is_empty()
-    }
-
-    fn lock(&self) -> MutexGuard<'_, BTreeMap<StreamId, OutboxRow>> {
-        self.rows.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-}
-
 /// Whether new claims of a stream can be brought to the log and read back, as far as is known.
 pub fn can_claim(state: &EntryState, stream: StreamId) -> bool {
     let heard = state.folds.tables().is_heard(stream, state.now());
--- a/crates/banyan-entry/src/claims.rs
+++ b/crates/banyan-entry/src/claims.rs
@@ -4,20 +4,17 @@
 //! and only once in that run's life. A claim that is given up before anything was sent is forgotten
 //! here first, so that it can never be dispatched, and released in the log afterwards.
 
-use std::collections::BTreeMap;
 use std::sync::Arc;
-use std::sync::Mutex;
-use std::sync::MutexGuard;
-use std::sync::PoisonError;
 use std::time::Duration;
 
-use tokio::sync::watch;
 use tokio::time::Instant;
 
 use crate::claim_route;
-use crate::claim_route::PendingClaim;
 use crate::refusal::Refusal;
 use crate::state::EntryState;
+use crate::tables::claim_ledger::LedgerPhase;
+use crate::tables::claim_ledger::LedgerRow;
+use crate::tables::fact_outbox::PendingClaim;
 use crate::writer::QueueFull;
 use banyan_core::event::EventKind;
 use banyan_core::fold::ClaimRow;
@@ -44,32 +41,6 @@
 /// Tries to claim a key whose claims land too late.
 const CLAIM_TRIES: u32 = 3;
 
-/// The claims that this run holds or held, until the log shows how they ended.
-#[derive(Debug, Default)]
-pub struct ClaimLedger {
-    rows: Mutex<BTreeMap<ClaimKey, LedgerRow>>,
-}
-
-#[derive(Clone, Debug)]
-struct LedgerRow {
-    claim: RecordId,
-    content: ContentDigest,
-    phase: watch::Sender<LedgerPhase>,
-}
-
-/// How far a claim of this run is.
-#[derive(Clone, Debug, Eq, PartialEq)]
-enum LedgerPhase {
-    /// It was appended and not read back.
-    Claiming,
-    /// It was sent to the service, or is about to be.
-    Dispatched,
-    /// It ended.
-    Ended(CallOutcome),
-    /// It was given up and will never be sent.
-    Abandoned,
-}
-
 /// What a caller of a keyed call gets.
 #[derive(Debug)]
 pub enum ClaimTurn {
@@ -102,55 +73,6 @@
     Closed,
 }
 
-impl ClaimLedger {
-    /// The keys of claims that are not ended, with their record ids.
-    pub fn open(&self) -> Vec<(ClaimKey, RecordId)> {
-        let rows = self.lock();
-        let open = rows.iter().filter(|(_, row)| {
-            matches!(*row.phase.borrow(), LedgerPhase::Claiming | LedgerPhase::Dispatched)
-        });
-        open.map(|(key, row)| (key.clone(), row.claim.clone())).collect()
-    }
-
-    fn lock(&self) -> MutexGuard<'_, BTreeMap<ClaimKey, LedgerRow>> {
-        self.rows.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
-    /// Enters a claim, unless this run has one of that key already, which it then gives.
-    fn enter(&self, key: &ClaimKey, claim: &RecordId, content: ContentDigest) -> Option<LedgerRow> {
-        let mut rows = self.lock();
-        if let Some(row) = rows.get(key) {
-            return Some(row.clone());
-        }
-        let phase = watch::Sender::new(LedgerPhase::Claiming);
-        rows.insert(key.clone(), LedgerRow { claim: claim.clone(), content, phase });
-        None
-    }
-
-    fn set_phase(&self, key: &ClaimKey, claim: &RecordId, phase: LedgerPhase) {
-        let rows = self.lock();
-        if let Some(row) = rows.get(key).filter(|row| row.claim == *claim) {
-            row.phase.send_replace(phase);
-        }
-    }
-
-    /// Takes a claim out; requests that wait for it learn that it is over.
-    fn forget(&self, key: &ClaimKey, claim: &RecordId) {
-        let mut rows = self.lock();
-        if rows.get(key).is_none_or(|row| row.claim != *claim) {
-            return;
-        }
-        let Some(row) = rows.remove(key) else { return };
-        row.phase.send_if_modified(|phase| {
-            let ended = matches!(phase, LedgerPhase::Ended(_));
-            if !ended {
-                *phase = LedgerPhase::Abandoned;
-            }
-            !ended
-        });
-    }
-}
-
 impl HeldClaim {
     /// Marks the claim as dispatched. Called once, right before the first byte is sent.
     pub fn dispatch(&mut self) {
--- a/crates/banyan-entry/src/exchange.rs
+++ b/crates/banyan-entry/src/exchange.rs
@@ -8,13 +8,13 @@
 use tokio::time::MissedTickBehavior;
 
 use crate::crashes;
-use crate::follower::all_streams;
 use crate::peer_link;
 use crate::peers::EXCHANGE_PAUSE;
 use crate::peers::PeerChange;
 use crate::state::EntryState;
 use crate::state::EntryTables;
 use crate::state::ServingPhase;
+use crate::tables::fold_hub::all_streams;
 use banyan_core::event::EventKind;
 use banyan_core::event::HybridStamp;
 use banyan_core::ids::TargetId;
--- a/crates/banyan-entry/src/joining.rs
+++ b/crates/banyan-entry/src/joining.rs
@@ -11,13 +11,13 @@
 use smol_str::format_smolstr;
 use thiserror::Error;
 
-use crate::follower::FoldTables;
 use crate::follower::ReadPatience;
-use crate::follower::decode;
 use crate::follower::note_reachable;
 use crate::follower::show_folded;
 use crate::peer_link;
 use crate::state::EntryState;
+use crate::tables::fold_hub::FoldTables;
+use crate::tables::fold_hub::decode;
 use banyan_core::event::EventKind;
 use banyan_core::fold::CheckpointTable;
 use banyan_core::fold::RestoreError;
--- a/crates/banyan-entry/src/lib.rs
+++ b/crates/banyan-entry/src/lib.rs
@@ -38,5 +38,6 @@
 pub mod services;
 pub mod state;
 pub mod steps;
+pub mod tables;
 pub mod trials;
 pub mod writer;
--- a/crates/banyan-entry/src/operator.rs
+++ b/crates/banyan-entry/src/operator.rs
@@ -10,11 +10,11 @@
 use warp::Reply;
 
 use crate::daemon;
-use crate::follower::FoldTables;
-use crate::follower::all_streams;
 use crate::metric;
 use crate::peers::PeerRow;
 use crate::state::EntryState;
+use crate::tables::fold_hub::FoldTables;
+use crate::tables::fold_hub::all_streams;
 use banyan_core::event::HybridStamp;
 use banyan_core::fold::ProposalVerdict;
 use banyan_core::ids::RecordId;
--- a/crates/banyan-entry/src/peer_link.rs
+++ b/crates/banyan-entry/src/peer_link.rs
@@ -1,34 +1,20 @@
-//! Calls to peers: [`PeerLinks`] keeps one connection to each, and a time limit stands on each call.
+//! Calls to peers over [`peer_links`](crate::tables::peer_links), each with a time limit.
 //!
 //! A connection on which a call was not answered in time may have gone silent for good: it is
 //! dropped, and the next call makes a new one.
 
-use std::collections::BTreeMap;
-use std::collections::BTreeSet;
 use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::Mutex;
-use std::sync::MutexGuard;
-use std::sync::PoisonError;
-use std::sync::atomic::AtomicU64;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use tarpc::client;
 use tarpc::client::RpcError;
 use tarpc::context;
 use tarpc::context::Context;
-use tarpc::serde_transport;
-use tarpc::tokio_serde::formats::Bincode;
-use tarpc::tokio_util::codec::Framed;
-use tarpc::tokio_util::codec::LengthDelimitedCodec;
 use thiserror::Error;
-use tokio::net::TcpStream;
 use tokio::time::Instant;
 
-use crate::counted::CountedStream;
 use crate::state::EntryState;
 use banyan_wire::peer::ClaimOrder;
 use banyan_wire::peer::ClaimReply;
@@ -39,10 +25,6 @@
 use banyan_wire::peer::SnapshotReply;
 use banyan_wire::peer::TrialOrder;
 
-/// The longest message, in bytes: the state of all folds.
-const FRAME_LIMIT_BYTES: usize = 64 << 20;
-/// The time that making a connection may take.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 /// The time that an exchange or a relay may take.
 const SHORT_TIMEOUT: Duration = Duration::from_millis(700);
 /// The time that a snapshot may take.
@@ -66,27 +48,6 @@
     Timeout(Duration),
 }
 
-/// The connections to peers, by address.
-#[derive(Debug, Default)]
-pub struct PeerLinks {
-    rows: Mutex<BTreeMap<SocketAddr, PeerLink>>,
-    made: AtomicU64,
-    /// Bytes sent to peers and received from them.
-    bytes: Arc<AtomicU64>,
-}
-
-#[derive(Clone, Debug)]
-struct PeerLink {
-    /// Tells this connection from a later one to the same address.
-    number: u64,
-    client: PeerServiceClient,
-}
-
-/// The framing of messages between peers.
-pub fn codec() -> LengthDelimitedCodec {
-    LengthDelimitedCodec::builder().max_frame_length(FRAME_LIMIT_BYTES).new_codec()
-}
-
 /// Exchanges digests.
 pub async fn exchange(
     state: &EntryState,
@@ -175,47 +136,3 @@
     state.links.drop_link(address, link.number);
     Err(error)
 }
-
-impl PeerLinks {
-    async fn open(&self, address: SocketAddr) -> io::Result<PeerLink> {
-        if let Some(link) = self.lock().get(&address) {
-            return Ok(link.clone());
-        }
-        let connect = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
-        let stream = connect.await.map_err(io::Error::other)??;
-        stream.set_nodelay(true)?;
-        let framed = Framed::new(self.count(stream), codec());
-        let transport = serde_transport::new(framed, Bincode::default());
-        let client = PeerServiceClient::new(client::Config::default(), transport).spawn();
-        let number = self.made.fetch_add(1, Ordering::Relaxed);
-        let link = PeerLink { number, client };
-        self.lock().insert(address, link.clone());
-        Ok(link)
-    }
-
-    /// Closes the connections to all but these addresses.
-    pub fn keep_only(&self, addresses: &BTreeSet<SocketAddr>) {
-        self.lock().retain(|address, _| addresses.contains(address));
-    }
-
-    /// Bytes exchanged with peers so far.
-    pub fn bytes(&self) -> u64 {
-        self.bytes.load(Ordering::Relaxed)
-    }
-
-    /// The same connection, with its bytes counted.
-    pub fn count(&self, stream: TcpStream) -> CountedStream {
-        CountedStream::new(stream, self.bytes.clone())
-    }
-
-    fn drop_link(&self, address: SocketAddr, number: u64) {
-        let mut rows = self.lock();
-        if rows.get(&address).is_some_and(|link| link.number == number) {
-            rows.remove(&address);
-        }
-    }
-
-    fn lock(&self) -> MutexGuard<'_, BTreeMap<SocketAddr, PeerLink>> {
-        self.rows.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-}
--- a/crates/banyan-entry/src/relay.rs
+++ b/crates/banyan-entry/src/relay.rs
@@ -9,12 +9,12 @@
 use tokio::time::MissedTickBehavior;
 
 use crate::follower::BatchResult;
-use crate::follower::all_streams;
 use crate::follower::take_entries;
 use crate::joining::adopt_snapshot;
 use crate::peer_link;
 use crate::peer_link::PeerError;
 use crate::state::EntryState;
+use crate::tables::fold_hub::all_streams;
 use banyan_core::record::StreamId;
 use banyan_wire::platform::ReadEntry;
 
--- a/crates/banyan-entry/src/state.rs
+++ b/crates/banyan-entry/src/state.rs
@@ -1,7 +1,7 @@
 //! What the daemon's tasks share: [`EntryState`].
 //!
 //! Tables stand behind short locks that are never held over an await. The log's folds have a lock
-//! of their own, in [`crate::follower::FoldHub`].
+//! of their own, in [`crate::tables::fold_hub::FoldHub`].
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -16,17 +16,17 @@
 use tokio::sync::oneshot;
 use tokio::sync::watch;
 
-use crate::admission::AdmissionTable;
-use crate::claim_route::FactOutbox;
-use crate::claims::ClaimLedger;
-use crate::follower::FoldHub;
 use crate::journal::EventJournal;
-use crate::leaving::LeavingTable;
-use crate::peer_link::PeerLinks;
 use crate::peers::PeerTable;
 use crate::platform::PlatformClient;
 use crate::steps::StepClient;
-use crate::trials::TrialTable;
+use crate::tables::admission_queues::AdmissionTable;
+use crate::tables::claim_ledger::ClaimLedger;
+use crate::tables::fact_outbox::FactOutbox;
+use crate::tables::fold_hub::FoldHub;
+use crate::tables::leaving_signs::LeavingTable;
+use crate::tables::peer_links::PeerLinks;
+use crate::tables::suspect_trials::TrialTable;
 use crate::writer::LogWriter;
 use banyan_config::settings::EntrySettings;
 use banyan_core::declaration::Declaration;
--- /dev/null
+++ b/crates/banyan-entry/src/tables/fold_hub.rs
@@ -0,0 +1,237 @@
+//! The folds of all streams of the log: [`FoldHub`] and [`FoldTables`].
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::collections::VecDeque;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use smol_str::SmolStr;
+use tokio::sync::watch;
+
+use banyan_core::fold::CheckpointTable;
+use banyan_core::fold::ClaimFold;
+use banyan_core::fold::ConfigurationFold;
+use banyan_core::fold::FoldStep;
+use banyan_core::ids::LogOffset;
+use banyan_core::record::CLAIM_PARTITIONS;
+use banyan_core::record::LogEntry;
+use banyan_core::record::StreamId;
+use banyan_core::units::Moment;
+use banyan_core::units::WallMillis;
+use banyan_wire::log::LogWireError;
+use banyan_wire::log::decode_entry;
+use banyan_wire::platform::ReadEntry;
+
+/// The most bytes of one stream's entries that are kept for peers.
+const RELAY_BYTES: usize = 2 << 20;
+/// The most entries of one stream that are kept for peers.
+const RELAY_LIMIT: usize = 1024;
+/// How long a stream still counts as heard after its reads began to fail.
+const LOSS_GRACE: Duration = Duration::from_millis(600);
+/// How long a peer's relay counts as hearing a stream.
+const RELAY_FRESH: Duration = Duration::from_millis(1500);
+
+/// The folds, with a signal at each entry folded.
+#[derive(Debug)]
+pub struct FoldHub {
+    tables: Mutex<FoldTables>,
+    progress: watch::Sender<u64>,
+}
+
+/// The folds of all streams.
+#[derive(Debug)]
+pub struct FoldTables {
+    /// Declarations and quarantines.
+    pub configuration: ConfigurationFold,
+    /// Claims, by partition.
+    pub claims: Vec<ClaimFold>,
+    /// The newest entries of each stream as read, for peers that cannot read the log.
+    pub recent: BTreeMap<StreamId, VecDeque<ReadEntry>>,
+    /// The bytes of those entries.
+    recent_bytes: BTreeMap<StreamId, usize>,
+    /// When each stream was last read from the log itself.
+    pub read_at: BTreeMap<StreamId, Moment>,
+    /// When a peer that reads the log last told all that it had of a stream.
+    pub relayed_at: BTreeMap<StreamId, Moment>,
+    /// When the reads of a stream began to fail after one that succeeded.
+    pub lost_at: BTreeMap<StreamId, Moment>,
+    /// Whether the newest read of each stream succeeded.
+    pub reachable: BTreeMap<StreamId, bool>,
+    /// The streams whose fold has its state, and can take the next entry.
+    pub started: BTreeSet<StreamId>,
+    /// The streams that were once read to the end that the log had.
+    pub caught_up: BTreeSet<StreamId>,
+    /// Where the state at the start came from.
+    pub started_from: SmolStr,
+    /// The checkpoints seen in each stream, to know when the next is due.
+    pub checkpoints: BTreeMap<StreamId, CheckpointTable>,
+    /// The time of each stream's fold when it began, and when its newest entry was folded.
+    pub pace: BTreeMap<StreamId, StreamPace>,
+}
+
+/// How a stream's time passes.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct StreamPace {
+    /// The platform's time of the first entry that was folded here.
+    pub began: WallMillis,
+    /// The platform's time of the newest entry.
+    pub newest: WallMillis,
+    /// When that was folded.
+    pub folded: Moment,
+}
+
+impl Default for FoldHub {
+    fn default() -> Self {
+        let tables = FoldTables {
+            configuration: ConfigurationFold::new(banyan_config::merge_files),
+            claims: vec![ClaimFold::default(); usize::from(CLAIM_PARTITIONS)],
+            recent: BTreeMap::new(),
+            recent_bytes: BTreeMap::new(),
+            read_at: BTreeMap::new(),
+            relayed_at: BTreeMap::new(),
+            lost_at: BTreeMap::new(),
+            reachable: BTreeMap::new(),
+            started: BTreeSet::new(),
+            caught_up: BTreeSet::new(),
+            started_from: SmolStr::new_static("nothing yet"),
+            checkpoints: BTreeMap::new(),
+            pace: BTreeMap::new(),
+        };
+        Self { tables: Mutex::new(tables), progress: watch::Sender::new(0) }
+    }
+}
+
+impl FoldHub {
+    /// The folds, locked. The guard must not be held over an await.
+    pub fn tables(&self) -> MutexGuard<'_, FoldTables> {
+        self.tables.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// A signal that changes whenever an entry was folded.
+    pub fn subscribe(&self) -> watch::Receiver<u64> {
+        self.progress.subscribe()
+    }
+
+    /// Tells subscribers that something was folded.
+    pub fn signal(&self) {
+        self.progress.send_modify(|count| *count += 1);
+    }
+}
+
+impl FoldTables {
+    /// The first offset of a stream that is not folded yet.
+    pub fn next(&self, stream: StreamId) -> LogOffset {
+        match stream {
+            StreamId::Configuration => self.configuration.next,
+            StreamId::Claims(partition) => self.claims[usize::from(partition)].next,
+        }
+    }
+
+    /// Whether the log answered the newest read of every stream.
+    pub fn log_reachable(&self) -> bool {
+        all_streams().all(|stream| self.reachable.get(&stream).copied().unwrap_or(false))
+    }
+
+    /// Whether a stream's new entries reach this fold, from the log or through a peer.
+    pub fn is_heard(&self, stream: StreamId, now: Moment) -> bool {
+        let reachable = self.reachable.get(&stream).copied().unwrap_or(false);
+        let relayed = self.relayed_at.get(&stream);
+        let relayed = relayed.is_some_and(|at| now.since(*at) < RELAY_FRESH);
+        // A single read that failed may be the fault of its connection alone.
+        let lost = self.lost_at.get(&stream);
+        let just_lost = lost.is_some_and(|at| now.since(*at) < LOSS_GRACE);
+        self.started.contains(&stream) && (reachable || relayed || just_lost)
+    }
+
+    /// Notes where the log ended when a stream was read.
+    pub(crate) fn note_end(&mut self, stream: StreamId, end: LogOffset) {
+        if self.next(stream) >= end {
+            self.caught_up.insert(stream);
+        }
+    }
+
+    /// Whether a stream may still get its state, or what the log has had after it for long.
+    pub fn is_behind(&self, stream: StreamId) -> bool {
+        let reachable = self.reachable.get(&stream).copied().unwrap_or(false);
+        // Nothing but the log can tell how far it goes, so one that is away is not waited for.
+        !self.started.contains(&stream) || reachable && !self.caught_up.contains(&stream)
+    }
+
+    /// When the configuration stream was last read from the log itself.
+    pub fn configuration_read_at(&self) -> Option<Moment> {
+        self.read_at.get(&StreamId::Configuration).copied()
+    }
+
+    /// Folds one entry that is the next one of its stream; others change nothing.
+    pub(crate) fn fold(
+        &mut self,
+        stream: StreamId,
+        entry: &ReadEntry,
+        now: Moment,
+    ) -> Result<FoldStep, String> {
+        let (offset, at) = (LogOffset(entry.offset), WallMillis(entry.at_ms));
+        let next = self.next(stream);
+        if offset < next {
+            return Ok(FoldStep::Repeated);
+        }
+        if offset > next || !self.started.contains(&stream) {
+            return Ok(FoldStep::Gap { expected: next });
+        }
+        let decoded = decode(stream, entry).map_err(|error| error.to_string())?;
+        let step = match stream {
+            StreamId::Configuration => self.configuration.apply(&decoded),
+            StreamId::Claims(partition) => self.claims[usize::from(partition)].apply(&decoded),
+        };
+        let watched = self.checkpoints.entry(stream).or_insert_with(CheckpointTable::for_watch);
+        watched.observe(&decoded);
+        let pace =
+            self.pace.entry(stream).or_insert(StreamPace { began: at, ..Default::default() });
+        pace.newest = pace.newest.max(at);
+        pace.folded = now;
+        self.keep_recent(stream, entry);
+        Ok(step)
+    }
+}
+
+impl FoldTables {
+    /// Keeps an entry for peers, and drops the oldest ones that are too many or too large.
+    pub(crate) fn keep_recent(&mut self, stream: StreamId, entry: &ReadEntry) {
+        let recent = self.recent.entry(stream).or_default();
+        recent.push_back(entry.clone());
+        let bytes = self.recent_bytes.entry(stream).or_default();
+        *bytes += entry.body.len();
+        while recent.len() > RELAY_LIMIT || *bytes > RELAY_BYTES {
+            let Some(oldest) = recent.pop_front() else { return };
+            *bytes -= oldest.body.len();
+        }
+    }
+
+    /// Forgets the entries kept of a stream, which no longer join on to what is folded next.
+    pub fn drop_recent(&mut self, stream: StreamId) {
+        self.recent.remove(&stream);
+        self.recent_bytes.remove(&stream);
+    }
+}
+
+/// An entry of a stream as facts; an error only for one of a newer format.
+pub fn decode(stream: StreamId, entry: &ReadEntry) -> Result<LogEntry, LogWireError> {
+    let (offset, at) = (LogOffset(entry.offset), WallMillis(entry.at_ms));
+    match decode_entry(offset, at, entry.body.as_bytes()) {
+        Ok(decoded) => Ok(decoded),
+        Err(error @ LogWireError::Newer { .. }) => Err(error),
+        // An entry that no version can read holds no facts for any instance.
+        Err(error) => {
+            log::warn!("log: {stream}: {error}.");
+            Ok(LogEntry { offset, at, facts: Vec::new() })
+        }
+    }
+}
+
+/// All streams that an instance folds.
+pub fn all_streams() -> impl Iterator<Item = StreamId> {
+    let claims = (0..CLAIM_PARTITIONS).map(StreamId::Claims);
+    std::iter::once(StreamId::Configuration).chain(claims)
+}
--- a/crates/banyan-load/src/emulate/instances.rs
+++ b/crates/banyan-load/src/emulate/instances.rs
@@ -30,6 +30,19 @@
     Naive,
 }
 
+/// What all instances know alike.
+#[derive(Clone, Copy, Debug)]
+pub struct KnownWorld<'a> {
+    /// Which decisions are played.
+    pub kind: DecisionKind,
+    /// The model.
+    pub model: &'a PipelineModel,
+    /// The service that its engines belong to.
+    pub service: &'a ServiceId,
+    /// The engines, as their records say.
+    pub fleet: &'a FleetTable,
+}
+
 /// One instance.
 #[derive(Debug)]
 pub struct InstanceModel {
@@ -62,16 +75,14 @@
     /// The chain for a request that uses none of `avoided`.
     pub fn choose(
         &mut self,
-        kind: DecisionKind,
-        model: &PipelineModel,
-        service: &ServiceId,
-        fleet: &FleetTable,
+        known: &KnownWorld<'_>,
         size: RequestSize,
         avoided: &[TargetId],
         now: Moment,
     ) -> Option<ChainChoice> {
+        let KnownWorld { kind, model, service, fleet } = known;
         self.pool.refresh(model, service, 1, fleet, &self.suspicions, now);
-        if kind == DecisionKind::Naive {
+        if *kind == DecisionKind::Naive {
             return self.choose_quickest();
         }
         let view = LoadView { own: &self.loads, peers: &self.peers, peer_scale: 1.0 };
--- a/crates/banyan-load/src/emulate/world.rs
+++ b/crates/banyan-load/src/emulate/world.rs
@@ -12,6 +12,7 @@
 use crate::emulate::fleet_file::FleetFile;
 use crate::emulate::instances::DecisionKind;
 use crate::emulate::instances::InstanceModel;
+use crate::emulate::instances::KnownWorld;
 use crate::emulate::patterns::LoadPattern;
 use crate::emulate::report::PatternTally;
 use crate::emulate::report::RequestOutcome;
@@ -161,11 +162,11 @@
     /// One more millisecond.
     fn advance(&mut self) {
         self.now_ms += 1;
-        if self.now_ms % EXCHANGE_MS == 0 {
+        if self.now_ms.is_multiple_of(EXCHANGE_MS) {
             self.exchange();
         }
         self.notice_silence();
-        if self.now_ms % PLAN_MS == 0 {
+        if self.now_ms.is_multiple_of(PLAN_MS) {
             self.plan();
         }
         if let Some(callers) = self.returning.remove(&self.now_ms) {
@@ -361,8 +362,13 @@
             total: TokenCount(stream.prompt + self.file.traffic.answer_tokens),
         };
         let instance = &mut self.instances[stream.instance];
-        let choice =
-            instance.choose(self.kind, &self.model, &self.service, &self.fleet, size, avoided, now);
+        let known = KnownWorld {
+            kind: self.kind,
+            model: &self.model,
+            service: &self.service,
+            fleet: &self.fleet,
+        };
+        let choice = instance.choose(&known, size, avoided, now);
         let Some(choice) = choice else { return false };
         instance.lease(&choice.chain, size.total, true);
         let stream = &mut self.streams[number];
