--- a/crates/banyan-timeline/src/command.rs
+++ b/crates/banyan-timeline/src/command.rs
@@ -27,11 +27,33 @@
              gave its events\n  2  the command line is wrong\n  3  no source gave any\n  4  some \
              sources gave none; they are named",
         )
+        .subcommand(story_command())
         .args(source_flags())
         .args(filter_flags())
         .args(output_flags())
 }
 
+fn story_command() -> Command {
+    Command::new("story")
+        .about("Tells one request's story from the log lines of several instances")
+        .after_help(
+            "Example:\n  banyan-timeline story 952c609d1ef3f4ae front-a-1.jsonl front-b-1.jsonl",
+        )
+        .arg(
+            Arg::new("request")
+                .value_name("REQUEST")
+                .required(true)
+                .help("The caller's id of the attempt"),
+        )
+        .arg(
+            Arg::new("file")
+                .value_name("FILE")
+                .required(true)
+                .num_args(1..)
+                .help("The lines of one instance each; the file's name is the instance's"),
+        )
+}
+
 fn source_flags() -> [Arg; 4] {
     [
         Arg::new("platform")
--- a/crates/banyan-timeline/src/run.rs
+++ b/crates/banyan-timeline/src/run.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeSet;
 use std::fs;
 use std::net::SocketAddr;
+use std::path::Path;
 use std::time::Duration;
 
 use clap::ArgMatches;
@@ -15,6 +16,8 @@
 use crate::filter::apply_filter;
 use crate::merge::merge_replies;
 use crate::picture::timeline_page;
+use crate::story::StoryLine;
+use crate::story::tell_story;
 use crate::text::json_lines;
 use crate::text::text_lines;
 use banyan_http::client::JsonClient;
@@ -41,6 +44,9 @@
 
 /// Collects, merges, filters and shows.
 pub async fn run_command(matches: &ArgMatches) -> TimelineReport {
+    if let Some(story) = matches.subcommand_matches("story") {
+        return run_story(story);
+    }
     let sources = sources_of(matches);
     if sources.platform.is_none() && sources.processes.is_empty() && sources.files.is_empty() {
         let note = "no source is given: give --platform, --process or --file";
@@ -97,3 +103,30 @@
         last: matches.get_one::<u64>("last").map(|last| *last as usize),
     }
 }
+
+fn run_story(matches: &ArgMatches) -> TimelineReport {
+    let request = matches.get_one::<String>("request").map_or("", String::as_str);
+    let mut report = TimelineReport::default();
+    let mut lines = Vec::new();
+    for file in matches.get_many::<String>("file").into_iter().flatten() {
+        let path = Path::new(file);
+        let instance = path.file_stem().map_or(file.as_str().into(), |stem| stem.to_string_lossy());
+        match fs::read_to_string(path) {
+            Ok(text) => {
+                lines.extend(text.lines().filter_map(|line| StoryLine::parse(&instance, line)));
+            }
+            Err(error) => {
+                report.notes.push(format!("cannot read {file}: {error}"));
+                report.exit = EXIT_PARTIAL;
+            }
+        }
+    }
+    match tell_story(&lines, request) {
+        Ok(story) => report.lines = story,
+        Err(error) => {
+            report.notes.push(error.to_string());
+            report.exit = EXIT_NOTHING;
+        }
+    }
+    report
+}
