--- a/crates/banyan-forward/src/opening.rs
+++ b/crates/banyan-forward/src/opening.rs
@@ -168,6 +168,13 @@
         self.avoided.push(chain.parts[0].target.clone());
     }
 
+    /// Uses engines again that were avoided, if they are trusted by now.
+    pub fn forgive(&mut self) {
+        let now = self.state.now();
+        let tables = self.state.tables();
+        self.avoided.retain(|id| tables.suspicions.is_doubted(id, now));
+    }
+
     /// Opens a chain and waits for its first event.
     pub async fn open(&mut self) -> Result<OpenedStream, Refusal> {
         self.start()?;
--- a/crates/banyan-forward/src/stream.rs
+++ b/crates/banyan-forward/src/stream.rs
@@ -37,6 +37,11 @@
 const TOO_LONG_FACTOR: f64 = 10.0;
 /// The pause after which a stream is checked where its route has no pause target.
 const DEFAULT_PAUSE: Duration = Duration::from_millis(500);
+/// The time after the last event for which a stream without a chain waits for one. Callers wait for two
+/// seconds at least.
+const RESUME_PATIENCE: Duration = Duration::from_millis(1_600);
+/// The time between two tries of a stream that waits for a chain.
+const RESUME_PAUSE: Duration = Duration::from_millis(60);
 /// The time between two checks of a stream that goes on standing still.
 const CHECK_PAUSE: Duration = Duration::from_millis(27);
 
@@ -224,15 +229,23 @@
             return Some(self.break_off(cause));
         }
         self.opener.resume_after(after);
-        match self.opener.open().await {
-            Ok(mut opened) => {
-                self.first = opened.first.take();
-                self.opened = opened;
-                self.note_move();
-                self.resumed += 1;
-                None
+        let patience = self.moved + RESUME_PATIENCE;
+        loop {
+            match self.opener.open().await {
+                Ok(mut opened) => {
+                    self.first = opened.first.take();
+                    self.opened = opened;
+                    self.note_move();
+                    self.resumed += 1;
+                    return None;
+                }
+                // A chain may come back while the caller still waits: layers are being loaded.
+                Err(_) if self.opener.can_resume() && Instant::now() < patience => {
+                    tokio::time::sleep(RESUME_PAUSE).await;
+                    self.opener.forgive();
+                }
+                Err(refusal) => return Some(self.break_off(refusal.as_str())),
             }
-            Err(refusal) => Some(self.break_off(refusal.as_str())),
         }
     }
 
