--- a/crates/banyan-forward/src/front.rs
+++ b/crates/banyan-forward/src/front.rs
@@ -2,9 +2,6 @@
 
 use std::convert::Infallible;
 use std::sync::Arc;
-use std::sync::atomic::AtomicU32;
-use std::sync::atomic::AtomicU64;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use http::Request;
@@ -22,9 +19,10 @@
 use crate::serve::serve_request;
 use crate::state::DaemonPhase;
 use crate::state::ForwardState;
+use crate::watched::ConnectionActivity;
+use crate::watched::WatchedStream;
 use banyan_core::pipeline::routes::CallerLimits;
 use banyan_core::units::ByteCount;
-use banyan_core::units::Moment;
 
 /// The time after a failed accept before the next one.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
@@ -42,14 +40,6 @@
     idle_time: Duration::from_secs(60),
 };
 
-/// What a connection's requests tell its guard.
-#[derive(Debug, Default)]
-struct ConnectionActivity {
-    under_way: AtomicU32,
-    /// The microsecond of the daemon's clock at which the last request ended.
-    last: AtomicU64,
-}
-
 /// Accepts callers' connections until the daemon ends.
 pub async fn serve_callers<P: Platform>(state: Arc<ForwardState<P>>, listener: TcpListener) {
     loop {
@@ -70,8 +60,7 @@
         tracing::debug!(part = "front", %error, "A connection keeps its delay.");
     }
     limit_unacknowledged(&stream, UNACKNOWLEDGED_LIMIT);
-    let activity = Arc::new(ConnectionActivity::default());
-    activity.last.store(state.now().0, Ordering::Relaxed);
+    let activity = Arc::new(ConnectionActivity::new(state.clock));
     let head_limit = (limits(&state).head_size.0 as usize).max(HEAD_BUFFER_FLOOR);
     let service = {
         let state = state.clone();
@@ -81,7 +70,7 @@
     let connection = http1::Builder::new()
         .keep_alive(true)
         .max_buf_size(head_limit)
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(TokioIo::new(WatchedStream::new(stream, activity.clone())), service);
     let mut connection = std::pin::pin!(connection);
     let mut phase = state.phase.subscribe();
     let mut closing = false;
@@ -94,6 +83,11 @@
                 return;
             }
             () = tokio::time::sleep(IDLE_CHECK_PAUSE), if !closing => {
+                if has_slow_head(&state, &activity) {
+                    // Nothing of the request was acted on: closing the connection loses nothing.
+                    tracing::info!(part = "front", "A request's head took too long.");
+                    return;
+                }
                 if is_idle(&state, &activity) {
                     closing = true;
                     connection.as_mut().graceful_shutdown();
@@ -114,19 +108,23 @@
     activity: Arc<ConnectionActivity>,
     request: Request<Incoming>,
 ) -> Result<Response<AnswerBody>, Infallible> {
-    activity.under_way.fetch_add(1, Ordering::Relaxed);
+    activity.begin_request();
     let response = serve_request(state.clone(), request).await;
-    activity.under_way.fetch_sub(1, Ordering::Relaxed);
-    activity.last.store(state.now().0, Ordering::Relaxed);
+    activity.end_request();
     Ok(response)
 }
 
 /// Whether a connection has carried nothing for the longest time that it may stay idle. A stream that
 /// is being sent keeps its connection: a graceful end lets it finish.
 fn is_idle<P>(state: &ForwardState<P>, activity: &ConnectionActivity) -> bool {
-    let last = Moment(activity.last.load(Ordering::Relaxed));
-    let under_way = activity.under_way.load(Ordering::Relaxed);
-    under_way == 0 && state.now().since(last) >= limits(state).idle_time
+    let limit = limits(state).idle_time;
+    activity.idle_since().is_some_and(|since| state.now().since(since) >= limit)
+}
+
+/// Whether a request's head has been arriving for longer than it may.
+fn has_slow_head<P>(state: &ForwardState<P>, activity: &ConnectionActivity) -> bool {
+    let limit = limits(state).head_time;
+    activity.head_since().is_some_and(|since| state.now().since(since) >= limit)
 }
 
 fn limits<P>(state: &ForwardState<P>) -> CallerLimits {
--- a/crates/banyan-forward/src/lib.rs
+++ b/crates/banyan-forward/src/lib.rs
@@ -30,3 +30,4 @@
 pub mod state;
 pub mod stream;
 pub mod ticket;
+pub mod watched;
