Names and modules of the forwarding daemon for a newcomer: leases, chain attempts, digests

relay.rs held no relay but what a request holds, in two equal types: it is leases.rs with one. One attempt at a chain and what peers tell each other have modules of their own. No logic changed.

--- a/crates/banyan-forward/src/call.rs
+++ b/crates/banyan-forward/src/call.rs
@@ -23,11 +23,11 @@
 use crate::answer::whole_body;
 use crate::edges::Dispatch;
 use crate::edges::Platform;
+use crate::leases::RequestLease;
+use crate::leases::lease_replica;
 use crate::link::LinkError;
 use crate::link::send_request;
 use crate::logs;
-use crate::relay::ActiveRequest;
-use crate::relay::lease_replica;
 use crate::serve::NO_TARGET_TIME;
 use crate::state::ForwardState;
 use crate::ticket::RequestTicket;
@@ -74,7 +74,7 @@
 pub async fn serve_call<P: Platform>(
     state: Arc<ForwardState<P>>,
     ticket: RequestTicket,
-    active: ActiveRequest,
+    active: RequestLease,
 ) -> Response<AnswerBody> {
     let _active = active;
     let mut progress = CallProgress::default();
--- a/crates/banyan-forward/src/relay.rs
+++ b/crates/banyan-forward/src/leases.rs
@@ -1,4 +1,4 @@
-//! What a request holds while it is under way, given back on drop: [`ActiveRequest`], [`LoadLease`].
+//! What a request holds while it is under way, given back on drop: [`RequestLease`].
 
 use std::sync::Arc;
 
@@ -7,12 +7,18 @@
 use banyan_core::pipeline::chain::TargetChain;
 use banyan_core::units::TokenCount;
 
-/// A request that counts as under way until this is dropped.
-pub struct ActiveRequest {
+/// Something that a request holds until this is dropped.
+pub struct RequestLease {
     release: Option<Box<dyn FnOnce() + Send>>,
 }
 
-impl Drop for ActiveRequest {
+impl RequestLease {
+    fn new(release: impl FnOnce() + Send + 'static) -> Self {
+        Self { release: Some(Box::new(release)) }
+    }
+}
+
+impl Drop for RequestLease {
     fn drop(&mut self) {
         if let Some(release) = self.release.take() {
             release();
@@ -21,23 +27,10 @@
 }
 
 /// Counts a request as under way.
-pub fn count_active<P: Send + Sync + 'static>(state: &Arc<ForwardState<P>>) -> ActiveRequest {
+pub fn count_active<P: Send + Sync + 'static>(state: &Arc<ForwardState<P>>) -> RequestLease {
     state.tables().active += 1;
     let state = state.clone();
-    ActiveRequest { release: Some(Box::new(move || state.tables().active -= 1)) }
-}
-
-/// Room that a request takes up at targets until this is dropped.
-pub struct LoadLease {
-    release: Option<Box<dyn FnOnce() + Send>>,
-}
-
-impl Drop for LoadLease {
-    fn drop(&mut self) {
-        if let Some(release) = self.release.take() {
-            release();
-        }
-    }
+    RequestLease::new(move || state.tables().active -= 1)
 }
 
 /// Takes up room for a request of `tokens` tokens at all engines of a chain.
@@ -45,7 +38,7 @@
     state: &Arc<ForwardState<P>>,
     chain: &Arc<TargetChain>,
     tokens: TokenCount,
-) -> LoadLease {
+) -> RequestLease {
     let mut tables = state.tables();
     for (index, part) in chain.parts.iter().enumerate() {
         tables.loads.add(&part.target, tokens, part.range.count(), index == 0);
@@ -59,7 +52,7 @@
             tables.loads.remove(&part.target, tokens, part.range.count(), index == 0);
         }
     };
-    LoadLease { release: Some(Box::new(release)) }
+    RequestLease::new(release)
 }
 
 /// Counts a prompt as unread at all engines of a chain until the lease is dropped.
@@ -67,7 +60,7 @@
     state: &Arc<ForwardState<P>>,
     chain: &Arc<TargetChain>,
     prompt: TokenCount,
-) -> LoadLease {
+) -> RequestLease {
     let mut tables = state.tables();
     for part in &chain.parts {
         tables.loads.add_unread(&part.target, prompt);
@@ -81,17 +74,17 @@
             tables.loads.remove_unread(&part.target, prompt);
         }
     };
-    LoadLease { release: Some(Box::new(release)) }
+    RequestLease::new(release)
 }
 
 /// Takes up a place for one call at a replica.
 pub fn lease_replica<P: Send + Sync + 'static>(
     state: &Arc<ForwardState<P>>,
     target: &TargetId,
-) -> LoadLease {
+) -> RequestLease {
     state.tables().loads.add(target, TokenCount(0), 0, true);
     let state = state.clone();
     let target = target.clone();
     let release = move || state.tables().loads.remove(&target, TokenCount(0), 0, true);
-    LoadLease { release: Some(Box::new(release)) }
+    RequestLease::new(release)
 }
--- a/crates/banyan-forward/src/lib.rs
+++ b/crates/banyan-forward/src/lib.rs
@@ -2,7 +2,7 @@
 //! replicas of plain services.
 //!
 //! A caller's connection is served by [`front`]; [`serve`] finds a request's route, workspace and
-//! time, and hands it as a [`ticket`] to [`stream`] (which relays what [`opening`] got from a chain of engines) or to
+//! time, and hands it as a [`ticket`] to [`stream`] (which relays what [`opening`] got from a chain of engines by a [`chain_attempt`]) or to
 //! [`call`] (one replica, whole answers). Both send through [`link`]. [`feeds`] follows the
 //! platform's configuration and list of targets, [`leadership`] decides which instance orders layers
 //! onto engines and does so, [`readiness`] answers the balancer, and [`daemon`] starts and stops all
@@ -11,12 +11,15 @@
 
 pub mod answer;
 pub mod call;
+pub mod chain_attempt;
 pub mod daemon;
+pub mod digests;
 pub mod edges;
 pub mod events;
 pub mod feeds;
 pub mod front;
 pub mod leadership;
+pub mod leases;
 pub mod link;
 pub mod log_budget;
 pub mod logs;
@@ -24,7 +27,6 @@
 pub mod peers;
 pub mod probes;
 pub mod readiness;
-pub mod relay;
 pub mod serve;
 pub mod settings;
 pub mod state;
--- a/crates/banyan-forward/src/opening.rs
+++ b/crates/banyan-forward/src/opening.rs
@@ -7,27 +7,19 @@
 use futures::StreamExt;
 use futures::future::BoxFuture;
 use futures::stream::FuturesUnordered;
-use http::StatusCode;
 use http::response::Parts;
-use http_body_util::BodyExt;
-use http_body_util::Limited;
 use tokio::time::Instant;
 
 use crate::answer::NotRunCause;
 use crate::answer::Refusal;
-use crate::edges::AnswerFacts;
-use crate::edges::Dispatch;
+use crate::chain_attempt::OpenFailure;
+use crate::chain_attempt::OpenedStream;
+use crate::chain_attempt::open_chain;
 use crate::edges::Platform;
-use crate::events::EventBatch;
-use crate::events::EventSplitter;
-use crate::link::LinkBody;
-use crate::link::LinkError;
-use crate::link::send_request;
+use crate::leases::lease_chain;
+use crate::leases::lease_reading;
 use crate::logs;
 use crate::probes::probe_targets;
-use crate::relay::LoadLease;
-use crate::relay::lease_chain;
-use crate::relay::lease_reading;
 use crate::serve::NO_ROOM_TIME;
 use crate::serve::NO_TARGET_TIME;
 use crate::state::ForwardState;
@@ -37,8 +29,6 @@
 use banyan_core::pipeline::chain::TargetChain;
 use banyan_core::units::TokenCount;
 
-/// The largest failure that is read whole, in bytes.
-const FAILURE_LIMIT_BYTES: usize = 1 << 20;
 /// The part of the latency target after which a chain that has given no event is checked.
 const FIRST_EVENT_PART: f64 = 0.2;
 /// How many times the latency target a chain may take for its first event while others are open.
@@ -52,33 +42,6 @@
 /// Chains that are opened side by side at most.
 const OPEN_AT_ONCE: usize = 2;
 
-/// A chain that has begun to answer.
-pub struct OpenedStream {
-    /// The chain.
-    pub chain: Arc<TargetChain>,
-    /// The head of the answer.
-    pub head: Parts,
-    /// The rest of its body.
-    pub body: LinkBody,
-    /// The events read so far.
-    pub splitter: EventSplitter,
-    /// The first whole events, or `None` if the stream ended before any.
-    pub first: Option<EventBatch>,
-    _lease: LoadLease,
-}
-
-/// Why a chain gave no stream.
-enum OpenFailure {
-    /// An engine stated that the request has not run.
-    NotRun(AnswerFacts),
-    /// No connection to the first engine came about.
-    NotSent,
-    /// The engine answered with a failure of its own.
-    Failed(Box<Parts>, Bytes),
-    /// Anything else: the request may have run.
-    MaybeRun(&'static str),
-}
-
 /// How an attempt to open a chain ended.
 type OpenEnd = (Arc<TargetChain>, Result<OpenedStream, OpenFailure>);
 
@@ -351,74 +314,3 @@
         tables.suspicions.note_progress(&part.target, now);
     }
 }
-
-async fn open_chain<P: Platform>(
-    state: Arc<ForwardState<P>>,
-    ticket: Arc<RequestTicket>,
-    chain: Arc<TargetChain>,
-    last_event: Option<u64>,
-    resuming: bool,
-    lease: LoadLease,
-) -> Result<OpenedStream, OpenFailure> {
-    let first = &chain.parts[0];
-    let dispatch = Dispatch {
-        target: &first.target,
-        time_left: ticket.limit.since(state.now()),
-        workspace: ticket.workspace.as_ref(),
-        chain: &chain.parts,
-        last_event,
-        urgent: resuming,
-    };
-    let request = ticket.dispatch(&state.platform, &dispatch);
-    let (head, mut body) = match send_request(first.address, request).await {
-        Ok(answer) => answer,
-        Err(LinkError::NotSent(_)) => return Err(OpenFailure::NotSent),
-        Err(LinkError::MaybeRun(_)) => {
-            return Err(OpenFailure::MaybeRun("the connection ended"));
-        }
-    };
-    let facts = state.platform.read_answer(head.status, &head.headers);
-    let success = head.status.is_success();
-    if !ticket.accepts(&facts, &head.headers, success) || (success && !facts.receipt) {
-        return Err(OpenFailure::MaybeRun("the answer is not this request's"));
-    }
-    if facts.not_run {
-        return Err(OpenFailure::NotRun(facts));
-    }
-    if head.status != StatusCode::OK {
-        return Err(read_failure(head, body).await);
-    }
-    let mut splitter = EventSplitter::after(last_event);
-    let first = first_events(&mut body, &mut splitter).await?;
-    Ok(OpenedStream { chain, head, body, splitter, first, _lease: lease })
-}
-
-async fn first_events(
-    body: &mut LinkBody,
-    splitter: &mut EventSplitter,
-) -> Result<Option<EventBatch>, OpenFailure> {
-    while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|_| OpenFailure::MaybeRun("its connection broke off"))?;
-        let bytes = frame.into_data().unwrap_or_default();
-        let batch = splitter.push(bytes);
-        match batch.map_err(|_| OpenFailure::MaybeRun("its events are damaged"))? {
-            Some(batch) => return Ok(Some(batch)),
-            None => continue,
-        }
-    }
-    if splitter.has_partial() {
-        return Err(OpenFailure::MaybeRun("it ended within an event"));
-    }
-    Ok(None)
-}
-
-/// A failure of an engine's own; one that promises what the engine did not state is none.
-async fn read_failure(head: Parts, body: LinkBody) -> OpenFailure {
-    if crate::call::promises_not_run(head.status) {
-        return OpenFailure::MaybeRun("it failed without stating that the request has not run");
-    }
-    match Limited::new(body, FAILURE_LIMIT_BYTES).collect().await {
-        Ok(collected) => OpenFailure::Failed(Box::new(head), collected.to_bytes()),
-        Err(_) => OpenFailure::MaybeRun("its failure broke off"),
-    }
-}
--- a/crates/banyan-forward/src/peers.rs
+++ b/crates/banyan-forward/src/peers.rs
@@ -12,7 +12,6 @@
 
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
-use smol_str::SmolStr;
 use tarpc::client;
 use tarpc::context;
 use tarpc::context::Context;
@@ -25,28 +24,18 @@
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 
+use crate::digests::own_digest;
+use crate::digests::own_snapshot;
+use crate::digests::take_digest;
+use crate::digests::take_snapshot;
 use crate::edges::Platform;
 use crate::feeds;
 use crate::state::ForwardState;
-use crate::state::ForwardTables;
-use crate::state::PendingOrder;
-use banyan_core::ids::InstanceId;
-use banyan_core::ids::LogOffset;
-use banyan_core::ids::TargetId;
-use banyan_core::pipeline::fleet::TargetReport;
-use banyan_core::pipeline::fleet::TargetRow;
-use banyan_core::pipeline::load::TargetLoad;
 use banyan_core::units::Moment;
 use banyan_wire::forward::ForwardDigest;
 use banyan_wire::forward::ForwardService;
 use banyan_wire::forward::ForwardServiceClient;
 use banyan_wire::forward::ForwardSnapshot;
-use banyan_wire::forward::LoadWire;
-use banyan_wire::forward::ObservedWire;
-use banyan_wire::forward::OrderedWire;
-use banyan_wire::forward::TargetWire;
-use banyan_wire::forward::layer_range;
-use banyan_wire::forward::layer_ranges;
 
 /// The time between two rounds.
 const ROUND_PAUSE: Duration = Duration::from_millis(400);
@@ -64,8 +53,6 @@
 const LISTING_RETRY: Duration = Duration::from_millis(1_500);
 /// The time for which an instance may lag behind a peer before it takes the peer's snapshot.
 const LAG_LIMIT: Duration = Duration::from_millis(900);
-/// The time for which what a target said of its layers is passed on.
-const OBSERVED_TIME: Duration = Duration::from_secs(3);
 /// The longest message, in bytes.
 const FRAME_LIMIT_BYTES: usize = 32 << 20;
 
@@ -236,127 +223,6 @@
     digest.configuration > version || (stale && digest.fleet_next > next)
 }
 
-/// What this instance tells its peers.
-pub fn own_digest<P>(state: &ForwardState<P>) -> ForwardDigest {
-    let settings = state.settings();
-    let now = state.now();
-    let tables = state.tables();
-    ForwardDigest {
-        instance: SmolStr::new(settings.instance.as_str()),
-        configuration: tables.routes.as_ref().map_or(0, |record| record.table.version),
-        fleet_next: tables.fleet_next.map_or(0, |next| next.0),
-        loads: tables.loads.rows().map(LoadWire::from).collect(),
-        unreachable: tables
-            .suspicions
-            .unreachable(now)
-            .iter()
-            .map(|id| SmolStr::new(id.as_str()))
-            .collect(),
-        observed: tables.fleet.rows.iter().filter_map(|row| observed_wire(row, now)).collect(),
-        generation: tables.membership.map_or(0, |place| place.generation),
-        leads: tables.membership.is_some_and(|place| place.leads),
-        ordered: tables.pending_orders.iter().filter_map(|row| ordered_wire(row, now)).collect(),
-    }
-}
-
-fn ordered_wire((id, order): (&TargetId, &PendingOrder), now: Moment) -> Option<OrderedWire> {
-    let range = order.range?;
-    Some(OrderedWire {
-        target: SmolStr::new(id.as_str()),
-        range: (range.first, range.end),
-        left_ms: order.until.since(now).as_millis() as u64,
-    })
-}
-
-/// What a target told this instance of its layers, if that is fresh.
-fn observed_wire((id, row): (&TargetId, &TargetRow), now: Moment) -> Option<ObservedWire> {
-    let age = now.since(row.observed?);
-    let wire = || ObservedWire {
-        target: SmolStr::new(id.as_str()),
-        held: row.report.held.iter().map(|range| (range.first, range.end)).collect(),
-        age_ms: age.as_millis() as u64,
-    };
-    (age < OBSERVED_TIME).then(wire)
-}
-
-/// Takes in what a peer tells.
-pub fn take_digest<P>(state: &ForwardState<P>, digest: ForwardDigest) {
-    let Ok(instance) = digest.instance.parse::<InstanceId>() else {
-        tracing::warn!(part = "peers", instance = %digest.instance, "A bad name was passed over.");
-        return;
-    };
-    let loads: Result<BTreeMap<TargetId, TargetLoad>, _> =
-        digest.loads.into_iter().map(TryInto::try_into).collect();
-    let unreachable: Result<Vec<TargetId>, _> =
-        digest.unreachable.into_iter().map(TryInto::try_into).collect();
-    let (Ok(loads), Ok(unreachable)) = (loads, unreachable) else {
-        tracing::warn!(part = "peers", %instance, "A digest with bad names was passed over.");
-        return;
-    };
-    let now = state.now();
-    let mut tables = state.tables();
-    tables.peer_loads.hear(instance, loads, unreachable, now);
-    tables.leader_heard = if digest.leads { Some(now) } else { tables.leader_heard };
-    tables.generation_heard = tables.generation_heard.max(digest.generation);
-    if digest.leads {
-        take_orders(&mut tables, digest.ordered, now);
-    }
-    for observed in digest.observed {
-        let at = Moment(now.0.saturating_sub(observed.age_ms * 1_000));
-        match (observed.target.parse(), layer_ranges(observed.held)) {
-            (Ok(id), Ok(held)) => tables.fleet.observe(&id, &held, at, now),
-            _ => tracing::warn!(part = "peers", "A bad observation was passed over."),
-        }
-    }
-}
-
-/// Remembers what the leader has ordered, for the case that this instance leads next.
-fn take_orders(tables: &mut ForwardTables, ordered: Vec<OrderedWire>, now: Moment) {
-    if tables.membership.is_some_and(|place| place.leads) {
-        return;
-    }
-    tables.pending_orders.clear();
-    for order in ordered {
-        let (Ok(id), Ok(range)) = (order.target.parse(), layer_range(order.range)) else {
-            tracing::warn!(part = "peers", "A bad order was passed over.");
-            continue;
-        };
-        let until = now + Duration::from_millis(order.left_ms);
-        tables.pending_orders.insert(id, PendingOrder { range: Some(range), ask: now, until });
-    }
-    tables.sync_orders();
-}
-
-fn own_snapshot<P>(state: &ForwardState<P>) -> ForwardSnapshot {
-    let tables = state.tables();
-    let listed = tables.fleet.rows.iter().filter(|(_, row)| row.removed.is_none());
-    ForwardSnapshot {
-        configuration: tables.routes.as_ref().map_or(Vec::new(), |record| record.bytes.to_vec()),
-        fleet_next: tables.fleet_next.map_or(0, |next| next.0),
-        fleet: listed.map(|(id, row)| TargetWire::from((id, &row.report))).collect(),
-    }
-}
-
-fn take_snapshot<P: Platform>(
-    state: &ForwardState<P>,
-    address: SocketAddr,
-    snapshot: ForwardSnapshot,
-) {
-    if !snapshot.configuration.is_empty() {
-        match state.platform.read_configuration(snapshot.configuration.into()) {
-            Ok(record) => feeds::put_in_force(state, record),
-            Err(error) => tracing::warn!(part = "peers", %address, %error, "Not taken."),
-        }
-    }
-    let listing: Result<BTreeMap<TargetId, TargetReport>, _> =
-        snapshot.fleet.into_iter().map(TryInto::try_into).collect();
-    match listing {
-        Ok(listing) => feeds::put_listing(state, listing, LogOffset(snapshot.fleet_next)),
-        Err(error) => tracing::warn!(part = "peers", %address, %error, "Not taken."),
-    }
-    tracing::info!(part = "peers", %address, next = snapshot.fleet_next, "Took a snapshot.");
-}
-
 /// Answers one peer's calls.
 struct PeerAnswerer<P> {
     state: Arc<ForwardState<P>>,
--- a/crates/banyan-forward/src/stream.rs
+++ b/crates/banyan-forward/src/stream.rs
@@ -20,13 +20,13 @@
 use crate::answer::AnswerBody;
 use crate::answer::AnswerBroken;
 use crate::answer::whole_body;
+use crate::chain_attempt::OpenedStream;
 use crate::edges::Platform;
 use crate::events::EventBatch;
+use crate::leases::RequestLease;
 use crate::logs;
-use crate::opening::OpenedStream;
 use crate::opening::StreamOpener;
 use crate::opening::note_progress;
-use crate::relay::ActiveRequest;
 use crate::state::ForwardState;
 use crate::ticket::RequestTicket;
 use crate::ticket::strip_connection_headers;
@@ -49,7 +49,7 @@
 pub async fn serve_stream<P: Platform>(
     state: Arc<ForwardState<P>>,
     ticket: RequestTicket,
-    active: ActiveRequest,
+    active: RequestLease,
 ) -> Response<AnswerBody> {
     let ticket = Arc::new(ticket);
     let mut opener = StreamOpener::new(state.clone(), ticket.clone());
@@ -95,7 +95,7 @@
     longest_pause: Duration,
     ended: bool,
     resumed: u32,
-    _active: ActiveRequest,
+    _active: RequestLease,
 }
 
 /// What happened to a stream that is being relayed.
@@ -113,7 +113,7 @@
         ticket: Arc<RequestTicket>,
         opener: StreamOpener<P>,
         mut opened: OpenedStream,
-        active: ActiveRequest,
+        active: RequestLease,
     ) -> Self {
         let pause = ticket.route.pause_target.map_or(DEFAULT_PAUSE, |t| t.mul_f64(PAUSE_PART));
         let first = opened.first.take();
--- a/crates/banyan-load/src/command.rs
+++ b/crates/banyan-load/src/command.rs
@@ -36,14 +36,7 @@
                 .value_parser(PossibleValuesParser::new(names))
                 .help("The experiment"),
         )
-        .arg(
-            Arg::new("seed")
-                .long("seed")
-                .value_name("NUMBER")
-                .default_value("1")
-                .value_parser(value_parser!(u64))
-                .help("The seed of the load; the same seed gives the same requests"),
-        )
+        .arg(seed_flag())
         .arg(flag("json", "Prints the result as one JSON line"))
         .arg(flag("baseline", "Runs the naive decisions alone and reports their figure"))
 }
@@ -67,14 +60,7 @@
                 .default_value("examples/emulate/sedlar.jsonc")
                 .help("The deployment, in JSON with comments"),
         )
-        .arg(
-            Arg::new("seed")
-                .long("seed")
-                .value_name("NUMBER")
-                .default_value("1")
-                .value_parser(value_parser!(u64))
-                .help("The seed of the load; the same seed gives the same figures"),
-        )
+        .arg(seed_flag())
         .arg(flag("list", "Lists the patterns"))
         .arg(flag("json", "Prints the result as one JSON line"))
 }
@@ -90,6 +76,15 @@
     )
 }
 
+fn seed_flag() -> Arg {
+    Arg::new("seed")
+        .long("seed")
+        .value_name("NUMBER")
+        .default_value("1")
+        .value_parser(value_parser!(u64))
+        .help("The seed of the load; the same seed gives the same requests")
+}
+
 fn flag(name: &'static str, help: &'static str) -> Arg {
     Arg::new(name).long(name).action(ArgAction::SetTrue).help(help)
 }
