--- a/crates/banyan-forward/src/digests.rs
+++ b/crates/banyan-forward/src/digests.rs
@@ -90,9 +90,9 @@
     let now = state.now();
     let mut tables = state.tables();
     tables.peer_loads.hear(instance, loads, unreachable, now);
-    tables.leader_heard = if digest.leads { Some(now) } else { tables.leader_heard };
     tables.generation_heard = tables.generation_heard.max(digest.generation);
     if digest.leads {
+        tables.leader_heard = Some(now);
         take_orders(&mut tables, digest.ordered, now);
     }
     for observed in digest.observed {
--- a/crates/banyan-forward/src/leadership.rs
+++ b/crates/banyan-forward/src/leadership.rs
@@ -18,7 +18,6 @@
 use crate::probes::observe_target;
 use crate::state::ForwardState;
 use crate::state::ForwardTables;
-use crate::state::PEER_SCALE;
 use crate::state::PendingOrder;
 use banyan_core::ids::FenceNumber;
 use banyan_core::ids::ServiceId;
@@ -181,7 +180,7 @@
     let mut due = Vec::new();
     for (service, spec) in &routes.services {
         let Some(model) = &spec.model else { continue };
-        let mut targets = placement_targets(model, service, tables);
+        let mut targets = placement_targets(model, service, tables, now);
         targets.retain(|target| !is_lost(tables, &target.id, now));
         if targets.iter().all(|target| target.range.is_none())
             && !has_settled(&tables.fleet, service, now)
@@ -213,8 +212,10 @@
     model: &PipelineModel,
     service: &ServiceId,
     tables: &mut ForwardTables,
+    now: Moment,
 ) -> Vec<PlacementTarget> {
-    let loads = LoadView { own: &tables.loads, peers: &tables.peer_loads, peer_scale: PEER_SCALE };
+    let peer_scale = tables.peer_scale(now);
+    let loads = LoadView { own: &tables.loads, peers: &tables.peer_loads, peer_scale };
     let pending = &mut tables.pending_orders;
     let mut targets = Vec::new();
     for (id, row) in &tables.fleet.rows {
--- a/crates/banyan-forward/src/peers.rs
+++ b/crates/banyan-forward/src/peers.rs
@@ -112,6 +112,7 @@
             desk.addresses.extend(peers.into_values());
             desk.addresses.remove(&settings.peer_address);
             desk.listing = now + LISTING_PAUSE;
+            state.tables().peers_listed = desk.addresses.len();
         }
         Err(error) => feeds::note_trouble(state, "peers", &error),
     }
--- a/crates/banyan-forward/src/state.rs
+++ b/crates/banyan-forward/src/state.rs
@@ -33,8 +33,8 @@
 use banyan_core::units::Moment;
 use banyan_http::clock::RuntimeClock;
 
-/// How many instances each peer that was heard stands for.
-pub const PEER_SCALE: f64 = 1.0;
+/// With as many other instances or fewer, all that live are heard within the time that a digest counts.
+const ALL_HEARD: usize = 32;
 
 /// Whether the instance takes new requests.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
@@ -77,6 +77,8 @@
     pub loads: LoadTable,
     /// What peers have under way at targets.
     pub peer_loads: PeerLoadTable,
+    /// The number of other instances that announced themselves.
+    pub peers_listed: usize,
     /// The chains of each service that serves a model.
     pub pools: BTreeMap<ServiceId, ChainPool>,
     /// This instance's part of the retry budget.
@@ -110,6 +112,12 @@
         xxhash_rust::xxh3::xxh3_64(&self.draws.to_le_bytes())
     }
 
+    /// How many instances each peer that was heard stands for.
+    pub fn peer_scale(&self, now: Moment) -> f64 {
+        let heard = self.peer_loads.heard(now).max(1);
+        if self.peers_listed <= ALL_HEARD { 1.0 } else { self.peers_listed as f64 / heard as f64 }
+    }
+
     /// Tells the table of targets which layers have been ordered.
     pub fn sync_orders(&mut self) {
         let pending = &self.pending_orders;
@@ -138,12 +146,13 @@
     ) -> Option<ChainChoice> {
         let routes = self.route_table()?;
         let model = routes.services.get(service)?.model.clone()?;
+        let peer_scale = self.peer_scale(now);
         let pool = self.pools.entry(service.clone()).or_default();
         let version = routes.version;
         if pool.refresh(&model, service, version, &self.fleet, &self.suspicions, now) {
             logs::chains_changed(service, pool.chains(), self.fleet.revision);
         }
-        let loads = LoadView { own: &self.loads, peers: &self.peer_loads, peer_scale: PEER_SCALE };
+        let loads = LoadView { own: &self.loads, peers: &self.peer_loads, peer_scale };
         let heard = self.peer_loads.heard(now);
         pool.choose(&loads, &settings.zone, size, heard, avoided)
     }
