--- a/crates/banyan-core/src/declaration.rs
+++ b/crates/banyan-core/src/declaration.rs
@@ -84,7 +84,7 @@
     pub zone: ZoneId,
     /// What it does.
     pub role: TargetRole,
-    /// Whether it refuses orders with an old fencing number.
+    /// Whether it refuses orders with an old fencing token.
     pub checks_fence: bool,
 }
 
--- a/crates/banyan-core/src/ids.rs
+++ b/crates/banyan-core/src/ids.rs
@@ -223,8 +223,8 @@
 );
 number_id!(
     /// The number that a lease grant carries to targets: the grant's log offset.
-    FenceNumber,
-    "fencing number"
+    FencingToken,
+    "fencing token"
 );
 number_id!(
     /// The position of a token in its answer, from zero.
--- a/crates/banyan-forward/src/call.rs
+++ b/crates/banyan-forward/src/call.rs
@@ -4,7 +4,6 @@
 //! be replaced: by another replica's where the call may be repeated, by an honest failure where not.
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use bytes::Bytes;
 use futures::StreamExt;
@@ -36,7 +35,6 @@
 use banyan_core::pipeline::replica::ReplicaChoice;
 use banyan_core::pipeline::replica::ReplicaQuery;
 use banyan_core::pipeline::replica::choose_replica;
-use banyan_core::units::Moment;
 
 /// The largest answer that is read whole before it is passed on, in bytes.
 const ANSWER_LIMIT_BYTES: usize = 16 << 20;
@@ -175,7 +173,7 @@
 ) -> AttemptEnd {
     let dispatch = Dispatch {
         target: &choice.target,
-        time_left: time_left(ticket.limit, state.now()),
+        time_left: ticket.limit.since(state.now()),
         workspace: ticket.workspace.as_ref(),
         chain: &[],
         last_event: None,
@@ -189,7 +187,7 @@
     };
     let facts = state.platform.read_answer(head.status, &head.headers);
     let success = head.status.is_success();
-    if !ticket.accepts(&facts, &head.headers, success) || (success && !facts.receipt) {
+    if !ticket.accepts(&facts, &head.headers, success) || (success && !facts.signature) {
         return AttemptEnd::MaybeRun("the answer is not this request's");
     }
     if facts.not_run {
@@ -202,10 +200,6 @@
     }
 }
 
-fn time_left(limit: Moment, now: Moment) -> Duration {
-    limit.since(now)
-}
-
 fn note_end<P>(state: &ForwardState<P>, target: &TargetId, end: &AttemptEnd) {
     let now = state.now();
     let mut tables = state.tables();
--- a/crates/banyan-forward/src/chain_attempt.rs
+++ b/crates/banyan-forward/src/chain_attempt.rs
@@ -79,7 +79,7 @@
     };
     let facts = state.platform.read_answer(head.status, &head.headers);
     let success = head.status.is_success();
-    if !ticket.accepts(&facts, &head.headers, success) || (success && !facts.receipt) {
+    if !ticket.accepts(&facts, &head.headers, success) || (success && !facts.signature) {
         return Err(OpenFailure::MaybeRun("the answer is not this request's"));
     }
     if facts.not_run {
--- a/crates/banyan-forward/src/edges.rs
+++ b/crates/banyan-forward/src/edges.rs
@@ -16,7 +16,7 @@
 use smol_str::SmolStr;
 use thiserror::Error;
 
-use banyan_core::ids::FenceNumber;
+use banyan_core::ids::FencingToken;
 use banyan_core::ids::InstanceId;
 use banyan_core::ids::LayerRange;
 use banyan_core::ids::LogOffset;
@@ -102,8 +102,8 @@
 pub struct AnswerFacts {
     /// The id of the request that it answers.
     pub token: Option<RequestToken>,
-    /// Whether it bears the target's receipt.
-    pub receipt: bool,
+    /// Whether it bears the target's signature.
+    pub signature: bool,
     /// Whether it states that the request has not run.
     pub not_run: bool,
     /// The target at fault, where another one than the sender is.
@@ -249,7 +249,7 @@
     Taken,
     /// The engine's state does not fit it, or has changed since it was read.
     Conflict,
-    /// Another instance has used a higher fencing number.
+    /// Another instance has used a higher fencing token.
     Fenced,
     /// It was refused for another reason.
     Refused(u16),
@@ -277,7 +277,7 @@
         target: &TargetId,
         address: SocketAddr,
         range: LayerRange,
-        fence: FenceNumber,
+        fence: FencingToken,
         expected: u64,
     ) -> impl Future<Output = Result<OrderOutcome, OrderError>> + Send;
 }
--- a/crates/banyan-forward/src/leadership.rs
+++ b/crates/banyan-forward/src/leadership.rs
@@ -19,7 +19,7 @@
 use crate::state::ForwardState;
 use crate::state::ForwardTables;
 use crate::state::PendingOrder;
-use banyan_core::ids::FenceNumber;
+use banyan_core::ids::FencingToken;
 use banyan_core::ids::ServiceId;
 use banyan_core::ids::TargetId;
 use banyan_core::pipeline::fleet::FleetTable;
@@ -79,7 +79,7 @@
             }
             Err(error) => note_trouble(&state, "membership", &error),
         }
-        // Engines that check fencing numbers refuse an earlier leader, so that it may go on while the
+        // Engines that check fencing tokens refuse an earlier leader, so that it may go on while the
         // group is silent; otherwise another instance may lead by now.
         let fenced = state.settings().bounds.engines_check_fences;
         if !fenced && state.now().since(heard) >= MEMBERSHIP_TTL {
@@ -117,7 +117,7 @@
     }
 }
 
-/// The fencing number with which this instance may order layers now, if it may.
+/// The fencing token with which this instance may order layers now, if it may.
 fn leading_generation<P>(state: &ForwardState<P>) -> Option<u64> {
     let tables = state.tables();
     let place = tables.membership;
@@ -296,7 +296,7 @@
     if engine.held == [order.range] {
         return OrderEnd::Outcome(OrderOutcome::Taken);
     }
-    let fence = FenceNumber(generation);
+    let fence = FencingToken(generation);
     let expected = engine.accepted_orders;
     let placed = state.platform.place(&order.target, address, order.range, fence, expected).await;
     match placed {
--- a/crates/banyan-forward/src/settings.rs
+++ b/crates/banyan-forward/src/settings.rs
@@ -39,7 +39,7 @@
     pub leave_time: Duration,
     /// How long the platform counts as unsound after trouble.
     pub settle_time: Duration,
-    /// Whether engines refuse orders with a lower fencing number than they have seen.
+    /// Whether engines refuse orders with a lower fencing token than they have seen.
     pub engines_check_fences: bool,
     /// How long work stands still at an engine that waits for a dead one.
     pub stall_time: Duration,
--- a/crates/banyan-standin/src/cli.rs
+++ b/crates/banyan-standin/src/cli.rs
@@ -78,7 +78,7 @@
             Arg::new("ignore-fence")
                 .long("ignore-fence")
                 .action(ArgAction::SetTrue)
-                .help("Takes orders with an old fencing number too"),
+                .help("Takes orders with an old fencing token too"),
         )
         .arg(
             Arg::new("poison")
--- a/crates/banyan-standin/src/engine.rs
+++ b/crates/banyan-standin/src/engine.rs
@@ -71,7 +71,7 @@
     pub answer_tokens: Option<u64>,
     /// The time that an order to load takes.
     pub load_time: Duration,
-    /// Whether it refuses orders with an old fencing number.
+    /// Whether it refuses orders with an old fencing token.
     pub checks_fence: bool,
     /// Prompts that crash it.
     pub poison: Vec<String>,
--- a/crates/banyan-standin/src/engine/state.rs
+++ b/crates/banyan-standin/src/engine/state.rs
@@ -297,7 +297,7 @@
         }
     }
 
-    /// Takes an order; gives the new role, or nothing where its fencing number is old.
+    /// Takes an order; gives the new role, or nothing where its fencing token is old.
     pub(super) fn take_order(&mut self, order: EngineOrder, checks: bool) -> Option<RoleReply> {
         if checks && order.fence < self.role.fence {
             return None;
--- a/crates/banyan-wire/src/engine.rs
+++ b/crates/banyan-wire/src/engine.rs
@@ -8,7 +8,7 @@
 //! | `GET /v1/cache-events?from=N` | [`CacheEventsReply`]: late and with gaps |
 //! | `POST /v1/kv/export` | a [`CacheRef`]; answers [`CacheCopy`] |
 //! | `POST /v1/kv/import` | a [`CacheCopy`] |
-//! | `POST /v1/orders` | an [`EngineOrder`] to load a model or change role; answers [`RoleReply`], 409 for an old fencing number |
+//! | `POST /v1/orders` | an [`EngineOrder`] to load a model or change role; answers [`RoleReply`], 409 for an old fencing token |
 //! | `GET /v1/role` | [`RoleReply`]: what the engine holds now |
 //!
 //! A step is (request, lineage, token, stage). An engine keeps for each (request, lineage) the next
@@ -271,7 +271,7 @@
 /// What an engine holds; the answer to an order and to `GET /v1/role`.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct RoleReply {
-    /// The greatest fencing number of the orders taken so far; zero before the first one.
+    /// The greatest fencing token of the orders taken so far; zero before the first one.
     pub fence: u64,
     /// The model.
     pub model: SmolStr,
@@ -284,7 +284,7 @@
 /// An order that changes what an engine holds.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct EngineOrder {
-    /// The fencing number of the lease under which it is given.
+    /// The fencing token of the lease under which it is given.
     pub fence: u64,
     /// The model to hold.
     pub model: SmolStr,
