Running streams leave lost engines by an order to the first engine of their chain

Cause: a stream whose chain lost an engine was opened anew at another chain, which reads the whole prompt through all layers again; the first engine can go on with another holder of the lost layers.

Search for chains moved to a module of its own, so that it also finds engines for a gap. pipeline::reroute decides, the daemon orders; where the order fails the stream is opened anew as before. A stream that may run once only can be saved this way too.

--- a/crates/banyan-core/src/pipeline.rs
+++ b/crates/banyan-core/src/pipeline.rs
@@ -3,7 +3,7 @@
 //! The daemon names the whole chain of engines once; the engines hand each token on. [`routes`] says
 //! which requests may be served and how, [`fleet`] which targets exist and what they hold,
 //! [`placement`] which layers each engine should hold, [`chain`] which engines serve a request,
-//! [`suspicion`] which of them are doubted, [`load`] what they carry, [`replica`] which replica of a
+//! [`reroute`] how a running request leaves some of them, [`suspicion`] which of them are doubted, [`load`] what they carry, [`replica`] which replica of a
 //! plain service is called, [`retries`] whether a request may be sent once more, and [`comeback`]
 //! when a refused caller should return. [`model`] describes the model and the accelerators.
 
@@ -14,6 +14,8 @@
 pub mod model;
 pub mod placement;
 pub mod replica;
+pub mod reroute;
 pub mod retries;
 pub mod routes;
+mod search;
 pub mod suspicion;
--- /dev/null
+++ b/crates/banyan-core/src/pipeline/reroute.rs
@@ -0,0 +1,131 @@
+//! How a running request leaves engines of its chain: [`reroute_chain`].
+//!
+//! The first engine of a chain drives its request and cannot be left. The parts of engines that go on
+//! keep what they have read; only the layers of those that are left are run, and read again, elsewhere.
+
+use std::collections::BTreeSet;
+
+use crate::ids::LayerRange;
+use crate::ids::ServiceId;
+use crate::ids::TargetId;
+use crate::pipeline::chain::ChainPart;
+use crate::pipeline::chain::FULLEST;
+use crate::pipeline::chain::TargetChain;
+use crate::pipeline::fleet::FleetTable;
+use crate::pipeline::load::LoadView;
+use crate::pipeline::model::PipelineModel;
+use crate::pipeline::search::PartChoice;
+use crate::pipeline::search::StageCandidate;
+use crate::pipeline::search::candidates;
+use crate::pipeline::search::find_path;
+use crate::pipeline::search::to_chain;
+use crate::pipeline::suspicion::SuspicionTable;
+use crate::units::Moment;
+use crate::units::TokenCount;
+
+/// What a reroute is decided from.
+#[derive(Clone, Copy, Debug)]
+pub struct RerouteQuery<'a> {
+    /// The model.
+    pub model: &'a PipelineModel,
+    /// The service that its engines belong to.
+    pub service: &'a ServiceId,
+    /// The engines.
+    pub fleet: &'a FleetTable,
+    /// Which of them are doubted.
+    pub suspicions: &'a SuspicionTable,
+    /// What requests take up at them.
+    pub loads: LoadView<'a>,
+    /// Engines that this request does not use again.
+    pub avoided: &'a [TargetId],
+    /// The tokens that the request takes up in the end.
+    pub total: TokenCount,
+    /// The time of the decision.
+    pub now: Moment,
+}
+
+/// The chain with which a request that runs on `chain` goes on without the engines that are doubted,
+/// avoided or giving its layers up; `None` where it cannot, or has no need to.
+pub fn reroute_chain(query: &RerouteQuery<'_>, chain: &TargetChain) -> Option<TargetChain> {
+    let candidates = candidates(query.model, query.service, query.fleet);
+    let kept = |part: &ChainPart| kept_index(query, &candidates, part);
+    let mut parts: Vec<PartChoice> = vec![(kept(chain.parts.first()?)?, chain.parts[0].range)];
+    let mut gap: Option<LayerRange> = None;
+    let mut rerouted = false;
+    let used: BTreeSet<&TargetId> = chain.parts.iter().map(|part| &part.target).collect();
+    let others = other_candidates(query, &candidates, chain, &used);
+    for part in &chain.parts[1..] {
+        let Some(index) = kept(part) else {
+            let first = gap.map_or(part.range.first, |gap| gap.first);
+            gap = Some(LayerRange { first, end: part.range.end });
+            continue;
+        };
+        if let Some(gap) = gap.take() {
+            parts.extend(fill_gap(query.model, &candidates, &others, gap)?);
+            rerouted = true;
+        }
+        parts.push((index, part.range));
+    }
+    if let Some(gap) = gap {
+        parts.extend(fill_gap(query.model, &candidates, &others, gap)?);
+        rerouted = true;
+    }
+    let distinct: BTreeSet<usize> = parts.iter().map(|(index, _)| *index).collect();
+    (rerouted && distinct.len() == parts.len()).then(|| to_chain(query.model, &candidates, &parts))
+}
+
+/// The place among the candidates of an engine that goes on running its part of a chain.
+fn kept_index(
+    query: &RerouteQuery<'_>,
+    candidates: &[StageCandidate],
+    part: &ChainPart,
+) -> Option<usize> {
+    if !is_usable(query, &part.target) {
+        return None;
+    }
+    let holds = |held: &LayerRange| held.first <= part.range.first && part.range.end <= held.end;
+    candidates
+        .iter()
+        .position(|candidate| candidate.target == part.target && candidate.held.iter().any(holds))
+}
+
+fn is_usable(query: &RerouteQuery<'_>, target: &TargetId) -> bool {
+    !query.avoided.contains(target) && !query.suspicions.is_doubted(target, query.now)
+}
+
+/// The places of the engines that can take over layers: those of the chain's zone that have room.
+fn other_candidates(
+    query: &RerouteQuery<'_>,
+    candidates: &[StageCandidate],
+    chain: &TargetChain,
+    used: &BTreeSet<&TargetId>,
+) -> Vec<usize> {
+    let near =
+        |candidate: &StageCandidate| chain.zone.as_ref().is_none_or(|zone| candidate.zone == *zone);
+    let has_room = |candidate: &StageCandidate| {
+        let layers: u32 = candidate.held.iter().map(|range| range.count()).sum();
+        let asked = (query.total.0 * u64::from(layers)) as f64;
+        let taken = query.loads.token_layers(&candidate.target);
+        taken + asked <= FULLEST * candidate.token_layers as f64
+    };
+    let fits = |candidate: &StageCandidate| {
+        !used.contains(&candidate.target)
+            && near(candidate)
+            && is_usable(query, &candidate.target)
+            && has_room(candidate)
+    };
+    (0..candidates.len()).filter(|index| fits(&candidates[*index])).collect()
+}
+
+/// The engines among `others` that run the layers of a gap.
+fn fill_gap(
+    model: &PipelineModel,
+    candidates: &[StageCandidate],
+    others: &[usize],
+    gap: LayerRange,
+) -> Option<Vec<PartChoice>> {
+    let of_gap: Vec<StageCandidate> =
+        others.iter().map(|index| candidates[*index].clone()).collect();
+    let path = find_path(model, &of_gap, gap)?;
+    Some(path.into_iter().map(|(place, range)| (others[place], range)).collect())
+}
--- a/crates/banyan-forward/src/edges.rs
+++ b/crates/banyan-forward/src/edges.rs
@@ -280,6 +280,14 @@
         fence: FencingToken,
         expected: u64,
     ) -> impl Future<Output = Result<OrderOutcome, OrderError>> + Send;
+
+    /// Orders the first engine of a running request to go on with it on another chain, which begins
+    /// with the same part.
+    fn reroute(
+        &self,
+        token: &RequestToken,
+        chain: &[ChainPart],
+    ) -> impl Future<Output = Result<OrderOutcome, OrderError>> + Send;
 }
 
 /// A platform at all its edges.
--- a/crates/banyan-forward/src/logs.rs
+++ b/crates/banyan-forward/src/logs.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use http::StatusCode;
+use tokio::time::error::Elapsed;
 use tracing_appender::non_blocking::ErrorCounter;
 use tracing_appender::non_blocking::NonBlockingBuilder;
 use tracing_appender::non_blocking::WorkerGuard;
@@ -19,6 +20,8 @@
 use tracing_subscriber::util::SubscriberInitExt;
 
 use crate::answer::Refusal;
+use crate::edges::OrderError;
+use crate::edges::OrderOutcome;
 use crate::edges::RequestToken;
 use crate::log_budget::LineWeight;
 use crate::log_budget::LogBudget;
@@ -207,6 +210,20 @@
     );
 }
 
+/// Logs that the first engine of a stream's chain was told to leave some of the others.
+pub fn stream_rerouted(
+    token: &RequestToken,
+    chain: &TargetChain,
+    rerouted: &TargetChain,
+    outcome: &Result<Result<OrderOutcome, OrderError>, Elapsed>,
+) {
+    let taken = matches!(outcome, Ok(Ok(OrderOutcome::Taken)));
+    metrics::counter!("banyan_reroutes_total", "taken" => taken.to_string()).increment(1);
+    let from = chain_text(chain);
+    let to = chain_text(rerouted);
+    tracing::info!(part = "request", request = %token, from, to, ?outcome, "The chain changed.");
+}
+
 /// The outcome of a stream that came to its end.
 pub const COMPLETE: &str = "complete";
 
--- a/crates/banyan-forward/src/opening.rs
+++ b/crates/banyan-forward/src/opening.rs
@@ -15,7 +15,9 @@
 use crate::chain_attempt::OpenFailure;
 use crate::chain_attempt::OpenedStream;
 use crate::chain_attempt::open_chain;
+use crate::edges::OrderOutcome;
 use crate::edges::Platform;
+use crate::leases::RequestLease;
 use crate::leases::lease_chain;
 use crate::leases::lease_reading;
 use crate::logs;
@@ -37,6 +39,8 @@
 const CHECK_PAUSE: Duration = Duration::from_millis(30);
 /// The time without any event of any stream after which an engine counts as silent.
 const SILENCE: Duration = Duration::from_millis(70);
+/// The time within which the first engine of a chain takes an order to leave some of the others.
+const REROUTE_LIMIT: Duration = Duration::from_millis(60);
 /// Tokens that a request is taken to have where it does not say.
 const DEFAULT_TOKENS: TokenCount = TokenCount(1_000);
 /// Chains that are opened side by side at most.
@@ -114,16 +118,36 @@
         let targets = chain.parts.iter().map(|part| &part.target);
         let mut tables = self.state.tables();
         let failing = tables.suspicions.unanswering(targets, now);
-        for id in &failing {
+        let news: Vec<TargetId> =
+            failing.iter().filter(|id| !self.avoided.contains(*id)).cloned().collect();
+        for id in &news {
             tables.suspicions.note_failure(id, now);
         }
         drop(tables);
-        for id in &failing {
+        for id in &news {
             logs::doubted(&self.ticket.token, id, "no answer to a probe");
         }
-        let any = !failing.is_empty();
-        self.avoided.extend(failing);
-        any
+        self.avoided.extend(news);
+        !failing.is_empty()
+    }
+
+    /// Has a running stream go on without the engines of its chain that are doubted or give its layers
+    /// up; gives the chain that it runs on from now, or `None` where it must be opened anew.
+    pub async fn reroute(
+        &mut self,
+        chain: &TargetChain,
+    ) -> Option<(Arc<TargetChain>, RequestLease)> {
+        let now = self.state.now();
+        let total = self.size().total;
+        let service = &self.ticket.service.id;
+        let rerouted =
+            self.state.tables().reroute_chain(service, chain, total, &self.avoided, now)?;
+        let lease = lease_chain(&self.state, &rerouted, total);
+        let ordered = self.state.platform.reroute(&self.ticket.token, &rerouted.parts);
+        let outcome = tokio::time::timeout(REROUTE_LIMIT, ordered).await;
+        let taken = matches!(outcome, Ok(Ok(OrderOutcome::Taken)));
+        logs::stream_rerouted(&self.ticket.token, chain, &rerouted, &outcome);
+        taken.then_some((rerouted, lease))
     }
 
     /// Avoids a chain that gives nothing although its engines answer.
--- a/crates/banyan-forward/src/state.rs
+++ b/crates/banyan-forward/src/state.rs
@@ -22,15 +22,19 @@
 use banyan_core::pipeline::chain::ChainChoice;
 use banyan_core::pipeline::chain::ChainPool;
 use banyan_core::pipeline::chain::RequestSize;
+use banyan_core::pipeline::chain::TargetChain;
 use banyan_core::pipeline::comeback::ComebackTable;
 use banyan_core::pipeline::fleet::FleetTable;
 use banyan_core::pipeline::load::LoadTable;
 use banyan_core::pipeline::load::LoadView;
 use banyan_core::pipeline::load::PeerLoadTable;
+use banyan_core::pipeline::reroute::RerouteQuery;
+use banyan_core::pipeline::reroute::reroute_chain;
 use banyan_core::pipeline::retries::RetryShare;
 use banyan_core::pipeline::routes::RouteTable;
 use banyan_core::pipeline::suspicion::SuspicionTable;
 use banyan_core::units::Moment;
+use banyan_core::units::TokenCount;
 use banyan_http::clock::RuntimeClock;
 
 /// With as many other instances or fewer, all that live are heard within the time that a digest counts.
@@ -156,6 +160,31 @@
         let heard = self.peer_loads.heard(now);
         pool.choose(&loads, &settings.zone, size, heard, avoided)
     }
+
+    /// The chain with which a request that runs on `chain` goes on without engines that are doubted,
+    /// avoided or giving its layers up, if there is one.
+    pub fn reroute_chain(
+        &self,
+        service: &ServiceId,
+        chain: &TargetChain,
+        total: TokenCount,
+        avoided: &[TargetId],
+        now: Moment,
+    ) -> Option<Arc<TargetChain>> {
+        let routes = self.route_table()?;
+        let peer_scale = self.peer_scale(now);
+        let query = RerouteQuery {
+            model: routes.services.get(service)?.model.as_ref()?,
+            service,
+            fleet: &self.fleet,
+            suspicions: &self.suspicions,
+            loads: LoadView { own: &self.loads, peers: &self.peer_loads, peer_scale },
+            avoided,
+            total,
+            now,
+        };
+        reroute_chain(&query, chain).map(Arc::new)
+    }
 }
 
 /// Everything that the daemon's tasks share.
--- a/crates/banyan-forward/src/stream.rs
+++ b/crates/banyan-forward/src/stream.rs
@@ -174,6 +174,8 @@
                 StreamTurn::Check => {
                     check = Instant::now() + CHECK_PAUSE;
                     if self.stands_still()
+                        && !self.reroute().await
+                        && self.opener.can_resume()
                         && let Some(broken) = self.resume("it stands still").await
                     {
                         return Some(Err(broken));
@@ -207,20 +209,28 @@
     /// Whether the stream should go on elsewhere: an engine of its chain does not answer, or the chain
     /// has given nothing for so long that the caller is about to give up.
     fn stands_still(&mut self) -> bool {
-        if !self.opener.can_resume() {
-            return false;
-        }
         self.opener.probe_silent(&self.opened.chain, self.pause);
         if self.opener.doubt_unanswering(&self.opened.chain) {
             return true;
         }
-        let too_long = self.moved.elapsed() >= self.pause.mul_f64(TOO_LONG_FACTOR);
+        let too_long =
+            self.opener.can_resume() && self.moved.elapsed() >= self.pause.mul_f64(TOO_LONG_FACTOR);
         if too_long {
             self.opener.avoid_chain(&self.opened.chain);
         }
         too_long
     }
 
+    /// Leaves engines of the chain while the stream runs on; tells whether it does.
+    async fn reroute(&mut self) -> bool {
+        let Some((chain, lease)) = self.opener.reroute(&self.opened.chain).await else {
+            return false;
+        };
+        self.opened.chain = chain;
+        self.opened.lease = lease;
+        true
+    }
+
     /// Goes on at another chain; gives an error if there is none that will.
     async fn resume(&mut self, cause: &'static str) -> Option<AnswerBroken> {
         let after = self.opened.splitter.last_id();
