Requests that come at a daemon's start wait for its first reads

Ruled out: slow reads of the store (4 to 6 ms).

They wait until both are read, for half a second from the start at most.

--- a/crates/banyan-forward/src/feeds.rs
+++ b/crates/banyan-forward/src/feeds.rs
@@ -38,6 +38,8 @@
                 if let Some(record) = listing.content {
                     put_in_force(&state, record);
                 }
+                state.tables().routes_known = true;
+                state.note_known();
             }
             Err(StoreError::Forgotten) => next = None,
             Err(error) => {
@@ -67,7 +69,9 @@
             Err(error) => note_trouble(&state, "targets", &error),
         }
         drop_removed(&state);
-        tokio::time::sleep(FLEET_PAUSE).await;
+        // Until the first listing nothing can be served.
+        let known = state.tables().fleet_known;
+        tokio::time::sleep(if known { FLEET_PAUSE } else { FAILURE_PAUSE }).await;
     }
 }
 
@@ -104,6 +108,8 @@
     tables.fleet.replace(listing, now);
     tables.fleet_next = Some(next);
     tables.fleet_known = true;
+    drop(tables);
+    state.note_known();
 }
 
 /// Puts a configuration in force, unless the one in force is as new.
@@ -115,7 +121,9 @@
     }
     let version = record.table.version;
     tables.routes = Some(record);
+    tables.routes_known = true;
     drop(tables);
+    state.note_known();
     metrics::gauge!("banyan_configuration_version").set(version as f64);
     tracing::info!(part = "configuration", version, was = current, "In force.");
 }
--- a/crates/banyan-forward/src/serve.rs
+++ b/crates/banyan-forward/src/serve.rs
@@ -82,6 +82,7 @@
     body: Incoming,
     received: Moment,
 ) -> Result<RequestTicket, Refusal> {
+    state.wait_for_start().await;
     let routes = state.tables().route_table();
     let routes = routes.ok_or(Refusal::NotRun(NotRunCause::NoConfiguration, ELSEWHERE_TIME))?;
     if *state.phase.borrow() == DaemonPhase::Draining {
--- a/crates/banyan-forward/src/state.rs
+++ b/crates/banyan-forward/src/state.rs
@@ -7,6 +7,7 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::time::Duration;
 
 use tokio::sync::watch;
 
@@ -37,6 +38,9 @@
 use banyan_core::units::TokenCount;
 use banyan_http::clock::RuntimeClock;
 
+/// The time after the start for which requests wait for the first reads of the platform: a read takes
+/// some milliseconds, and callers look for an answer for a second at least.
+const START_TIME: Duration = Duration::from_millis(500);
 /// With as many other instances or fewer, all that live are heard within the time that a digest counts.
 const ALL_HEARD: usize = 32;
 
@@ -69,6 +73,8 @@
     pub routes: Option<ConfigurationRecord>,
     /// The targets, once they were listed.
     pub fleet: FleetTable,
+    /// Whether the platform told since the start which configuration is in force, if any.
+    pub routes_known: bool,
     /// Whether the targets were listed since the start.
     pub fleet_known: bool,
     /// Where the changes of targets begin that were not read, once they were listed.
@@ -196,6 +202,8 @@
     pub clock: RuntimeClock,
     /// Whether new requests are taken.
     pub phase: watch::Sender<DaemonPhase>,
+    /// Whether the configuration and the targets were read since the start.
+    known: watch::Sender<bool>,
     settings: Mutex<Arc<ForwardSettings>>,
     tables: Mutex<ForwardTables>,
 }
@@ -207,6 +215,7 @@
             platform,
             clock: RuntimeClock::start(),
             phase: watch::Sender::new(DaemonPhase::Serving),
+            known: watch::Sender::new(false),
             settings: Mutex::new(Arc::new(settings)),
             tables: Mutex::new(ForwardTables::default()),
         }
@@ -230,6 +239,24 @@
         self.tables.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Lets requests go on that wait for the first reads, if those are done.
+    pub fn note_known(&self) {
+        let tables = self.tables();
+        let known = tables.routes_known && tables.fleet_known;
+        drop(tables);
+        if known {
+            self.known.send_replace(true);
+        }
+    }
+
+    /// Waits until the configuration and the targets were read once, or the start is over.
+    pub async fn wait_for_start(&self) {
+        let mut known = self.known.subscribe();
+        let end = self.clock.instant(Moment::default() + START_TIME);
+        // Either end of the wait is fine: what is not known by then is refused.
+        let _ = tokio::time::timeout_at(end, known.wait_for(|known| *known)).await;
+    }
+
     /// The time of the daemon's clock.
     pub fn now(&self) -> Moment {
         self.clock.now()
