Streams leave engines that were ordered to give up their layers

Each instance has its streams go on with another holder, spread over 300 ms so that its reading does not make any of them pause.

--- a/crates/banyan-forward/src/state.rs
+++ b/crates/banyan-forward/src/state.rs
@@ -21,6 +21,7 @@
 use banyan_core::ids::ServiceId;
 use banyan_core::ids::TargetId;
 use banyan_core::pipeline::chain::ChainChoice;
+use banyan_core::pipeline::chain::ChainPart;
 use banyan_core::pipeline::chain::ChainPool;
 use banyan_core::pipeline::chain::RequestSize;
 use banyan_core::pipeline::chain::TargetChain;
@@ -167,6 +168,15 @@
         pool.choose(&loads, &settings.zone, size, heard, avoided)
     }
 
+    /// Whether an engine that a running request can leave was ordered to give up layers of its chain.
+    pub fn is_given_up(&self, chain: &TargetChain) -> bool {
+        let gives_up = |part: &ChainPart| {
+            let ordered = self.fleet.rows.get(&part.target).and_then(|row| row.ordered);
+            ordered.is_some_and(|kept| part.range.first < kept.first || kept.end < part.range.end)
+        };
+        chain.parts.iter().skip(1).any(gives_up)
+    }
+
     /// The chain with which a request that runs on `chain` goes on without engines that are doubted,
     /// avoided or giving its layers up, if there is one.
     pub fn reroute_chain(
--- a/crates/banyan-forward/src/stream.rs
+++ b/crates/banyan-forward/src/stream.rs
@@ -42,6 +42,11 @@
 const RESUME_PATIENCE: Duration = Duration::from_millis(1_600);
 /// The time between two tries of a stream that waits for a chain.
 const RESUME_PAUSE: Duration = Duration::from_millis(60);
+/// The time over which streams leave an engine that gives up layers, so that the engine that takes them
+/// over reads one prompt after the other and none waits long.
+const LEAVE_SPREAD: Duration = Duration::from_millis(300);
+/// Steps in which that time is handed out.
+const LEAVE_STEPS: u64 = 64;
 /// The time between two checks of a stream that goes on standing still.
 const CHECK_PAUSE: Duration = Duration::from_millis(27);
 
@@ -95,6 +100,10 @@
     longest_pause: Duration,
     ended: bool,
     resumed: u32,
+    /// The revision of the table of targets at the last look for engines that give up layers.
+    fleet_seen: u64,
+    /// When engines are left that were found then.
+    leave_at: Option<Instant>,
     _active: RequestLease,
 }
 
@@ -128,6 +137,8 @@
             longest_pause: Duration::ZERO,
             ended: false,
             resumed: 0,
+            fleet_seen: 0,
+            leave_at: None,
             _active: active,
         }
     }
@@ -147,6 +158,7 @@
                     Ok(Some(batch)) => {
                         self.note_move();
                         note_progress(&self.state, &self.opened.chain);
+                        self.leave_given_up().await;
                         return Some(Ok(batch.bytes));
                     }
                     Ok(None) => {}
@@ -221,6 +233,32 @@
         too_long
     }
 
+    /// Leaves engines that were ordered to give up layers of the chain, since they load nothing else as
+    /// long as a stream passes through them.
+    async fn leave_given_up(&mut self) {
+        let now = Instant::now();
+        match self.leave_at {
+            Some(at) if at <= now => {
+                self.leave_at = None;
+                self.reroute().await;
+            }
+            Some(_) => {}
+            None => {
+                let mut tables = self.state.tables();
+                let revision = tables.fleet.revision;
+                if revision == self.fleet_seen {
+                    return;
+                }
+                self.fleet_seen = revision;
+                if tables.is_given_up(&self.opened.chain) {
+                    let place = tables.draw() % LEAVE_STEPS;
+                    self.leave_at =
+                        Some(now + LEAVE_SPREAD.mul_f64(place as f64 / LEAVE_STEPS as f64));
+                }
+            }
+        }
+    }
+
     /// Leaves engines of the chain while the stream runs on; tells whether it does.
     async fn reroute(&mut self) -> bool {
         let Some((chain, lease)) = self.opener.reroute(&self.opened.chain).await else {
