Engines that are gone are replaced at once, and an unanswered order holds up no other

Causes: (1) a crash was seen 12 ms after it came (connection refused), but layers were ordered only once a peer's digest agreed, up to 400 ms later, and at the next look, up to 250 ms later; (2) all orders of a plan were awaited together, so that one without an answer held up the next plan for 350 ms and more; (3) each of the streams that one crash stopped counted as a failure of its own: the engine was doubted for the longest time, and the chains were looked for anew up to forty times.

A refused connection tells that nothing runs there, whatever peers say. Orders run in tasks of their own.

--- a/crates/banyan-core/src/pipeline/suspicion.rs
+++ b/crates/banyan-core/src/pipeline/suspicion.rs
@@ -27,6 +27,20 @@
 /// The time after which a probe that was not answered speaks against a target.
 const ANSWER_PATIENCE: Duration = Duration::from_millis(25);
 
+/// The time within which several notes of a failure are taken as notes of the same one.
+const SAME_FAILURE_TIME: Duration = Duration::from_millis(200);
+
+/// How a probe ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ProbeEnd {
+    /// The target answered.
+    Answered,
+    /// Nothing came in time: the target may be slow, or out of this instance's reach.
+    NoAnswer,
+    /// The target's host refused the connection, so that nothing runs there.
+    Absent,
+}
+
 /// What is held against one target.
 #[derive(Clone, Copy, Debug)]
 struct DoubtRow {
@@ -40,7 +54,8 @@
 pub struct SuspicionTable {
     rows: BTreeMap<TargetId, DoubtRow>,
     progress: BTreeMap<TargetId, Moment>,
-    unreachable: BTreeMap<TargetId, Moment>,
+    /// Until when targets count as unreachable, and whether their hosts say that nothing runs there.
+    unreachable: BTreeMap<TargetId, (Moment, ProbeEnd)>,
     probing: BTreeMap<TargetId, Moment>,
     answered: BTreeMap<TargetId, Moment>,
     /// Grows with each change of who is doubted.
@@ -50,6 +65,10 @@
 impl SuspicionTable {
     /// Notes that a target failed.
     pub fn note_failure(&mut self, id: &TargetId, now: Moment) {
+        let same = |row: &DoubtRow| now < row.until && now.since(row.noted) < SAME_FAILURE_TIME;
+        if self.rows.get(id).is_some_and(same) {
+            return;
+        }
         let failures = match self.rows.get(id) {
             Some(row) if now.since(row.noted) < FORGET_TIME => row.failures.saturating_add(1),
             _ => 1,
@@ -103,27 +122,37 @@
         ids.filter(overdue).cloned().collect()
     }
 
-    /// Takes in whether a target answered a probe; tells whether that is news.
-    pub fn end_probe(&mut self, id: &TargetId, answered: bool, now: Moment) -> bool {
-        self.revision += 1;
-        if answered {
+    /// Takes in how a probe ended; tells whether that is news.
+    pub fn end_probe(&mut self, id: &TargetId, end: ProbeEnd, now: Moment) -> bool {
+        if end == ProbeEnd::Answered {
             self.answered.insert(id.clone(), now);
-            self.rows.remove(id);
-            return self.unreachable.remove(id).is_some();
+            let doubted = self.rows.remove(id).is_some();
+            let news = self.unreachable.remove(id).is_some();
+            self.revision += u64::from(doubted || news);
+            return news;
         }
         self.answered.remove(id);
         self.note_failure(id, now);
-        self.unreachable.insert(id.clone(), now + UNREACHABLE_TIME).is_none()
+        let before = self.unreachable.insert(id.clone(), (now + UNREACHABLE_TIME, end));
+        let news = before.is_none_or(|(_, before)| before != end);
+        self.revision += u64::from(news);
+        news
     }
 
     /// Whether a target did not answer a probe lately.
     pub fn is_unreachable(&self, id: &TargetId, now: Moment) -> bool {
-        self.unreachable.get(id).is_some_and(|until| now < *until)
+        self.unreachable.get(id).is_some_and(|(until, _)| now < *until)
+    }
+
+    /// Whether nothing runs where a target was, as its host said lately.
+    pub fn is_absent(&self, id: &TargetId, now: Moment) -> bool {
+        let absent = |(until, end): &(Moment, ProbeEnd)| now < *until && *end == ProbeEnd::Absent;
+        self.unreachable.get(id).is_some_and(absent)
     }
 
     /// The targets that did not answer a probe lately.
     pub fn unreachable(&self, now: Moment) -> Vec<TargetId> {
-        let lately = self.unreachable.iter().filter(|(_, until)| now < **until);
+        let lately = self.unreachable.iter().filter(|(_, (until, _))| now < *until);
         lately.map(|(id, _)| id.clone()).collect()
     }
 
--- a/crates/banyan-core/tests/pipeline/chains.rs
+++ b/crates/banyan-core/tests/pipeline/chains.rs
@@ -17,6 +17,7 @@
 use banyan_core::pipeline::load::LoadTable;
 use banyan_core::pipeline::load::LoadView;
 use banyan_core::pipeline::load::PeerLoadTable;
+use banyan_core::pipeline::suspicion::ProbeEnd;
 use banyan_core::pipeline::suspicion::SuspicionTable;
 use banyan_core::units::Moment;
 use banyan_core::units::TokenCount;
@@ -127,7 +128,7 @@
     let fleet =
         fleet(&[("a1", "a", "fast-vast", layers(0, 80)), ("b1", "b", "slow-vast", layers(0, 80))]);
     let mut suspicions = SuspicionTable::default();
-    suspicions.end_probe(&target("a1"), false, at(0));
+    suspicions.end_probe(&target("a1"), ProbeEnd::NoAnswer, at(0));
     let pool = pool(&fleet, &suspicions, at(10));
     let chain = choose(&pool, &LoadTable::default(), "a").expect("a chain");
     assert_eq!(chain.zone, Some(zone("b")));
--- a/crates/banyan-forward/src/edges.rs
+++ b/crates/banyan-forward/src/edges.rs
@@ -257,10 +257,16 @@
 
 /// Why nothing is known of an order or an engine's state.
 #[derive(Clone, Debug, Error)]
-#[error("the engine did not answer ({cause}): an order may still be carried out later")]
-pub struct OrderError {
-    /// What was seen instead.
-    pub cause: String,
+pub enum OrderError {
+    /// The engine's host refused the connection.
+    #[error("no engine runs there: the order was not given")]
+    Absent,
+    /// No answer came.
+    #[error("the engine did not answer ({cause}): an order may still be carried out later")]
+    NoAnswer {
+        /// What was seen instead.
+        cause: String,
+    },
 }
 
 /// Orders to engines.
--- a/crates/banyan-forward/src/feeds.rs
+++ b/crates/banyan-forward/src/feeds.rs
@@ -142,6 +142,7 @@
     drop(tables);
     if revision != before {
         tracing::debug!(part = "targets", revision, "The targets changed.");
+        state.plan_due.notify_one();
     }
 }
 
--- a/crates/banyan-forward/src/leadership.rs
+++ b/crates/banyan-forward/src/leadership.rs
@@ -8,9 +8,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use futures::StreamExt;
-use futures::stream::FuturesUnordered;
-
 use crate::edges::OrderOutcome;
 use crate::edges::Platform;
 use crate::feeds::note_answer;
@@ -36,6 +33,10 @@
 pub const MEMBERSHIP_TTL: Duration = Duration::from_millis(2_200);
 /// The time between two looks at whether layers should be ordered.
 const PLAN_PAUSE: Duration = Duration::from_millis(250);
+/// The time for which changes are gathered before layers are planned.
+const GATHER_TIME: Duration = Duration::from_millis(10);
+/// The longest time that giving an order takes: the engine is asked for its state first.
+const GIVE_LIMIT: Duration = Duration::from_secs(2);
 /// The time for which an engine is left alone after it refused an order.
 const REFUSED_PAUSE: Duration = Duration::from_millis(500);
 /// The time without new engines after which the first layout is planned: engines that start together
@@ -101,19 +102,16 @@
 }
 
 async fn run_placement<P: Platform>(state: Arc<ForwardState<P>>) {
-    // The generation in which an engine told this instance that it has been replaced.
-    let mut fenced = 0;
     loop {
-        tokio::time::sleep(PLAN_PAUSE).await;
+        // What changes together, as several engines that crash, is planned for together.
+        let _ = tokio::time::timeout(PLAN_PAUSE, state.plan_due.notified()).await;
+        tokio::time::sleep(GATHER_TIME).await;
         let Some(generation) = leading_generation(&state) else { continue };
-        if fenced >= generation {
+        if state.tables().generation_fenced >= generation {
             continue;
         }
-        observe_pending(&state).await;
-        let orders = due_orders(&state);
-        if carry_out(&state, generation, orders).await {
-            fenced = generation;
-        }
+        observe_pending(&state);
+        carry_out(&state, generation, due_orders(&state));
     }
 }
 
@@ -145,11 +143,14 @@
 }
 
 /// Asks the engines whose loads should be done by now which layers they hold.
-async fn observe_pending<P: Platform>(state: &Arc<ForwardState<P>>) {
-    let due = due_questions(state);
-    let asking: FuturesUnordered<_> =
-        due.iter().map(|(id, address)| observe_target(state, id, *address, STATE_LIMIT)).collect();
-    let _: Vec<_> = asking.collect().await;
+fn observe_pending<P: Platform>(state: &Arc<ForwardState<P>>) {
+    for (id, address) in due_questions(state) {
+        let state = state.clone();
+        tokio::spawn(async move {
+            // A question without an answer is asked again, and logged where it is asked.
+            let _ = observe_target(&state, &id, address, STATE_LIMIT).await;
+        });
+    }
 }
 
 /// The engines that are asked now which layers they hold.
@@ -193,8 +194,12 @@
     due
 }
 
-/// Whether an engine is taken as lost: it does not answer this instance, nor some peer.
+/// Whether an engine is taken as lost: nothing runs where it was, or it answers neither this instance
+/// nor some peer.
 fn is_lost(tables: &ForwardTables, id: &TargetId, now: Moment) -> bool {
+    if tables.suspicions.is_absent(id, now) {
+        return true;
+    }
     let alone = tables.peer_loads.heard(now) == 0;
     let peer_agrees = || tables.peer_loads.unreachable(now).any(|other| other == id);
     tables.suspicions.is_unreachable(id, now) && (alone || peer_agrees())
@@ -245,29 +250,33 @@
     targets
 }
 
-/// Gives orders; tells whether an engine has heard of a later leader.
-async fn carry_out<P: Platform>(
+/// Gives orders, each in a task of its own: an engine that does not answer holds up no other.
+fn carry_out<P: Platform>(
     state: &Arc<ForwardState<P>>,
     generation: u64,
     orders: Vec<(Arc<PipelineModel>, PlacementOrder)>,
-) -> bool {
+) {
     let count = orders.len() as u32;
-    let running: FuturesUnordered<_> = orders
-        .into_iter()
-        .map(|(model, order)| async move {
-            let end = give_order(state, generation, &order).await;
-            (model, order, end)
-        })
-        .collect();
-    let ends: Vec<_> = running.collect().await;
-    let mut fenced = false;
-    for (model, order, end) in ends {
-        fenced |= matches!(end, OrderEnd::Outcome(OrderOutcome::Fenced));
-        let stretch = count.div_ceil(model.loads_at_once.max(1)).max(1);
-        let load = model.load_time_of(order.range.count());
-        note_end(state, generation, order, end, load, load * stretch + LOAD_MARGIN);
+    for (model, order) in orders {
+        note_given(state, &order);
+        let state = state.clone();
+        tokio::spawn(async move {
+            let end = give_order(&state, generation, &order).await;
+            let stretch = count.div_ceil(model.loads_at_once.max(1)).max(1);
+            let load = model.load_time_of(order.range.count());
+            note_end(&state, generation, order, end, load, load * stretch + LOAD_MARGIN);
+        });
     }
-    fenced
+}
+
+/// Notes that an engine is being told which layers to hold.
+fn note_given<P>(state: &ForwardState<P>, order: &PlacementOrder) {
+    let now = state.now();
+    let until = now + GIVE_LIMIT;
+    let pending = PendingOrder { range: Some(order.range), ask: until, until };
+    let mut tables = state.tables();
+    tables.pending_orders.insert(order.target.clone(), pending);
+    tables.sync_orders();
 }
 
 /// How an order ended.
@@ -287,7 +296,7 @@
 ) -> OrderEnd {
     let address = state.tables().fleet.rows.get(&order.target).map(|row| row.report.address);
     let Some(address) = address else { return OrderEnd::Busy };
-    let Some(engine) = observe_target(state, &order.target, address, STATE_LIMIT).await else {
+    let Ok(engine) = observe_target(state, &order.target, address, STATE_LIMIT).await else {
         return OrderEnd::Busy;
     };
     if engine.busy {
@@ -325,13 +334,25 @@
         OrderEnd::Outcome(OrderOutcome::Taken) => {
             PendingOrder { range: Some(range), ask: now + load, until: now + load_limit }
         }
-        OrderEnd::Outcome(OrderOutcome::Fenced) => return,
+        OrderEnd::Outcome(OrderOutcome::Fenced) => {
+            let mut tables = state.tables();
+            tables.generation_fenced = tables.generation_fenced.max(generation);
+            tables.pending_orders.remove(&target);
+            tables.sync_orders();
+            return;
+        }
         OrderEnd::Outcome(OrderOutcome::Conflict | OrderOutcome::Refused(_)) | OrderEnd::Busy => {
             PendingOrder { range: None, ask: now, until: now + REFUSED_PAUSE }
         }
         // Whether it was begun shows in the engine's state when the next plan is carried out; a copy
         // that comes late names an earlier number of orders then, and is refused.
-        OrderEnd::Unknown => return,
+        OrderEnd::Unknown => {
+            let mut tables = state.tables();
+            tables.pending_orders.remove(&target);
+            tables.sync_orders();
+            state.plan_due.notify_one();
+            return;
+        }
     };
     let mut tables = state.tables();
     tables.pending_orders.insert(target, pending);
--- a/crates/banyan-forward/src/probes.rs
+++ b/crates/banyan-forward/src/probes.rs
@@ -5,9 +5,11 @@
 use std::time::Duration;
 
 use crate::edges::EngineState;
+use crate::edges::OrderError;
 use crate::edges::Platform;
 use crate::state::ForwardState;
 use banyan_core::ids::TargetId;
+use banyan_core::pipeline::suspicion::ProbeEnd;
 
 /// The time within which a target that is there answers.
 const PROBE_LIMIT: Duration = Duration::from_millis(200);
@@ -39,39 +41,43 @@
 
 async fn probe_target<P: Platform>(state: Arc<ForwardState<P>>, id: TargetId) {
     let address = state.tables().fleet.rows.get(&id).map(|row| row.report.address);
-    let answered = match address {
-        Some(address) => observe_target(&state, &id, address, PROBE_LIMIT).await.is_some(),
-        None => true,
+    let end = match address {
+        Some(address) => match observe_target(&state, &id, address, PROBE_LIMIT).await {
+            Ok(_) => ProbeEnd::Answered,
+            Err(OrderError::Absent) => ProbeEnd::Absent,
+            Err(OrderError::NoAnswer { .. }) => ProbeEnd::NoAnswer,
+        },
+        None => ProbeEnd::Answered,
     };
     let now = state.now();
-    if state.tables().suspicions.end_probe(&id, answered, now) {
-        tracing::info!(part = "health", target = %id, answered, "A doubted target was probed.");
+    if state.tables().suspicions.end_probe(&id, end, now) {
+        tracing::info!(part = "health", target = %id, ?end, "A doubted target was probed.");
+        state.plan_due.notify_one();
     }
 }
 
-/// Asks a target for its state and takes in which layers it holds; `None` if it does not answer.
+/// Asks a target for its state and takes in which layers it holds.
 pub async fn observe_target<P: Platform>(
     state: &ForwardState<P>,
     id: &TargetId,
     address: SocketAddr,
     limit: Duration,
-) -> Option<EngineState> {
+) -> Result<EngineState, OrderError> {
     let asked = state.now();
     let asking = state.platform.engine_state(address);
-    let engine = match tokio::time::timeout(limit, asking).await {
-        Ok(Ok(engine)) => engine,
-        Ok(Err(error)) => {
-            tracing::debug!(part = "health", target = %id, %error, "It was not asked.");
-            return None;
-        }
-        Err(_) => return None,
-    };
+    let answer = tokio::time::timeout(limit, asking).await.unwrap_or_else(|_| {
+        Err(OrderError::NoAnswer { cause: format!("no answer within {limit:?}") })
+    });
+    if let Err(error) = &answer {
+        tracing::debug!(part = "health", target = %id, %error, "It was asked in vain.");
+    }
+    let engine = answer?;
     // While layers come and go, the target's record is the better word.
     if !engine.busy {
         let now = state.now();
         state.tables().fleet.observe(id, &engine.held, asked, now);
     }
-    Some(engine)
+    Ok(engine)
 }
 
 /// Probes targets that peers cannot reach, if it falls to this instance to check their word.
--- a/crates/banyan-forward/src/state.rs
+++ b/crates/banyan-forward/src/state.rs
@@ -9,6 +9,7 @@
 use std::sync::PoisonError;
 use std::time::Duration;
 
+use tokio::sync::Notify;
 use tokio::sync::watch;
 
 use crate::edges::ConfigurationRecord;
@@ -101,6 +102,8 @@
     /// Layers that were ordered by this instance or by the leader that it last heard, and that engines
     /// may still be loading.
     pub pending_orders: BTreeMap<TargetId, PendingOrder>,
+    /// The highest generation in which an engine told this instance that it has been replaced.
+    pub generation_fenced: u64,
     /// When a peer last said that it leads.
     pub leader_heard: Option<Moment>,
     /// The highest generation of the group that a peer told.
@@ -212,6 +215,8 @@
     pub clock: RuntimeClock,
     /// Whether new requests are taken.
     pub phase: watch::Sender<DaemonPhase>,
+    /// Told when something has changed for which layers may have to be ordered.
+    pub plan_due: Notify,
     /// Whether the configuration and the targets were read since the start.
     known: watch::Sender<bool>,
     settings: Mutex<Arc<ForwardSettings>>,
@@ -225,6 +230,7 @@
             platform,
             clock: RuntimeClock::start(),
             phase: watch::Sender::new(DaemonPhase::Serving),
+            plan_due: Notify::new(),
             known: watch::Sender::new(false),
             settings: Mutex::new(Arc::new(settings)),
             tables: Mutex::new(ForwardTables::default()),
