A hole is loaded alone, and an engine is not moved while its layers' other holders still load

The rest of an engine's layers is loaded once nothing is missing and no load is under way. The plan of a group is a type of its own (one test for engines that have an order), its layout a module of its own; ranking a window looks at the layers that only one engine holds instead of at all engines.

--- a/crates/banyan-core/src/pipeline.rs
+++ b/crates/banyan-core/src/pipeline.rs
@@ -10,6 +10,7 @@
 pub mod chain;
 pub mod comeback;
 pub mod fleet;
+mod layout;
 pub mod load;
 pub mod model;
 pub mod placement;
--- a/crates/banyan-core/src/pipeline/placement.rs
+++ b/crates/banyan-core/src/pipeline/placement.rs
@@ -1,10 +1,10 @@
 //! Which layers each engine should hold: [`plan_placement`].
 //!
 //! Each availability zone gets a copy of the model of its own where its engines have the memory, since
-//! chains should not leave a zone. Layers that no engine of the zone holds come first, then second
-//! holders, so that the loss of an engine leaves the zone's copy whole. Engines that hold layers keep
-//! them, unless a layer is missing and theirs have other holders: a new leader goes on with what the
-//! one before it began.
+//! chains should not leave a zone. Layers that no engine of the zone holds come first, and no others
+//! with them, since a load takes as long as it is large; then second holders, so that the loss of an
+//! engine leaves the zone's copy whole. Engines that hold layers keep them, unless a layer is missing
+//! and theirs have other holders: a new leader goes on with what the one before it began.
 
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
@@ -12,6 +12,7 @@
 use crate::ids::LayerRange;
 use crate::ids::TargetId;
 use crate::ids::ZoneId;
+use crate::pipeline::layout::GroupLayout;
 use crate::pipeline::model::PipelineModel;
 use crate::units::ByteCount;
 use crate::units::TokenCount;
@@ -57,13 +58,13 @@
     let mut left_over = Vec::new();
     for of_zone in zones.into_values() {
         match room_for_copy(model, &of_zone) {
-            Some(room) => orders.extend(plan_group(model, &of_zone, room)),
+            Some(room) => orders.extend(GroupPlan::new(model, of_zone, room).finish()),
             None => left_over.extend(of_zone),
         }
     }
     // Zones that are too small for a copy of their own make one together.
     let room = room_for_copy(model, &left_over).unwrap_or_default();
-    orders.extend(plan_group(model, &left_over, room));
+    orders.extend(GroupPlan::new(model, left_over, room).finish());
     orders
 }
 
@@ -77,264 +78,163 @@
     )
 }
 
-fn plan_group(
-    model: &PipelineModel,
-    targets: &[&PlacementTarget],
+/// The orders of one plan for a group of engines that hold a copy together.
+struct GroupPlan<'a> {
+    model: &'a PipelineModel,
+    targets: Vec<&'a PlacementTarget>,
+    /// The tokens of requests that each engine should have room for.
     room: TokenCount,
-) -> Vec<PlacementOrder> {
-    let mut layout = GroupLayout::new(model, targets);
-    let mut orders = Vec::new();
-    let mut empty: Vec<&PlacementTarget> =
-        targets.iter().copied().filter(|target| target.range.is_none() && !target.busy).collect();
-    empty.sort_by_key(|target| (target.slowness, Reverse(target.memory), &target.id));
-    for target in empty {
-        let fit = model.layers_that_fit(target.memory, room);
-        if let Some(range) = layout.best_window(fit) {
-            layout.hold(&target.id, range);
-            orders.push(PlacementOrder { target: target.id.clone(), range });
-        }
-    }
-    orders.extend(fill_holes(model, targets, room, &mut layout));
-    if layout.missing() == 0 {
-        orders.extend(trim(model, targets, room, &mut layout, &orders));
-        orders.extend(relieve(model, targets, room, &mut layout, &orders));
-    }
-    orders
+    layout: GroupLayout,
+    /// Invariant: at most one order for an engine, and none for a busy one.
+    orders: Vec<PlacementOrder>,
 }
 
-/// Lets a neighbour with room hold the first or last layers of an engine that holds too many, which
-/// gives them up once the neighbour has them.
-fn relieve(
-    model: &PipelineModel,
-    targets: &[&PlacementTarget],
-    room: TokenCount,
-    layout: &mut GroupLayout,
-    ordered: &[PlacementOrder],
-) -> Vec<PlacementOrder> {
-    let mut orders: Vec<PlacementOrder> = Vec::new();
-    let fit = |target: &PlacementTarget| model.layers_that_fit(target.memory, room);
-    let tight = targets.iter().filter(|target| !target.busy);
-    for target in tight {
-        let Some(held) = target.range.filter(|held| held.count() > fit(target)) else { continue };
-        if ordered.iter().any(|order| order.target == target.id) {
-            continue;
-        }
-        let excess = held.count() - fit(target);
-        let helper = targets.iter().find_map(|other| {
-            let taken = other.busy
-                || other.id == target.id
-                || ordered.iter().chain(&orders).any(|order| order.target == other.id);
-            let range = other.range.filter(|_| !taken)?;
-            let slack = fit(other).saturating_sub(range.count()).min(excess);
-            let grown = grown_into(range, held, slack)?;
-            Some(PlacementOrder { target: other.id.clone(), range: grown })
-        });
-        if let Some(order) = helper {
-            layout.release(&order.target);
-            layout.hold(&order.target, order.range);
-            orders.push(order);
-        }
+impl<'a> GroupPlan<'a> {
+    fn new(model: &'a PipelineModel, targets: Vec<&'a PlacementTarget>, room: TokenCount) -> Self {
+        let layout = GroupLayout::new(model.layers, &targets);
+        Self { model, targets, room, layout, orders: Vec::new() }
     }
-    orders
-}
 
-/// A range that has grown by up to `slack` layers into the end of another one that it touches.
-fn grown_into(range: LayerRange, into: LayerRange, slack: u32) -> Option<LayerRange> {
-    if slack == 0 {
-        return None;
-    }
-    if range.end >= into.first && range.first < into.first && range.end < into.end {
-        let end = (into.first + slack).min(into.end).max(range.end);
-        return (end > range.end).then_some(LayerRange { first: range.first, end });
-    }
-    if range.first <= into.end && range.end > into.end && range.first > into.first {
-        let first = into.end.saturating_sub(slack).max(into.first).min(range.first);
-        return (first < range.first).then_some(LayerRange { first, end: range.end });
-    }
-    None
-}
-
-/// Takes layers that have other holders off engines that hold more than leaves room for requests.
-fn trim(
-    model: &PipelineModel,
-    targets: &[&PlacementTarget],
-    room: TokenCount,
-    layout: &mut GroupLayout,
-    ordered: &[PlacementOrder],
-) -> Vec<PlacementOrder> {
-    let mut orders = Vec::new();
-    for target in targets {
-        let fit = model.layers_that_fit(target.memory, room);
-        let taken = target.busy || ordered.iter().any(|order| order.target == target.id);
-        let Some(held) = target.range.filter(|held| held.count() > fit && !taken) else { continue };
-        let range = layout.trimmed(held, fit);
-        if range != held {
-            layout.release(&target.id);
-            layout.hold(&target.id, range);
-            orders.push(PlacementOrder { target: target.id.clone(), range });
+    fn finish(mut self) -> Vec<PlacementOrder> {
+        self.use_empty();
+        self.move_spare();
+        self.grow_neighbours();
+        if self.layout.missing() == 0 {
+            self.trim();
+            self.relieve();
+            self.widen();
         }
+        self.orders
     }
-    orders
-}
 
-/// Moves engines whose layers all have other holders to layers that nobody holds, then lets
-/// neighbours of what is still missing hold more.
-fn fill_holes(
-    model: &PipelineModel,
-    targets: &[&PlacementTarget],
-    room: TokenCount,
-    layout: &mut GroupLayout,
-) -> Vec<PlacementOrder> {
-    let mut orders = Vec::new();
-    let mut movable: Vec<&PlacementTarget> =
-        targets.iter().copied().filter(|target| target.range.is_some() && !target.busy).collect();
-    // An engine waits for what is passing through the layers that it gives up.
-    movable.sort_by_key(|target| (target.load, Reverse(target.slowness), &target.id));
-    for target in &movable {
-        if layout.missing() == 0 {
-            return orders;
-        }
-        if !layout.is_spare(&target.id) {
-            continue;
-        }
-        layout.release(&target.id);
-        let fit = model.layers_that_fit(target.memory, room);
-        if let Some(range) = layout.best_window(fit) {
-            layout.hold(&target.id, range);
-            orders.push(PlacementOrder { target: target.id.clone(), range });
-        }
-    }
-    for target in &movable {
-        if layout.missing() == 0 {
-            return orders;
-        }
-        if orders.iter().any(|order| order.target == target.id) {
-            continue;
-        }
-        let fit = model.layers_that_fit(target.memory, TokenCount(0));
-        if let Some(range) = layout.grown(&target.id, fit) {
-            layout.release(&target.id);
-            layout.hold(&target.id, range);
-            orders.push(PlacementOrder { target: target.id.clone(), range });
+    /// Places layers on engines that hold none.
+    fn use_empty(&mut self) {
+        let mut empty = self.free_targets(|target| target.range.is_none());
+        empty.sort_by_key(|target| (target.slowness, Reverse(target.memory), &target.id));
+        for target in empty {
+            let fit = self.model.layers_that_fit(target.memory, self.room);
+            if let Some(range) = self.layout.best_window(fit) {
+                self.order(target, self.layout.missing_part(range));
+            }
         }
     }
-    orders
-}
-
-/// Who holds what within one group of engines.
-#[derive(Debug)]
-struct GroupLayout {
-    /// The number of holders of each layer.
-    holders: Vec<u32>,
-    held: BTreeMap<TargetId, LayerRange>,
-}
 
-impl GroupLayout {
-    fn new(model: &PipelineModel, targets: &[&PlacementTarget]) -> Self {
-        let mut layout = Self { holders: vec![0; model.layers as usize], held: BTreeMap::new() };
-        for target in targets {
-            if let Some(range) = target.range {
-                layout.hold(&target.id, range);
+    /// Moves engines whose layers all have other holders to layers that nobody holds.
+    fn move_spare(&mut self) {
+        for target in self.movable_targets() {
+            if self.layout.missing() == 0 {
+                return;
+            }
+            if !self.layout.is_spare(&target.id) {
+                continue;
+            }
+            let fit = self.model.layers_that_fit(target.memory, self.room);
+            if let Some(range) = self.layout.best_window_without(&target.id, fit) {
+                self.order(target, self.layout.missing_part(range));
             }
         }
-        layout
     }
 
-    fn hold(&mut self, id: &TargetId, range: LayerRange) {
-        for holders in &mut self.holders[indices(range)] {
-            *holders += 1;
+    /// Lets neighbours of layers that nobody holds hold more, without room for requests if need be.
+    fn grow_neighbours(&mut self) {
+        for target in self.movable_targets() {
+            if self.layout.missing() == 0 {
+                return;
+            }
+            let fit = self.model.layers_that_fit(target.memory, TokenCount(0));
+            if let Some(range) = self.layout.grown(&target.id, fit) {
+                self.order(target, range);
+            }
         }
-        self.held.insert(id.clone(), range);
     }
 
-    fn release(&mut self, id: &TargetId) {
-        let Some(range) = self.held.remove(id) else { return };
-        for holders in &mut self.holders[indices(range)] {
-            *holders -= 1;
+    /// Takes layers that have other holders off engines that hold more than leaves room for requests.
+    fn trim(&mut self) {
+        for target in self.free_targets(|target| target.range.is_some()) {
+            let fit = self.model.layers_that_fit(target.memory, self.room);
+            let Some(held) = target.range.filter(|held| held.count() > fit) else { continue };
+            let range = self.layout.trimmed(held, fit);
+            if range != held {
+                self.order(target, range);
+            }
         }
     }
 
-    fn missing(&self) -> usize {
-        self.holders.iter().filter(|holders| **holders == 0).count()
-    }
-
-    /// Whether all layers of an engine have other holders.
-    fn is_spare(&self, id: &TargetId) -> bool {
-        let Some(range) = self.held.get(id) else { return false };
-        self.holders[indices(*range)].iter().all(|holders| *holders > 1)
-    }
-
-    /// The window of `length` layers that is missed most.
-    fn best_window(&self, length: u32) -> Option<LayerRange> {
-        let layers = self.holders.len() as u32;
-        if length == 0 || layers == 0 {
-            return None;
+    /// Lets a neighbour with room hold the first or last layers of an engine that holds too many, which
+    /// gives them up once the neighbour has them.
+    fn relieve(&mut self) {
+        for target in self.free_targets(|target| target.range.is_some()) {
+            let fit = self.model.layers_that_fit(target.memory, self.room);
+            let Some(held) = target.range.filter(|held| held.count() > fit) else { continue };
+            let excess = held.count() - fit;
+            let helpers = self.free_targets(|other| other.id != target.id);
+            let help = helpers.into_iter().find_map(|other| {
+                let range = other.range?;
+                let most = self.model.layers_that_fit(other.memory, self.room);
+                let slack = most.saturating_sub(range.count()).min(excess);
+                Some((other, grown_into(range, held, slack)?))
+            });
+            if let Some((other, range)) = help {
+                self.order(other, range);
+            }
         }
-        let length = length.min(layers);
-        (0..=layers - length)
-            .map(|first| LayerRange { first, end: first + length })
-            .max_by_key(|range| self.window_rank(*range))
-    }
-
-    /// What a further holder of a window is worth: layers that nobody holds, then engines that could
-    /// be lost without a gap, then layers with one holder; the first window of equals is taken while
-    /// layers are missing.
-    fn window_rank(&self, range: LayerRange) -> (usize, usize, usize, u32, Reverse<u32>) {
-        let window = &self.holders[indices(range)];
-        let missing = window.iter().filter(|holders| **holders == 0).count();
-        let single = window.iter().filter(|holders| **holders == 1).count();
-        let freed = self.held.values().filter(|held| self.becomes_spare(**held, range)).count();
-        let thin: u32 = window.iter().map(|holders| 8u32.saturating_sub(*holders)).sum();
-        (missing, freed, single, thin, Reverse(range.first))
     }
 
-    /// Whether a holder of `held` could be lost once another one holds `added`, but not before.
-    fn becomes_spare(&self, held: LayerRange, added: LayerRange) -> bool {
-        let mut needed = false;
-        for layer in held.first..held.end {
-            if self.holders[layer as usize] > 1 {
+    /// Lets engines that were given only what was missing hold as much as leaves the wanted room.
+    fn widen(&mut self) {
+        if self.targets.iter().any(|target| target.busy) || !self.orders.is_empty() {
+            return;
+        }
+        let mut at_once = self.model.loads_at_once;
+        for target in self.free_targets(|target| target.range.is_some()) {
+            let fit = self.model.layers_that_fit(target.memory, self.model.request_room);
+            let Some(held) = target.range.filter(|held| held.count() < fit) else { continue };
+            let Some(range) = self.layout.best_window_around(&target.id, held, fit) else {
                 continue;
+            };
+            self.order(target, range);
+            at_once -= 1;
+            if at_once == 0 {
+                return;
             }
-            if layer < added.first || layer >= added.end {
-                return false;
-            }
-            needed = true;
         }
-        needed
     }
 
-    /// An engine's layers and the missing ones next to them, as far as `fit` layers reach.
-    fn grown(&self, id: &TargetId, fit: u32) -> Option<LayerRange> {
-        let held = *self.held.get(id)?;
-        let mut range = held;
-        while range.count() < fit && self.is_missing(range.end) {
-            range.end += 1;
-        }
-        while range.count() < fit && range.first > 0 && self.is_missing(range.first - 1) {
-            range.first -= 1;
-        }
-        (range != held).then_some(range)
+    fn order(&mut self, target: &PlacementTarget, range: LayerRange) {
+        self.layout.release(&target.id);
+        self.layout.hold(&target.id, range);
+        self.orders.push(PlacementOrder { target: target.id.clone(), range });
     }
 
-    /// What is left of an engine's layers when those at its ends that have other holders are taken
-    /// off, down to `fit`.
-    fn trimmed(&self, held: LayerRange, fit: u32) -> LayerRange {
-        let shared = |layer: u32| self.holders[layer as usize] > 1;
-        let mut range = held;
-        while range.count() > fit.max(1) && shared(range.end - 1) {
-            range.end -= 1;
-        }
-        while range.count() > fit.max(1) && shared(range.first) {
-            range.first += 1;
-        }
-        range
+    /// Engines that hold layers and can be ordered, in the order in which they should be: one that
+    /// carries requests waits for what is passing through the layers that it gives up.
+    fn movable_targets(&self) -> Vec<&'a PlacementTarget> {
+        let mut movable = self.free_targets(|target| target.range.is_some());
+        movable.sort_by_key(|target| (target.load, Reverse(target.slowness), &target.id));
+        movable
     }
 
-    fn is_missing(&self, layer: u32) -> bool {
-        self.holders.get(layer as usize).is_some_and(|holders| *holders == 0)
+    /// The engines that can be ordered and of which `keep` holds.
+    fn free_targets(&self, keep: impl Fn(&PlacementTarget) -> bool) -> Vec<&'a PlacementTarget> {
+        let ordered =
+            |target: &PlacementTarget| self.orders.iter().any(|order| order.target == target.id);
+        let free = |target: &PlacementTarget| !target.busy && !ordered(target) && keep(target);
+        self.targets.iter().copied().filter(|target| free(target)).collect()
     }
 }
 
-fn indices(range: LayerRange) -> std::ops::Range<usize> {
-    range.first as usize..range.end as usize
+/// A range that has grown by up to `slack` layers into the end of another one that it touches.
+fn grown_into(range: LayerRange, into: LayerRange, slack: u32) -> Option<LayerRange> {
+    if slack == 0 {
+        return None;
+    }
+    if range.end >= into.first && range.first < into.first && range.end < into.end {
+        let end = (into.first + slack).min(into.end).max(range.end);
+        return (end > range.end).then_some(LayerRange { first: range.first, end });
+    }
+    if range.first <= into.end && range.end > into.end && range.first > into.first {
+        let first = into.end.saturating_sub(slack).max(into.first).min(range.first);
+        return (first < range.first).then_some(LayerRange { first, end: range.end });
+    }
+    None
 }
--- a/crates/banyan-core/tests/pipeline/layouts.rs
+++ b/crates/banyan-core/tests/pipeline/layouts.rs
@@ -132,6 +132,43 @@
     assert_eq!(orders, vec![PlacementOrder { target: targets[6].id.clone(), range: layers(0, 9) }]);
 }
 
+#[test]
+fn an_engine_is_not_moved_while_the_others_still_load_its_layers() {
+    // Moved before they have loaded, it would leave a second gap in the copy.
+    let mut targets = vec![
+        engine("rest", "a", "fast", Some(layers(9, 24))),
+        engine("rest-2", "a", "fast", Some(layers(24, 39))),
+        engine("rest-3", "a", "fast", Some(layers(39, 54))),
+        engine("rest-4", "a", "fast", Some(layers(54, 69))),
+        engine("rest-5", "a", "fast", Some(layers(69, 80))),
+        engine("twin", "a", "middle", Some(layers(24, 33))),
+    ];
+    targets[1].busy = true;
+    let orders = plan_placement(&model(), &targets);
+    let moved = orders.iter().find(|order| order.target.as_str() == "twin");
+    assert_eq!(moved, None, "{orders:?}");
+}
+
+#[test]
+fn a_hole_is_filled_with_no_more_layers_than_it_has_and_the_rest_comes_later() {
+    // A load takes as long as it is large, and the zone serves nothing meanwhile.
+    let mut targets = vec![
+        engine("rest", "a", "fast", Some(layers(0, 15))),
+        engine("rest-2", "a", "fast", Some(layers(15, 30))),
+        engine("rest-3", "a", "fast", Some(layers(36, 51))),
+        engine("rest-4", "a", "fast", Some(layers(51, 66))),
+        engine("rest-5", "a", "fast", Some(layers(66, 80))),
+        engine("spare", "a", "fast", Some(layers(0, 15))),
+    ];
+    targets[0].load = 10_000;
+    let orders = plan_placement(&model(), &targets);
+    assert_eq!(orders.len(), 1, "{orders:?}");
+    assert_eq!(orders[0].range, layers(30, 36));
+    obey(&mut targets, &orders);
+    settle(&mut targets);
+    assert_eq!(targets[5].range.expect("it holds layers").count(), 15);
+}
+
 #[test]
 fn a_busy_engine_gets_no_order() {
     let mut targets = engines("a", &[("fast", 6)]);
