Chains over several zones cross as seldom as they can

Cause: a chain over several zones took the quickest engine for each part whatever its zone; each crossing sends the activations of a whole prompt (18 MB) over one pipe that all requests share, so that with six to eight crossings a chain some eight prompts a second passed.

The search keeps the zone in which a path runs and pays for each change; the time that prompts take over the pipe, from the configuration, counts in the choice.

--- a/crates/banyan-core/src/pipeline/chain.rs
+++ b/crates/banyan-core/src/pipeline/chain.rs
@@ -59,6 +59,8 @@
     pub parts: Vec<ChainPart>,
     /// The time of one token step without other requests.
     pub step_time: Duration,
+    /// The time that the activations of one token take over all boundaries of zones in the chain.
+    pub crossing_time: Duration,
 }
 
 /// How many tokens a request is about.
@@ -85,6 +87,11 @@
             reading += token_time * prompt.0 as f64;
             waiting = waiting.max(token_time * loads.unread(&part.target, heard));
         }
+        let crossing = self.crossing_time.as_secs_f64();
+        reading += crossing * prompt.0 as f64;
+        if let Some(first) = self.parts.first() {
+            waiting = waiting.max(crossing * loads.unread(&first.target, heard));
+        }
         reading + waiting + FIRST_STEPS * self.step_time.as_secs_f64()
     }
 
--- a/crates/banyan-core/src/pipeline/model.rs
+++ b/crates/banyan-core/src/pipeline/model.rs
@@ -34,6 +34,9 @@
     pub read_rate: f64,
     /// Token steps in one pass that has writers. Invariant: at least one.
     pub stride: u32,
+    /// The time that the activations of one token take from one availability zone to another while
+    /// nothing else is sent.
+    pub crossing: Duration,
 }
 
 /// A model that is spread over engines by layers.
--- a/crates/banyan-core/src/pipeline/search.rs
+++ b/crates/banyan-core/src/pipeline/search.rs
@@ -22,6 +22,9 @@
 const REUSE_FACTOR: f64 = 2.0;
 /// What a hand-over between two engines costs, as a part of the whole model's step.
 const HOP_COST: f64 = 0.01;
+/// What a hand-over to another zone costs, in steps of the whole model: the activations of every prompt
+/// pass one pipe that all zones share.
+const CROSSING_COST: f64 = 10.0;
 
 /// An engine that may stand in a chain.
 #[derive(Clone, Debug)]
@@ -147,6 +150,12 @@
     shortest_path(model, candidates, span, true)
 }
 
+/// A layer that a path has reached, and the place of the zone in which it ran the one before it.
+type PathPoint = (u32, usize);
+
+/// The cost of the least path to a point, and the point and part by which it came.
+type PathStep = (f64, Option<(PathPoint, PartChoice)>);
+
 /// The shortest path over the layers at which some engine begins or ends.
 fn shortest_path(
     model: &PipelineModel,
@@ -159,22 +168,39 @@
         cuts.insert(range.first.clamp(span.first, span.end));
         cuts.insert(range.end.clamp(span.first, span.end));
     }
-    let mut reached: BTreeMap<u32, (f64, Option<PartChoice>)> =
-        BTreeMap::from([(span.first, (0.0, None))]);
+    let zones: BTreeSet<&ZoneId> = candidates.iter().map(|candidate| &candidate.zone).collect();
+    let zones: BTreeMap<&ZoneId, usize> =
+        zones.into_iter().enumerate().map(|(place, zone)| (zone, place)).collect();
+    let mut reached: BTreeMap<PathPoint, PathStep> =
+        zones.values().map(|place| ((span.first, *place), (0.0, None))).collect();
     for cut in &cuts {
-        let Some((cost, _)) = reached.get(cut).copied() else { continue };
+        let here: Vec<(usize, f64)> = reached
+            .range((*cut, 0)..=(*cut, usize::MAX))
+            .map(|((_, zone), (cost, _))| (*zone, *cost))
+            .collect();
         for (index, candidate) in candidates.iter().enumerate() {
             let Some(held) = candidate.held.iter().find(|range| covers(range, *cut)) else {
                 continue;
             };
+            let zone = zones[&candidate.zone];
+            let entry = |(from, cost): &(usize, f64)| {
+                let crossing = if *from == zone { 0.0 } else { CROSSING_COST };
+                (cost + crossing, *from)
+            };
+            let Some((cost, from)) =
+                here.iter().map(entry).min_by(|left, right| left.0.total_cmp(&right.0))
+            else {
+                continue;
+            };
             let last = held.end.min(span.end);
             let first_end = if whole_parts { last } else { cut + 1 };
             for end in cuts.range(first_end..=last) {
                 let range = LayerRange { first: *cut, end: *end };
                 let time = model.share(range.count()) * candidate.search_factor + HOP_COST;
                 let total = cost + time;
-                if reached.get(end).is_none_or(|(least, _)| total < *least) {
-                    reached.insert(*end, (total, Some((index, range))));
+                let point = (*end, zone);
+                if reached.get(&point).is_none_or(|(least, _)| total < *least) {
+                    reached.insert(point, (total, Some(((*cut, from), (index, range)))));
                 }
             }
         }
@@ -186,17 +212,16 @@
     range.first <= layer && layer < range.end
 }
 
-fn walk_back(
-    reached: &BTreeMap<u32, (f64, Option<PartChoice>)>,
-    span: LayerRange,
-) -> Option<Vec<PartChoice>> {
+fn walk_back(reached: &BTreeMap<PathPoint, PathStep>, span: LayerRange) -> Option<Vec<PartChoice>> {
+    let ends = reached.range((span.end, 0)..=(span.end, usize::MAX));
+    let end = ends.min_by(|(_, left), (_, right)| left.0.total_cmp(&right.0));
+    let mut at = *end?.0;
     let mut parts = Vec::new();
-    let mut at = span.end;
-    while at > span.first {
+    while at.0 > span.first {
         let (_, step) = reached.get(&at)?;
-        let (index, range) = (*step)?;
-        parts.push((index, range));
-        at = range.first;
+        let (before, part) = (*step)?;
+        parts.push(part);
+        at = before;
     }
     parts.reverse();
     Some(parts)
@@ -222,10 +247,12 @@
         });
     }
     let zone = &candidates[parts[0].0].zone;
-    let one_zone = parts.iter().all(|(index, _)| candidates[*index].zone == *zone);
+    let crosses = |pair: &&[PartChoice]| candidates[pair[0].0].zone != candidates[pair[1].0].zone;
+    let crossings = parts.windows(2).filter(crosses).count() as u32;
     TargetChain {
-        zone: one_zone.then(|| zone.clone()),
+        zone: (crossings == 0).then(|| zone.clone()),
         parts: chain_parts,
         step_time: model.timing.step.mul_f64(step),
+        crossing_time: model.timing.crossing * crossings,
     }
 }
--- a/crates/banyan-core/tests/pipeline/chains.rs
+++ b/crates/banyan-core/tests/pipeline/chains.rs
@@ -107,6 +107,23 @@
     assert_whole(&chain, 80);
 }
 
+#[test]
+fn a_chain_over_several_zones_crosses_as_seldom_as_it_can() {
+    // Each crossing sends the activations of the whole prompt over a pipe that all requests share.
+    let fleet = fleet(&[
+        ("a1", "a", "slow-vast", layers(0, 20)),
+        ("b1", "b", "fast-vast", layers(20, 40)),
+        ("a2", "a", "slow-vast", layers(20, 40)),
+        ("b2", "b", "fast-vast", layers(0, 20)),
+        ("a3", "a", "slow-vast", layers(40, 60)),
+        ("b3", "b", "fast-vast", layers(60, 80)),
+    ]);
+    let pool = pool(&fleet, &SuspicionTable::default(), at(0));
+    let chain = choose(&pool, &LoadTable::default(), "a").expect("a chain");
+    let names: Vec<&str> = chain.parts.iter().map(|part| part.target.as_str()).collect();
+    assert_eq!(names, ["a1", "a2", "a3", "b3"]);
+}
+
 #[test]
 fn doubted_engines_come_before_a_chain_over_several_zones() {
     // Activations over a zone's boundary cost more than a request is worth; a doubt lasts a second.
--- a/crates/banyan-core/tests/pipeline/support.rs
+++ b/crates/banyan-core/tests/pipeline/support.rs
@@ -60,6 +60,7 @@
             step_per_thousand_tokens: Duration::from_micros(4),
             read_rate: 252_000.0,
             stride: 2,
+            crossing: Duration::from_micros(100),
         },
         usual_prompt: TokenCount(772),
         usual_answer: TokenCount(154),
--- a/crates/banyan-load/src/emulate/fleet_file.rs
+++ b/crates/banyan-load/src/emulate/fleet_file.rs
@@ -46,6 +46,8 @@
     step_ms: f64,
     read_per_s: f64,
     stride: u32,
+    /// Milliseconds that a token's activations take between zones.
+    crossing_ms: f64,
 }
 
 /// A kind of accelerator.
@@ -139,6 +141,7 @@
                 step_per_thousand_tokens: Duration::ZERO,
                 read_rate: model.read_per_s,
                 stride: model.stride,
+                crossing: Duration::from_secs_f64(model.crossing_ms / 1e3),
             },
             usual_prompt: TokenCount(self.traffic.prompt_tokens),
             usual_answer: TokenCount(self.traffic.answer_tokens),
