--- a/crates/banyan-core/src/pipeline/search.rs
+++ b/crates/banyan-core/src/pipeline/search.rs
@@ -25,6 +25,12 @@
 /// What a hand-over to another zone costs, in steps of the whole model: the activations of every prompt
 /// pass one pipe that all zones share.
 const CROSSING_COST: f64 = 10.0;
+/// How much dearer all layers become elsewhere for a chain of a zone that lacks only some.
+const FOREIGN_COST: f64 = 1_000.0;
+/// The largest part of the layers that such a chain may run elsewhere.
+const FOREIGN_SHARE: f64 = 0.25;
+/// The most such chains for one zone.
+const BRIDGES_FOR_ZONE: usize = 2;
 
 /// An engine that may stand in a chain.
 #[derive(Clone, Debug)]
@@ -56,8 +62,10 @@
     let select = |keep: &dyn Fn(&TargetId) -> bool| -> Vec<StageCandidate> {
         candidates.iter().filter(|candidate| keep(&candidate.target)).cloned().collect()
     };
-    let chains = chains_by_zone(model, &select(&|id| !suspicions.is_doubted(id, now)));
+    let trusted = select(&|id| !suspicions.is_doubted(id, now));
+    let mut chains = chains_by_zone(model, &trusted);
     if !chains.is_empty() {
+        chains.extend(bridged_chains(model, &trusted, &chains));
         return chains;
     }
     // A chain over several zones is so dear that engines which are only doubted come before it.
@@ -108,6 +116,46 @@
     zones.into_values().flat_map(|of_zone| several_chains(model, of_zone)).collect()
 }
 
+/// Chains of the zones that have none of their own: engines elsewhere run the layers that they lack.
+fn bridged_chains(
+    model: &PipelineModel,
+    candidates: &[StageCandidate],
+    chains: &[Arc<TargetChain>],
+) -> Vec<Arc<TargetChain>> {
+    let zones: BTreeSet<&ZoneId> = candidates.iter().map(|candidate| &candidate.zone).collect();
+    let whole: BTreeSet<&ZoneId> = chains.iter().filter_map(|chain| chain.zone.as_ref()).collect();
+    let mut bridged = Vec::new();
+    for zone in zones.difference(&whole) {
+        let mut of_zone = candidates.to_vec();
+        for candidate in of_zone.iter_mut().filter(|candidate| candidate.zone != **zone) {
+            candidate.search_factor += FOREIGN_COST;
+        }
+        let most = (f64::from(model.layers) * FOREIGN_SHARE) as u32;
+        for _ in 0..BRIDGES_FOR_ZONE {
+            let Some(parts) = best_chain(model, &of_zone) else { break };
+            if foreign_layers(&of_zone, &parts, zone) > most {
+                break;
+            }
+            make_dearer(&mut of_zone, &parts);
+            bridged.push(Arc::new(to_chain(model, candidates, &parts)));
+        }
+    }
+    bridged
+}
+
+/// The layers of a chain that engines outside a zone run.
+fn foreign_layers(candidates: &[StageCandidate], parts: &[PartChoice], zone: &ZoneId) -> u32 {
+    let foreign = parts.iter().filter(|(index, _)| candidates[*index].zone != *zone);
+    foreign.map(|(_, range)| range.count()).sum()
+}
+
+/// Makes the engines of a chain dearer for the next one.
+fn make_dearer(candidates: &mut [StageCandidate], parts: &[PartChoice]) {
+    for (index, _) in parts {
+        candidates[*index].search_factor *= REUSE_FACTOR;
+    }
+}
+
 /// Finds one chain after the other, each time making the engines dearer that are used already.
 fn several_chains(
     model: &PipelineModel,
@@ -117,9 +165,7 @@
     for _ in 0..CHAINS_FOR_ZONE {
         let Some(parts) = best_chain(model, &candidates) else { break };
         let chain = Arc::new(to_chain(model, &candidates, &parts));
-        for (index, _) in &parts {
-            candidates[*index].search_factor *= REUSE_FACTOR;
-        }
+        make_dearer(&mut candidates, &parts);
         if !found.iter().any(|known| known.parts == chain.parts) {
             found.push(chain);
         }
--- a/crates/banyan-core/tests/pipeline/chains.rs
+++ b/crates/banyan-core/tests/pipeline/chains.rs
@@ -124,6 +124,25 @@
     assert_eq!(names, ["a1", "a2", "a3", "b3"]);
 }
 
+#[test]
+fn a_zone_that_lacks_a_few_layers_borrows_them_when_the_other_zone_is_full() {
+    let fleet = fleet(&[
+        ("a1", "a", "slow-vast", layers(0, 35)),
+        ("a2", "a", "slow-vast", layers(45, 80)),
+        ("b1", "b", "slow-vast", layers(0, 35)),
+        ("b2", "b", "slow-vast", layers(35, 45)),
+        ("b3", "b", "slow-vast", layers(45, 80)),
+    ]);
+    let pool = pool(&fleet, &SuspicionTable::default(), at(0));
+    let near = choose(&pool, &LoadTable::default(), "a").expect("a chain");
+    assert_eq!(near.zone, Some(zone("b")), "the whole zone comes first");
+    let mut loads = LoadTable::default();
+    loads.add(&target("b1"), TokenCount(5_000_000), 35, true);
+    let bridged = choose(&pool, &loads, "a").expect("a chain");
+    let names: Vec<&str> = bridged.parts.iter().map(|part| part.target.as_str()).collect();
+    assert_eq!(names, ["a1", "b2", "a2"]);
+}
+
 #[test]
 fn doubted_engines_come_before_a_chain_over_several_zones() {
     // Activations over a zone's boundary cost more than a request is worth; a doubt lasts a second.
