--- a/crates/banyan-core/src/pipeline/fleet.rs
+++ b/crates/banyan-core/src/pipeline/fleet.rs
@@ -68,6 +68,14 @@
         self.removed.is_none() && self.report.phase == TargetPhase::Ready
     }
 
+    /// The most layers that it has memory taken up by until its order is carried out.
+    pub fn most_layers(&self) -> u32 {
+        let held: u32 = self.report.held.iter().map(|range| range.count()).sum();
+        let Some(ordered) = self.ordered else { return held };
+        let kept: u32 = self.kept_layers().iter().map(|range| range.count()).sum();
+        held + ordered.count() - kept
+    }
+
     /// The layers that it holds and goes on holding.
     pub fn kept_layers(&self) -> Vec<LayerRange> {
         let Some(ordered) = self.ordered else { return self.report.held.clone() };
--- a/crates/banyan-core/src/pipeline/search.rs
+++ b/crates/banyan-core/src/pipeline/search.rs
@@ -93,7 +93,6 @@
         let Some(kind) = row.report.kind.as_ref().and_then(|kind| model.kinds.get(kind)) else {
             continue;
         };
-        let held: u32 = row.report.held.iter().map(|range| range.count()).sum();
         candidates.push(StageCandidate {
             target: id.clone(),
             address: row.report.address,
@@ -102,7 +101,7 @@
             step_factor: kind.step_factor,
             read_factor: kind.read_factor,
             search_factor: kind.step_factor,
-            token_layers: model.token_room(kind.memory, held, 1).0,
+            token_layers: model.token_room(kind.memory, row.most_layers(), 1).0,
         });
     }
     candidates
--- a/crates/banyan-core/tests/pipeline/chains.rs
+++ b/crates/banyan-core/tests/pipeline/chains.rs
@@ -180,6 +180,24 @@
     assert_eq!(chain.zone, Some(zone("b")));
 }
 
+#[test]
+fn layers_that_are_being_loaded_leave_less_room_for_requests() {
+    // Engines that were given more layers took requests for the room of before, and cut them later.
+    let mut fleet = fleet(&[
+        ("a1", "a", "fast-vast", layers(0, 40)),
+        ("a2", "a", "fast", layers(40, 55)),
+        ("a3", "a", "fast-vast", layers(55, 80)),
+    ]);
+    let room = |fleet: &FleetTable| {
+        let pool = pool(fleet, &SuspicionTable::default(), at(0));
+        pool.chains()[0].parts[1].token_layers
+    };
+    let before = room(&fleet);
+    fleet.set_ordered(|id| (id.as_str() == "a2").then_some(layers(40, 60)));
+    let loading = room(&fleet);
+    assert!(loading * 8 < before, "{loading} of {before}");
+}
+
 #[test]
 fn a_full_chain_is_not_chosen() {
     let fleet =
