--- a/crates/banyan-core/src/pipeline/chain.rs
+++ b/crates/banyan-core/src/pipeline/chain.rs
@@ -87,14 +87,19 @@
             reading += token_time * prompt.0 as f64;
             waiting = waiting.max(token_time * loads.unread(&part.target, heard));
         }
-        let crossing = self.crossing_time.as_secs_f64();
-        reading += crossing * prompt.0 as f64;
-        if let Some(first) = self.parts.first() {
-            waiting = waiting.max(crossing * loads.unread(&first.target, heard));
+        let crossing = self.crossing_of(prompt).as_secs_f64();
+        if crossing > 0.0 {
+            reading += crossing;
+            waiting = waiting.max(loads.crossing_wait(heard));
         }
         reading + waiting + FIRST_STEPS * self.step_time.as_secs_f64()
     }
 
+    /// The time that a prompt takes over the boundaries of zones in the chain.
+    pub fn crossing_of(&self, prompt: TokenCount) -> Duration {
+        self.crossing_time.mul_f64(prompt.0 as f64)
+    }
+
     /// How full the fullest engine would be with `tokens` more; one is full.
     pub fn fullness(&self, loads: &LoadView<'_>, tokens: TokenCount) -> f64 {
         let part_fullness = |part: &ChainPart| {
--- a/crates/banyan-core/src/pipeline/load.rs
+++ b/crates/banyan-core/src/pipeline/load.rs
@@ -29,6 +29,8 @@
 #[derive(Debug, Default)]
 pub struct LoadTable {
     rows: BTreeMap<TargetId, TargetLoad>,
+    /// The time that prompts which have given no event yet take over the boundaries of zones.
+    crossing: Duration,
 }
 
 impl LoadTable {
@@ -62,6 +64,16 @@
         }
     }
 
+    /// Adds the time that a prompt takes over the boundaries of zones.
+    pub fn add_crossing(&mut self, time: Duration) {
+        self.crossing += time;
+    }
+
+    /// Takes such a time away that was added.
+    pub fn remove_crossing(&mut self, time: Duration) {
+        self.crossing = self.crossing.saturating_sub(time);
+    }
+
     /// Takes one request away that was added with the same figures.
     pub fn remove(&mut self, id: &TargetId, tokens: TokenCount, layers: u32, first: bool) {
         let Some(row) = self.rows.get_mut(id) else { return };
@@ -149,6 +161,12 @@
         self.own.get(id).unread as f64 * (1.0 + heard as f64 * self.peer_scale)
     }
 
+    /// The time until all prompts have passed that are on their way over boundaries of zones, with the
+    /// same guess of what other instances send.
+    pub fn crossing_wait(&self, heard: usize) -> f64 {
+        self.own.crossing.as_secs_f64() * (1.0 + heard as f64 * self.peer_scale)
+    }
+
     /// Tokens of requests at a target, times the layers that they pass through there.
     pub fn token_layers(&self, id: &TargetId) -> f64 {
         let peers = self.peers.token_layers(id) as f64;
--- a/crates/banyan-forward/src/leases.rs
+++ b/crates/banyan-forward/src/leases.rs
@@ -65,6 +65,8 @@
     for part in &chain.parts {
         tables.loads.add_unread(&part.target, prompt);
     }
+    let crossing = chain.crossing_of(prompt);
+    tables.loads.add_crossing(crossing);
     drop(tables);
     let state = state.clone();
     let chain = chain.clone();
@@ -73,6 +75,7 @@
         for part in &chain.parts {
             tables.loads.remove_unread(&part.target, prompt);
         }
+        tables.loads.remove_crossing(crossing);
     };
     RequestLease::new(release)
 }
