--- a/crates/banyan-core/src/pipeline/load.rs
+++ b/crates/banyan-core/src/pipeline/load.rs
@@ -29,6 +29,8 @@
 #[derive(Debug, Default)]
 pub struct LoadTable {
     rows: BTreeMap<TargetId, TargetLoad>,
+    /// The token layers at each target when peers were last heard.
+    marks: BTreeMap<TargetId, u64>,
     /// The time that prompts which have given no event yet take over the boundaries of zones.
     crossing: Duration,
 }
@@ -44,6 +46,17 @@
         self.rows.get(id).copied().unwrap_or_default()
     }
 
+    /// Remembers what is under way now, as peers have just been heard.
+    pub fn mark(&mut self) {
+        self.marks = self.rows.iter().map(|(id, load)| (id.clone(), load.token_layers)).collect();
+    }
+
+    /// The token layers that were added at a target since peers were last heard.
+    fn grown(&self, id: &TargetId) -> u64 {
+        let before = self.marks.get(id).copied().unwrap_or_default();
+        self.get(id).token_layers.saturating_sub(before)
+    }
+
     /// Adds one request.
     pub fn add(&mut self, id: &TargetId, tokens: TokenCount, layers: u32, first: bool) {
         let row = self.rows.entry(id.clone()).or_default();
@@ -167,9 +180,11 @@
         self.own.crossing.as_secs_f64() * (1.0 + heard as f64 * self.peer_scale)
     }
 
-    /// Tokens of requests at a target, times the layers that they pass through there.
+    /// Tokens of requests at a target, times the layers that they pass through there. The other
+    /// instances are taken to have added as much as this one since they were heard.
     pub fn token_layers(&self, id: &TargetId) -> f64 {
-        let peers = self.peers.token_layers(id) as f64;
+        let unheard = self.own.grown(id) * self.peers.peers.len() as u64;
+        let peers = (self.peers.token_layers(id) + unheard) as f64;
         self.own.get(id).token_layers as f64 + peers * self.peer_scale
     }
 }
--- a/crates/banyan-core/tests/pipeline/loads.rs
+++ b/crates/banyan-core/tests/pipeline/loads.rs
@@ -24,6 +24,7 @@
 fn peers_add_to_what_is_under_way_until_their_word_is_old() {
     let mut own = LoadTable::default();
     own.add(&target("a"), TokenCount(100), 10, true);
+    own.mark();
     let mut peers = PeerLoadTable::default();
     peers.hear(peer("p1"), said(500), vec![], at(0));
     peers.hear(peer("p2"), said(700), vec![target("dead")], at(1_500));
@@ -36,6 +37,23 @@
     assert_eq!(peers.unreachable(at(2_200)).collect::<Vec<_>>(), vec![&target("dead")]);
 }
 
+#[test]
+fn other_instances_are_taken_to_grow_as_this_one_until_they_are_heard() {
+    // Seven instances that each filled an engine's room between two exchanges took seven times its room.
+    let mut own = LoadTable::default();
+    own.add(&target("a"), TokenCount(100), 10, true);
+    let mut peers = PeerLoadTable::default();
+    peers.hear(peer("p1"), said(500), vec![], at(0));
+    peers.hear(peer("p2"), said(700), vec![], at(0));
+    own.mark();
+    own.add(&target("a"), TokenCount(30), 10, true);
+    let view = LoadView { own: &own, peers: &peers, peer_scale: 1.0 };
+    assert_eq!(view.token_layers(&target("a")) as u64, 1_300 + 1_200 + 2 * 300);
+    own.mark();
+    let view = LoadView { own: &own, peers: &peers, peer_scale: 1.0 };
+    assert_eq!(view.token_layers(&target("a")) as u64, 1_300 + 1_200);
+}
+
 #[test]
 fn a_request_that_ends_leaves_nothing() {
     let mut own = LoadTable::default();
--- a/crates/banyan-forward/src/peers.rs
+++ b/crates/banyan-forward/src/peers.rs
@@ -155,6 +155,7 @@
             }
         }
     }
+    state.tables().loads.mark();
     let Some(address) = ahead else {
         desk.lagging = None;
         return;
