An engine that refuses a request is asked and avoided for a while, not doubted as failing

Its refusals are kept apart from failures, since an answered probe ends the one and not the other; it is asked for its state, which tells at once when it is gone or holds other layers.

--- a/crates/banyan-core/src/pipeline/layout.rs
+++ b/crates/banyan-core/src/pipeline/layout.rs
@@ -110,7 +110,7 @@
     pub(super) fn missing_part(&self, window: LayerRange) -> LayerRange {
         let mut missing = (window.first..window.end).filter(|layer| self.is_missing(*layer));
         let Some(first) = missing.next() else { return window };
-        LayerRange { first, end: missing.last().unwrap_or(first) + 1 }
+        LayerRange { first, end: missing.next_back().unwrap_or(first) + 1 }
     }
 
     /// An engine's layers and the missing ones next to them, as far as `fit` layers reach.
--- a/crates/banyan-core/src/pipeline/suspicion.rs
+++ b/crates/banyan-core/src/pipeline/suspicion.rs
@@ -13,6 +13,8 @@
 const FIRST_DOUBT: Duration = Duration::from_millis(1_000);
 /// The longest time for which a target is avoided after repeated failures.
 const LONGEST_DOUBT: Duration = Duration::from_millis(4_000);
+/// The time for which a target is avoided that stated that it does not run a request.
+const REFUSAL_DOUBT: Duration = Duration::from_millis(500);
 /// The time after which an earlier failure no longer lengthens the next doubt.
 const FORGET_TIME: Duration = Duration::from_secs(10);
 
@@ -53,6 +55,8 @@
 #[derive(Debug, Default)]
 pub struct SuspicionTable {
     rows: BTreeMap<TargetId, DoubtRow>,
+    /// Until when targets are avoided that stated that they do not run a request.
+    refused: BTreeMap<TargetId, Moment>,
     progress: BTreeMap<TargetId, Moment>,
     /// Until when targets count as unreachable, and whether their hosts say that nothing runs there.
     unreachable: BTreeMap<TargetId, (Moment, ProbeEnd)>,
@@ -78,6 +82,15 @@
         self.revision += 1;
     }
 
+    /// Notes that a target stated that it does not run a request. It may be out of memory for now, or
+    /// leaving, which its record tells; it has not failed.
+    pub fn note_refusal(&mut self, id: &TargetId, now: Moment) {
+        let before = self.refused.insert(id.clone(), now + REFUSAL_DOUBT);
+        if before.is_none_or(|until| until <= now) {
+            self.revision += 1;
+        }
+    }
+
     /// Takes the targets out of `ids` that no probe was begun to lately, and notes that one is now.
     pub fn begin_probes(&mut self, ids: &[TargetId], now: Moment) -> Vec<TargetId> {
         let mut fresh = Vec::new();
@@ -168,17 +181,21 @@
 
     /// Whether a target is doubted now.
     pub fn is_doubted(&self, id: &TargetId, now: Moment) -> bool {
-        self.rows.get(id).is_some_and(|row| now < row.until)
+        let failed = self.rows.get(id).is_some_and(|row| now < row.until);
+        failed || self.refused.get(id).is_some_and(|until| now < *until)
     }
 
     /// The earliest moment at which a doubt ends, if there is any after `now`.
     pub fn next_end(&self, now: Moment) -> Option<Moment> {
-        self.rows.values().map(|row| row.until).filter(|until| *until > now).min()
+        let failed = self.rows.values().map(|row| row.until);
+        let refused = self.refused.values().copied();
+        failed.chain(refused).filter(|until| *until > now).min()
     }
 
     /// Forgets a target that is gone.
     pub fn forget(&mut self, id: &TargetId) {
         self.rows.remove(id);
+        self.refused.remove(id);
         self.progress.remove(id);
         self.unreachable.remove(id);
         self.probing.remove(id);
--- a/crates/banyan-core/tests/pipeline/suspicions.rs
+++ b/crates/banyan-core/tests/pipeline/suspicions.rs
@@ -64,6 +64,19 @@
     assert!(table.unreachable(at(500)).is_empty());
 }
 
+#[test]
+fn a_refusal_is_no_failure() {
+    // An engine that was out of memory for a moment was doubted for up to 4 s, its zone's chains with it.
+    let mut table = SuspicionTable::default();
+    for millis in 0..40 {
+        table.note_refusal(&target("a"), at(millis * 10));
+    }
+    assert_eq!(table.revision, 1);
+    table.end_probe(&target("a"), ProbeEnd::Answered, at(400));
+    assert!(table.is_doubted(&target("a"), at(500)), "that it answers does not make room");
+    assert!(!table.is_doubted(&target("a"), at(900)));
+}
+
 #[test]
 fn one_failure_that_many_streams_notice_counts_once() {
     // Forty streams that one crash stopped had made the engine doubted for the longest time, and the
--- a/crates/banyan-forward/src/opening.rs
+++ b/crates/banyan-forward/src/opening.rs
@@ -295,9 +295,16 @@
         let first = chain.parts[0].target.clone();
         let (at_fault, cause) = match failure {
             OpenFailure::NotRun(facts) => {
-                let tables = self.state.tables();
+                let mut tables = self.state.tables();
                 let named = facts.at_fault.and_then(|address| tables.fleet.at_address(address));
-                (named.cloned().unwrap_or(first), "it refused the request")
+                let at_fault = named.cloned().unwrap_or(first);
+                tables.suspicions.note_refusal(&at_fault, now);
+                drop(tables);
+                logs::attempt_failed(&self.ticket.token, &at_fault, "it refused the request");
+                // It tells what it holds now, or that it is gone.
+                probe_targets(&self.state, std::slice::from_ref(&at_fault));
+                self.avoided.push(at_fault);
+                return;
             }
             OpenFailure::NotSent => {
                 self.attempts -= 1;
