As many chains a zone as give each engine a place; instances share large zones out

A choice weighs 24 chains at most, others in turn. Where a zone has more engines than its chains can use, each instance looks for chains in an order of its own.

--- a/crates/banyan-core/src/pipeline/chain.rs
+++ b/crates/banyan-core/src/pipeline/chain.rs
@@ -10,6 +10,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::ids::InstanceId;
 use crate::ids::LayerRange;
 use crate::ids::ServiceId;
 use crate::ids::TargetId;
@@ -29,6 +30,8 @@
 /// How full a chain may be. Requests take up less than they are counted for, since an answer fills
 /// its room only at its end.
 pub(super) const FULLEST: f64 = 1.1;
+/// The most chains that one choice weighs.
+const CHAINS_WEIGHED: usize = 24;
 /// How much longer a chain counts as taking when it is full.
 const CROWDED_FACTOR: f64 = 1.5;
 
@@ -132,13 +135,23 @@
 }
 
 /// The chains of one service that are worth using.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct ChainPool {
     chains: Vec<Arc<TargetChain>>,
     basis: PoolBasis,
+    /// What makes this instance prefer other engines than the next one, where there are many.
+    seed: u64,
+    /// Grows with each choice, so that choices among many chains weigh others each time.
+    turn: usize,
 }
 
 impl ChainPool {
+    /// The pool of one instance.
+    pub fn for_instance(instance: &InstanceId) -> Self {
+        let seed = xxhash_rust::xxh3::xxh3_64(instance.as_str().as_bytes());
+        Self { seed, ..Self::default() }
+    }
+
     /// The chains, those of one zone next to each other.
     pub fn chains(&self) -> &[Arc<TargetChain>] {
         &self.chains
@@ -167,22 +180,23 @@
             version,
             until: suspicions.next_end(now),
         };
-        self.chains = search::find_chains(model, service, fleet, suspicions, now);
+        self.chains = search::find_chains(model, service, fleet, suspicions, self.seed, now);
         true
     }
 
     /// Chooses the chain that gives a request its first event soonest; one that uses one of `avoided` or
     /// has no room is never chosen. `heard` is the number of peers whose load is known.
     pub fn choose(
-        &self,
+        &mut self,
         loads: &LoadView<'_>,
         zone: &ZoneId,
         size: RequestSize,
         heard: usize,
         avoided: &[TargetId],
     ) -> Option<ChainChoice> {
+        self.turn = self.turn.wrapping_add(CHAINS_WEIGHED / 2);
         let mut best: Option<(f64, ChainChoice)> = None;
-        for chain in &self.chains {
+        for chain in self.weighed(zone) {
             if chain.uses_any(avoided) {
                 continue;
             }
@@ -203,4 +217,28 @@
         }
         best.map(|(_, choice)| choice)
     }
+
+    /// The chains that one choice weighs: all, or as many of the near and the far ones in turn as keep
+    /// the cost of a choice the same however many there are.
+    fn weighed(&self, zone: &ZoneId) -> Vec<&Arc<TargetChain>> {
+        if self.chains.len() <= CHAINS_WEIGHED {
+            return self.chains.iter().collect();
+        }
+        let turn = self.turn;
+        let is_near = |chain: &&Arc<TargetChain>| chain.zone.as_ref() == Some(zone);
+        let (near, far): (Vec<_>, Vec<_>) = self.chains.iter().partition(is_near);
+        let mut weighed = some_of(&near, CHAINS_WEIGHED / 2, turn);
+        weighed.extend(some_of(&far, CHAINS_WEIGHED / 2, turn));
+        weighed
+    }
+}
+
+/// `count` chains from a place on, or all.
+fn some_of<'a>(
+    chains: &[&'a Arc<TargetChain>],
+    count: usize,
+    from: usize,
+) -> Vec<&'a Arc<TargetChain>> {
+    let count = chains.len().min(count);
+    (0..count).map(|step| chains[(from + step) % chains.len()]).collect()
 }
--- a/crates/banyan-core/src/pipeline/search.rs
+++ b/crates/banyan-core/src/pipeline/search.rs
@@ -16,8 +16,14 @@
 use crate::pipeline::suspicion::SuspicionTable;
 use crate::units::Moment;
 
+/// Chains that are looked for in one zone at least.
+const CHAINS_AT_LEAST: usize = 4;
 /// The most chains that are kept for one zone.
-const CHAINS_FOR_ZONE: usize = 4;
+const CHAINS_AT_MOST: usize = 16;
+/// With as many engines in a zone, the most chains that are kept can use about all of them.
+const ENGINES_FOR_ALL: usize = 128;
+/// Steps in which equal engines differ for an instance.
+const SPREAD_STEPS: u64 = 1_024;
 /// How much dearer an engine becomes for the next chain once a chain uses it.
 const REUSE_FACTOR: f64 = 2.0;
 /// What a hand-over between two engines costs, as a part of the whole model's step.
@@ -56,6 +62,7 @@
     service: &ServiceId,
     fleet: &FleetTable,
     suspicions: &SuspicionTable,
+    seed: u64,
     now: Moment,
 ) -> Vec<Arc<TargetChain>> {
     let candidates = candidates(model, service, fleet);
@@ -63,19 +70,19 @@
         candidates.iter().filter(|candidate| keep(&candidate.target)).cloned().collect()
     };
     let trusted = select(&|id| !suspicions.is_doubted(id, now));
-    let mut chains = chains_by_zone(model, &trusted);
+    let mut chains = chains_by_zone(model, &trusted, seed);
     if !chains.is_empty() {
         chains.extend(bridged_chains(model, &trusted, &chains));
         return chains;
     }
     // A chain over several zones is so dear that engines which are only doubted come before it.
     let reachable = select(&|id| !suspicions.is_unreachable(id, now));
-    let chains = chains_by_zone(model, &reachable);
+    let chains = chains_by_zone(model, &reachable, seed);
     if !chains.is_empty() {
         return chains;
     }
     let crossing = several_chains(model, reachable);
-    if crossing.is_empty() { chains_by_zone(model, &candidates) } else { crossing }
+    if crossing.is_empty() { chains_by_zone(model, &candidates, seed) } else { crossing }
 }
 
 /// The engines that take work and hold layers.
@@ -107,12 +114,21 @@
     candidates
 }
 
-fn chains_by_zone(model: &PipelineModel, candidates: &[StageCandidate]) -> Vec<Arc<TargetChain>> {
+fn chains_by_zone(
+    model: &PipelineModel,
+    candidates: &[StageCandidate],
+    seed: u64,
+) -> Vec<Arc<TargetChain>> {
     let mut zones: BTreeMap<&ZoneId, Vec<StageCandidate>> = BTreeMap::new();
     for candidate in candidates {
         zones.entry(&candidate.zone).or_default().push(candidate.clone());
     }
-    zones.into_values().flat_map(|of_zone| several_chains(model, of_zone)).collect()
+    let mut chains = Vec::new();
+    for mut of_zone in zones.into_values() {
+        spread_choice(&mut of_zone, seed);
+        chains.extend(several_chains(model, of_zone));
+    }
+    chains
 }
 
 /// Chains of the zones that have none of their own: engines elsewhere run the layers that they lack.
@@ -161,8 +177,13 @@
     mut candidates: Vec<StageCandidate>,
 ) -> Vec<Arc<TargetChain>> {
     let mut found: Vec<Arc<TargetChain>> = Vec::new();
-    for _ in 0..CHAINS_FOR_ZONE {
+    let mut most = CHAINS_AT_LEAST;
+    let mut tried = 0;
+    while tried < most {
         let Some(parts) = best_chain(model, &candidates) else { break };
+        // So many that each engine can have a place in one.
+        most = most.max(candidates.len().div_ceil(parts.len())).min(CHAINS_AT_MOST);
+        tried += 1;
         let chain = Arc::new(to_chain(model, &candidates, &parts));
         make_dearer(&mut candidates, &parts);
         if !found.iter().any(|known| known.parts == chain.parts) {
@@ -172,6 +193,19 @@
     found
 }
 
+/// Makes equal engines differ in an order of the instance's own where a zone has more engines than its
+/// chains can use, so that all instances together use all of them.
+fn spread_choice(candidates: &mut [StageCandidate], seed: u64) {
+    if candidates.len() <= ENGINES_FOR_ALL {
+        return;
+    }
+    for candidate in candidates {
+        let draw = xxhash_rust::xxh3::xxh3_64_with_seed(candidate.target.as_str().as_bytes(), seed);
+        let part = (draw % SPREAD_STEPS) as f64 / SPREAD_STEPS as f64;
+        candidate.search_factor *= 1.0 + part;
+    }
+}
+
 /// The index of a candidate and the layers that it runs.
 pub(super) type PartChoice = (usize, LayerRange);
 
--- a/crates/banyan-forward/src/state.rs
+++ b/crates/banyan-forward/src/state.rs
@@ -161,7 +161,8 @@
         let routes = self.route_table()?;
         let model = routes.services.get(service)?.model.clone()?;
         let peer_scale = self.peer_scale(now);
-        let pool = self.pools.entry(service.clone()).or_default();
+        let pool = self.pools.entry(service.clone());
+        let pool = pool.or_insert_with(|| ChainPool::for_instance(&settings.instance));
         let version = routes.version;
         if pool.refresh(&model, service, version, &self.fleet, &self.suspicions, now) {
             logs::chains_changed(service, pool.chains(), self.fleet.revision);
--- a/crates/banyan-load/src/emulate/decisions.rs
+++ b/crates/banyan-load/src/emulate/decisions.rs
@@ -84,7 +84,7 @@
     let begun = Instant::now();
     pool.refresh(&model, &service, 1, &fleet, &suspicions, Moment::default());
     let refresh = begun.elapsed();
-    (choose_time(&pool, &targets[0]), refresh, plan)
+    (choose_time(&mut pool, &targets[0]), refresh, plan)
 }
 
 fn report(
@@ -105,7 +105,7 @@
     }
 }
 
-fn choose_time(pool: &ChainPool, near: &PlacementTarget) -> Duration {
+fn choose_time(pool: &mut ChainPool, near: &PlacementTarget) -> Duration {
     let own = LoadTable::default();
     let peers = PeerLoadTable::default();
     let view = LoadView { own: &own, peers: &peers, peer_scale: 1.0 };
--- a/crates/banyan-load/src/emulate/instances.rs
+++ b/crates/banyan-load/src/emulate/instances.rs
@@ -63,12 +63,12 @@
     /// An instance that knows nothing yet.
     pub fn new(id: InstanceId, zone: ZoneId) -> Self {
         Self {
+            pool: ChainPool::for_instance(&id),
             id,
             zone,
             loads: LoadTable::default(),
             peers: PeerLoadTable::default(),
             suspicions: SuspicionTable::default(),
-            pool: ChainPool::default(),
         }
     }
 
--- a/crates/banyan-load/src/emulate/report.rs
+++ b/crates/banyan-load/src/emulate/report.rs
@@ -17,8 +17,10 @@
 pub enum RequestOutcome {
     /// It was served on time.
     Served,
-    /// It was served late, or after the caller came back.
+    /// It was served late.
     Late,
+    /// It was served after it had been refused and the caller had come back.
+    Returned,
     /// It was refused at once.
     Refused,
     /// Its stream broke off.
@@ -61,7 +63,10 @@
     /// Counts how a request ended that was sent at `at_ms`.
     pub fn note(&mut self, workspace: usize, at_ms: u64, outcome: RequestOutcome) {
         *self.outcomes.entry(outcome).or_default() += 1;
-        if matches!(outcome, RequestOutcome::Served | RequestOutcome::Late) {
+        if matches!(
+            outcome,
+            RequestOutcome::Served | RequestOutcome::Late | RequestOutcome::Returned
+        ) {
             self.workspaces[workspace].1 += 1;
         }
         if outcome == RequestOutcome::Served {
@@ -116,6 +121,7 @@
             |name: &str, figure: f64| line.add(format_smolstr!("{prefix}_{name}"), figure);
         add("on_time", self.count(RequestOutcome::Served) as f64);
         add("late", self.count(RequestOutcome::Late) as f64);
+        add("returned", self.count(RequestOutcome::Returned) as f64);
         add("refused", self.count(RequestOutcome::Refused) as f64);
         add("broken", self.count(RequestOutcome::Broken) as f64);
         add("abandoned", self.count(RequestOutcome::Abandoned) as f64);
--- a/crates/banyan-load/src/emulate/world.rs
+++ b/crates/banyan-load/src/emulate/world.rs
@@ -305,6 +305,7 @@
             for (peer, digest) in digests.iter().filter(|(peer, _)| *peer != instance.id) {
                 instance.peers.hear(peer.clone(), digest.clone(), Vec::new(), now);
             }
+            instance.loads.mark();
         }
     }
 
@@ -503,10 +504,10 @@
         stream.ended = true;
         let late = |limit: u64, took: u64| took > limit;
         let first = stream.first_ms.map_or(u64::MAX, |first| first - stream.asked_ms);
-        let on_time = !stream.came_back
-            && !late(self.file.traffic.first_event_ms, first)
+        let on_time = !late(self.file.traffic.first_event_ms, first)
             && !late(self.file.traffic.pause_ms, stream.longest_ms);
         let outcome = match outcome {
+            RequestOutcome::Served if stream.came_back => RequestOutcome::Returned,
             RequestOutcome::Served if !on_time => RequestOutcome::Late,
             other => other,
         };
