--- a/crates/banyan-config/src/settings.rs
+++ b/crates/banyan-config/src/settings.rs
@@ -187,6 +187,21 @@
              stopped in order, 1 failed, 2 wrong flags or settings.",
         )
         .args(settings_flags())
+        .subcommand(
+            Command::new("check")
+                .about("Checks a settings file and exits: 0 if it can be used, otherwise 2")
+                .arg(
+                    Arg::new("file")
+                        .value_name("SETTINGS")
+                        .required(true)
+                        .help("The settings file, in JSON with comments"),
+                ),
+        )
+}
+
+/// Checks a settings file that no flags add to.
+pub fn check_settings_file(path: &str) -> Result<EntrySettings, SettingsError> {
+    build_settings(read_layer(path, &read_file(path)?)?)
 }
 
 /// The settings that the command line and the file it names give.
--- a/crates/banyan-entry/src/main.rs
+++ b/crates/banyan-entry/src/main.rs
@@ -5,6 +5,7 @@
 use tokio::signal::unix::signal;
 
 use banyan_config::settings::EntrySettings;
+use banyan_config::settings::check_settings_file;
 use banyan_config::settings::load_settings;
 use banyan_config::settings::settings_command;
 use banyan_core::serving::decisions::DecisionSet;
@@ -16,7 +17,13 @@
 
 fn main() -> eyre::Result<()> {
     env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
-    let settings = match load_settings(&settings_command().get_matches()) {
+    let matches = settings_command().get_matches();
+    let file =
+        matches.subcommand_matches("check").and_then(|check| check.get_one::<String>("file"));
+    if let Some(file) = file {
+        return check(file);
+    }
+    let settings = match load_settings(&matches) {
         Ok(settings) => settings,
         Err(error) => {
             eprintln!("banyan-entry: {error}");
@@ -27,6 +34,16 @@
     runtime.block_on(run(settings))
 }
 
+/// Tells whether a settings file can be used; every error with its place and remedy if not.
+fn check(file: &str) -> eyre::Result<()> {
+    if let Err(error) = check_settings_file(file) {
+        eprintln!("{error}");
+        std::process::exit(SETTINGS_EXIT);
+    }
+    println!("{file}: the settings can be used");
+    Ok(())
+}
+
 async fn run(settings: EntrySettings) -> eyre::Result<()> {
     let metrics = PrometheusBuilder::new().install_recorder()?;
     metric::describe();
--- a/crates/banyan-forward/src/leadership.rs
+++ b/crates/banyan-forward/src/leadership.rs
@@ -289,6 +289,19 @@
     Unknown,
 }
 
+impl OrderEnd {
+    fn as_str(self) -> &'static str {
+        match self {
+            Self::Outcome(OrderOutcome::Taken) => "taken",
+            Self::Outcome(OrderOutcome::Conflict) => "conflict",
+            Self::Outcome(OrderOutcome::Fenced) => "fenced",
+            Self::Outcome(OrderOutcome::Refused(_)) => "refused",
+            Self::Busy => "busy",
+            Self::Unknown => "unknown",
+        }
+    }
+}
+
 async fn give_order<P: Platform>(
     state: &ForwardState<P>,
     generation: u64,
@@ -329,6 +342,7 @@
     let range = order.range;
     let layers = range.to_string();
     let target = order.target;
+    metrics::counter!("banyan_orders_total", "end" => end.as_str()).increment(1);
     tracing::info!(part = "placement", %target, %layers, generation, ?end, "Ordered layers.");
     let pending = match end {
         OrderEnd::Outcome(OrderOutcome::Taken) => {
--- a/crates/banyan-forward/src/lib.rs
+++ b/crates/banyan-forward/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod link;
 pub mod log_budget;
 pub mod logs;
+pub mod metric;
 pub mod opening;
 pub mod peers;
 pub mod probes;
--- a/crates/banyan-forward/src/logs.rs
+++ b/crates/banyan-forward/src/logs.rs
@@ -35,10 +35,10 @@
 
 /// Lines that wait to be written at most.
 const QUEUE_LINES: usize = 4_096;
-/// Lines a second in the long run.
-const LINES_A_SECOND: f64 = 200.0;
-/// Lines at once at most.
-const LINES_AT_ONCE: f64 = 1_000.0;
+/// Lines a second in the long run, unless the settings say otherwise.
+pub const LINES_A_SECOND: f64 = 200.0;
+/// How many seconds' lines may be written at once.
+const BURST_SECONDS: f64 = 5.0;
 /// The time between two lines about lines that were left out.
 const DROPPED_PAUSE: Duration = Duration::from_secs(5);
 /// The target of lines about what went well.
@@ -51,16 +51,38 @@
     _guard: WorkerGuard,
 }
 
-/// Writes structured lines to `output` until the log is dropped; `filter` is the lowest level in the
-/// usual form, such as `info`.
-pub fn start_logging<W>(filter: &str, output: W) -> RunningLog
+/// What is logged.
+#[derive(Clone, Debug, PartialEq)]
+pub struct LogSettings {
+    /// The lowest level, for all lines or by target, such as `info` or `info,routine=warn`.
+    pub filter: String,
+    /// Lines a second in the long run. Invariant: positive.
+    pub rate: f64,
+}
+
+impl Default for LogSettings {
+    fn default() -> Self {
+        Self { filter: "info".to_owned(), rate: LINES_A_SECOND }
+    }
+}
+
+/// Takes a filter that can be used as it is, and says of another one what is wrong with it.
+pub fn check_filter(text: &str) -> Result<String, String> {
+    match EnvFilter::try_new(text) {
+        Ok(_) => Ok(text.to_owned()),
+        Err(error) => Err(format!("{error}: write a level, or levels by target")),
+    }
+}
+
+/// Writes structured lines to `output` until the log is dropped.
+pub fn start_logging<W>(settings: &LogSettings, output: W) -> RunningLog
 where
     W: std::io::Write + Send + 'static,
 {
     let builder = NonBlockingBuilder::default().lossy(true).buffered_lines_limit(QUEUE_LINES);
     let (writer, guard) = builder.finish(output);
     let lost = writer.error_counter();
-    let budget = Arc::new(LogBudget::new(LINES_A_SECOND, LINES_AT_ONCE));
+    let budget = Arc::new(LogBudget::new(settings.rate, settings.rate * BURST_SECONDS));
     let clock = RuntimeClock::start();
     let admitting = budget.clone();
     let admit = dynamic_filter_fn(move |metadata, _| {
@@ -74,7 +96,7 @@
         .with_target(false)
         .with_writer(writer)
         .with_filter(admit);
-    tracing_subscriber::registry().with(EnvFilter::new(filter)).with(lines).init();
+    tracing_subscriber::registry().with(EnvFilter::new(&settings.filter)).with(lines).init();
     RunningLog { budget, lost, _guard: guard }
 }
 
@@ -108,6 +130,7 @@
     };
     let took_ms = took.unwrap_or_default().as_millis() as u64;
     metrics::counter!("banyan_refusals_total", "cause" => cause).increment(1);
+    metrics::counter!("banyan_requests_total", "outcome" => "refused").increment(1);
     tracing::info!(part = "request", request, status, cause, after_ms, took_ms, "Refused.");
 }
 
@@ -121,6 +144,8 @@
 ) {
     let target = target.map_or("", TargetId::as_str);
     metrics::histogram!("banyan_answer_seconds").record(took.as_secs_f64());
+    let outcome = if status.is_server_error() { "failed" } else { "answered" };
+    metrics::counter!("banyan_requests_total", "outcome" => outcome).increment(1);
     tracing::info!(
         target: ROUTINE,
         part = "request",
@@ -237,6 +262,8 @@
     took: Duration,
 ) {
     metrics::histogram!("banyan_longest_pause_seconds").record(longest_pause.as_secs_f64());
+    let kind = if outcome == COMPLETE { "streamed" } else { "broken_off" };
+    metrics::counter!("banyan_requests_total", "outcome" => kind).increment(1);
     let took_ms = took.as_millis() as u64;
     let longest_pause_ms = longest_pause.as_millis() as u64;
     let request = ticket.token.0.as_str();
--- /dev/null
+++ b/crates/banyan-forward/src/metric.rs
@@ -0,0 +1,54 @@
+//! The daemon's metrics: names, what they count, and the buckets of histograms. Labels have few values
+//! and never name a request.
+
+use metrics::Unit;
+use metrics::describe_counter;
+use metrics::describe_gauge;
+use metrics::describe_histogram;
+use metrics_exporter_prometheus::BuildError;
+use metrics_exporter_prometheus::PrometheusBuilder;
+
+/// The upper bounds of the buckets of times, in seconds.
+const TIME_BUCKETS: [f64; 13] =
+    [0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.75, 1.0, 2.0, 5.0, 20.0];
+
+/// A builder whose times are told in buckets, so that those of several instances can be added up.
+pub fn configure(builder: PrometheusBuilder) -> Result<PrometheusBuilder, BuildError> {
+    builder.set_buckets(&TIME_BUCKETS)
+}
+
+/// Describes every metric, once at the start.
+pub fn describe() {
+    let count = Unit::Count;
+    let seconds = Unit::Seconds;
+    describe_counter!("banyan_requests_total", count, "Requests that ended, by outcome.");
+    describe_counter!("banyan_refusals_total", count, "Answers of the daemon's own, by cause.");
+    describe_counter!("banyan_attempt_failures_total", count, "Attempts that failed.");
+    describe_counter!(
+        "banyan_stream_interruptions_total",
+        count,
+        "Streams that went on elsewhere."
+    );
+    describe_counter!(
+        "banyan_reroutes_total",
+        count,
+        "Orders to leave engines of a running chain, by whether they were taken."
+    );
+    describe_counter!("banyan_orders_total", count, "Orders to hold layers, by how they ended.");
+    describe_counter!("banyan_probes_total", count, "Probes of silent targets, by how they ended.");
+    describe_counter!("banyan_store_answers_total", count, "Answered calls to the store, by call.");
+    describe_counter!("banyan_store_failures_total", count, "Failed calls to the store, by call.");
+    describe_counter!("banyan_log_lines_dropped_total", count, "Log lines that were left out.");
+    describe_gauge!("banyan_configuration_version", count, "The configuration version in force.");
+    describe_histogram!("banyan_answer_seconds", seconds, "Time from a head to the whole answer.");
+    describe_histogram!(
+        "banyan_first_event_seconds",
+        seconds,
+        "Time from a head to the first event."
+    );
+    describe_histogram!(
+        "banyan_longest_pause_seconds",
+        seconds,
+        "The longest pause between two events of a stream."
+    );
+}
--- a/crates/banyan-forward/src/probes.rs
+++ b/crates/banyan-forward/src/probes.rs
@@ -49,6 +49,12 @@
         },
         None => ProbeEnd::Answered,
     };
+    let ended = match end {
+        ProbeEnd::Answered => "answered",
+        ProbeEnd::NoAnswer => "no_answer",
+        ProbeEnd::Absent => "absent",
+    };
+    metrics::counter!("banyan_probes_total", "end" => ended).increment(1);
     let now = state.now();
     if state.tables().suspicions.end_probe(&id, end, now) {
         tracing::info!(part = "health", target = %id, ?end, "A doubted target was probed.");
--- a/crates/banyan-forward/tests/log_lines.rs
+++ b/crates/banyan-forward/tests/log_lines.rs
@@ -9,6 +9,7 @@
 use banyan_core::units::Moment;
 use banyan_forward::log_budget::LineWeight;
 use banyan_forward::log_budget::LogBudget;
+use banyan_forward::logs::LogSettings;
 use banyan_forward::logs::start_logging;
 
 fn at(millis: u64) -> Moment {
@@ -69,7 +70,10 @@
 #[test]
 fn a_reader_that_stops_holds_up_nobody_and_what_is_lost_is_counted() {
     let reader = StoppedReader::default();
-    let log = start_logging("info", reader.clone());
+    let log = start_logging(
+        &LogSettings { filter: "info".to_owned(), ..LogSettings::default() },
+        reader.clone(),
+    );
     // Many more lines than the queue and the budget take: each must come back at once.
     for number in 0..20_000 {
         tracing::info!(part = "test", number, "A line.");
