--- a/crates/banyan-core/src/pipeline/chain.rs
+++ b/crates/banyan-core/src/pipeline/chain.rs
@@ -26,7 +26,7 @@
 /// Token steps that pass before a first event reaches the caller.
 const FIRST_STEPS: f64 = 3.0;
 /// How much longer a chain in another zone may take before the nearer one is chosen.
-const FAR_FACTOR: f64 = 1.15;
+const FAR_FACTOR: f64 = 1.6;
 /// How full a chain may be. Requests take up less than they are counted for, since an answer fills
 /// its room only at its end.
 pub(super) const FULLEST: f64 = 1.1;
