Orders of a leader that is gone expire everywhere; fields that nobody reads are gone

Cause: an instance that does not lead kept the orders it had heard of until the next leader's digest; their engines stayed out of its chains, whatever they held.

Gone: EventBatch::last_id, ServiceBounds::stall_time, PipelineModel::batch, a second copy of when the group was heard.

--- a/crates/banyan-core/src/pipeline/model.rs
+++ b/crates/banyan-core/src/pipeline/model.rs
@@ -52,8 +52,6 @@
     pub token_size: ByteCount,
     /// The tokens of requests that an engine should have room for beside its layers.
     pub request_room: TokenCount,
-    /// The most requests that an engine takes at once as the first of a chain.
-    pub batch: u32,
     /// The time that loading all layers takes.
     pub load_time: Duration,
     /// Loads that may run at once at full speed. Invariant: at least one.
--- a/crates/banyan-core/tests/pipeline/support.rs
+++ b/crates/banyan-core/tests/pipeline/support.rs
@@ -50,7 +50,6 @@
         layer_size: ByteCount(1_750_000_000),
         token_size: ByteCount(459_000),
         request_room: TokenCount(100_000),
-        batch: 192,
         load_time: Duration::from_secs(14),
         loads_at_once: 6,
         kinds: KINDS.into_iter().map(kind).collect(),
--- a/crates/banyan-forward/src/events.rs
+++ b/crates/banyan-forward/src/events.rs
@@ -12,8 +12,6 @@
 pub struct EventBatch {
     /// The bytes as they came.
     pub bytes: Bytes,
-    /// The id of the last event, or `None` if none has one.
-    pub last_id: Option<u64>,
 }
 
 /// Why the bytes are no stream of events that can be passed on.
@@ -84,7 +82,7 @@
             }
             self.last_id = Some(found);
         }
-        Ok(EventBatch { bytes, last_id: self.last_id })
+        Ok(EventBatch { bytes })
     }
 }
 
--- a/crates/banyan-forward/src/leadership.rs
+++ b/crates/banyan-forward/src/leadership.rs
@@ -60,13 +60,11 @@
 
 async fn keep_membership<P: Platform>(state: Arc<ForwardState<P>>) {
     let mut generation = 0;
-    let mut heard = state.now();
     loop {
         let asked = state.now();
         match state.platform.keep_membership(generation).await {
             Ok(place) => {
                 note_answer(&state, "membership");
-                heard = asked;
                 generation = place.generation;
                 let mut tables = state.tables();
                 let before = tables.membership;
@@ -83,6 +81,7 @@
         // Engines that check fencing tokens refuse an earlier leader, so that it may go on while the
         // group is silent; otherwise another instance may lead by now.
         let fenced = state.settings().bounds.engines_check_fences;
+        let heard = state.tables().membership_heard;
         if !fenced && state.now().since(heard) >= MEMBERSHIP_TTL {
             step_down(&state);
         }
@@ -106,6 +105,7 @@
         // What changes together, as several engines that crash, is planned for together.
         let _ = tokio::time::timeout(PLAN_PAUSE, state.plan_due.notified()).await;
         tokio::time::sleep(GATHER_TIME).await;
+        state.tables().expire_orders(state.now());
         let Some(generation) = leading_generation(&state) else { continue };
         if state.tables().generation_fenced >= generation {
             continue;
@@ -177,7 +177,6 @@
     let mut guard = state.tables();
     let tables = &mut *guard;
     let Some(routes) = tables.route_table() else { return Vec::new() };
-    tables.pending_orders.retain(|_, order| now < order.until);
     let mut due = Vec::new();
     for (service, spec) in &routes.services {
         let Some(model) = &spec.model else { continue };
--- a/crates/banyan-forward/src/settings.rs
+++ b/crates/banyan-forward/src/settings.rs
@@ -41,6 +41,4 @@
     pub settle_time: Duration,
     /// Whether engines refuse orders with a lower fencing token than they have seen.
     pub engines_check_fences: bool,
-    /// How long work stands still at an engine that waits for a dead one.
-    pub stall_time: Duration,
 }
--- a/crates/banyan-forward/src/state.rs
+++ b/crates/banyan-forward/src/state.rs
@@ -132,6 +132,16 @@
         if self.peers_listed <= ALL_HEARD { 1.0 } else { self.peers_listed as f64 / heard as f64 }
     }
 
+    /// Forgets orders that should have been carried out by now, also those of a leader that is heard no
+    /// longer: their engines would stay left out of chains.
+    pub fn expire_orders(&mut self, now: Moment) {
+        let before = self.pending_orders.len();
+        self.pending_orders.retain(|_, order| now < order.until);
+        if self.pending_orders.len() != before {
+            self.sync_orders();
+        }
+    }
+
     /// Tells the table of targets which layers have been ordered.
     pub fn sync_orders(&mut self) {
         let pending = &self.pending_orders;
--- /dev/null
+++ b/crates/banyan-forward/tests/tables.rs
@@ -0,0 +1,37 @@
+//! The tables that decisions run over.
+
+use banyan_core::ids::LayerRange;
+use banyan_core::ids::TargetId;
+use banyan_core::pipeline::fleet::FleetChange;
+use banyan_core::pipeline::fleet::TargetPhase;
+use banyan_core::pipeline::fleet::TargetReport;
+use banyan_core::units::Moment;
+use banyan_forward::state::ForwardTables;
+use banyan_forward::state::PendingOrder;
+
+#[test]
+fn an_order_of_a_leader_that_is_gone_leaves_its_engine_out_of_chains_no_longer_than_it_takes() {
+    let held = LayerRange { first: 0, end: 20 };
+    let report = TargetReport {
+        service: "engines".parse().expect("a name"),
+        address: "10.0.0.1:1".parse().expect("an address"),
+        zone: "a".parse().expect("a name"),
+        phase: TargetPhase::Ready,
+        slots: 1,
+        kind: None,
+        held: vec![held],
+        born: None,
+    };
+    let id: TargetId = "e1".parse().expect("a name");
+    let mut tables = ForwardTables::default();
+    tables.fleet.apply(FleetChange::Reported(id.clone(), report), Moment(0));
+    let until = Moment(3_000_000);
+    let order = PendingOrder { range: Some(LayerRange { first: 40, end: 60 }), ask: until, until };
+    tables.pending_orders.insert(id.clone(), order);
+    tables.sync_orders();
+    assert!(tables.fleet.rows[&id].kept_layers().is_empty());
+    tables.expire_orders(Moment(2_999_999));
+    assert!(tables.fleet.rows[&id].kept_layers().is_empty());
+    tables.expire_orders(until);
+    assert_eq!(tables.fleet.rows[&id].kept_layers(), vec![held]);
+}
--- a/crates/banyan-load/src/emulate/fleet_file.rs
+++ b/crates/banyan-load/src/emulate/fleet_file.rs
@@ -131,7 +131,6 @@
             layer_size: ByteCount((model.layer_mb * MEGABYTE) as u64),
             token_size: ByteCount(model.token_bytes),
             request_room: TokenCount(model.request_room),
-            batch: u32::MAX,
             load_time: Duration::from_secs_f64(model.load_ms / 1e3),
             loads_at_once: model.loads_at_once,
             kinds: self.kinds.iter().map(kind).collect(),
