--- a/crates/banyan-core/src/pipeline.rs
+++ b/crates/banyan-core/src/pipeline.rs
@@ -13,6 +13,7 @@
 mod layout;
 pub mod load;
 pub mod model;
+mod path;
 pub mod placement;
 pub mod replica;
 pub mod reroute;
