--- a/crates/banyan-forward/src/lib.rs
+++ b/crates/banyan-forward/src/lib.rs
@@ -2,12 +2,12 @@
 //! replicas of plain services.
 //!
 //! A caller's connection is served by [`front`]; [`serve`] finds a request's route, workspace and
-//! time, and hands it as a [`ticket`] to [`stream`] (which relays what [`opening`] got from a chain of engines by a [`chain_attempt`]) or to
-//! [`call`] (one replica, whole answers). Both send through [`link`]. [`feeds`] follows the
-//! platform's configuration and list of targets, [`membership`] keeps the instance in the group,
-//! [`leadership`] orders layers onto engines where it leads, [`readiness`] answers the balancer, and [`daemon`] starts and stops all
-//! of it. What the platform looks like stands behind the traits of [`edges`]; what the tasks share is
-//! [`state`].
+//! time, and hands it as a [`ticket`] to [`stream`] (which relays what [`opening`] got from a chain
+//! of engines by a [`chain_attempt`]) or to [`call`] (one replica, whole answers). Both send through
+//! [`link`]. [`feeds`] follows the platform's configuration and list of targets, [`membership`] keeps
+//! the instance in the group, [`leadership`] orders layers onto engines where it leads, [`readiness`]
+//! answers the balancer, and [`daemon`] starts and stops all of it. What the platform looks like stands
+//! behind the traits of [`edges`]; what the tasks share is [`state`].
 
 pub mod answer;
 pub mod call;
