--- a/crates/banyan-core/src/pipeline.rs
+++ b/crates/banyan-core/src/pipeline.rs
@@ -3,9 +3,10 @@
 //! The daemon names the whole chain of engines once; the engines hand each token on. [`routes`] says
 //! which requests may be served and how, [`fleet`] which targets exist and what they hold,
 //! [`placement`] which layers each engine should hold, [`chain`] which engines serve a request,
-//! [`reroute`] how a running request leaves some of them, [`suspicion`] which of them are doubted, [`load`] what they carry, [`replica`] which replica of a
-//! plain service is called, [`retries`] whether a request may be sent once more, and [`comeback`]
-//! when a refused caller should return. [`model`] describes the model and the accelerators.
+//! [`reroute`] how a running request leaves some of them, [`suspicion`] which of them are doubted,
+//! [`load`] what they carry, [`replica`] which replica of a plain service is called, [`retries`]
+//! whether a request may be sent once more, and [`comeback`] when a refused caller should return.
+//! [`model`] describes the model and the accelerators.
 
 pub mod chain;
 pub mod comeback;
