Twins in the daemon and the decisions are made one

Found by reading the whole change again; behaviour stays as it was. One copy now stands for: - sending a request and judging whose answer came (calls and chains): exchange::ask_target; - a target's head as the caller gets it: answer::relayed; - a refusal with its time to come back, four times: ForwardTables::not_run; - an engine's answer within a time, where nothing counts as no answer (probes, reroutes): edges::within; - noting or forgetting an order and telling the table of targets, four times: ForwardTables::put_order; - the number of an order's parameters through three layers: edges::LayerOrder; - layers that are in two ranges, and ranges that cover others: LayerRange::overlap, covers; - looking for a window while an engine counts for nothing: GroupLayout::without; - filling a gap of a running chain (was within the loop and behind it), which now also ends before it looks at other engines where there is nothing to leave; - how a refused and a failed chain are noted; the check of a generation that engines fenced off stands where the generation is decided; whether routes are known is noted once for each listing. In the tests one fixture for a copy that lacks its first layers; all assertions as they were.

--- a/crates/banyan-core/src/ids.rs
+++ b/crates/banyan-core/src/ids.rs
@@ -298,6 +298,18 @@
     pub fn count(self) -> u32 {
         self.end - self.first
     }
+
+    /// Whether all layers of another range are in this one.
+    pub fn covers(self, other: Self) -> bool {
+        self.first <= other.first && other.end <= self.end
+    }
+
+    /// The layers that are in both ranges, if there are any.
+    pub fn overlap(self, other: Self) -> Option<Self> {
+        let first = self.first.max(other.first);
+        let end = self.end.min(other.end);
+        (first < end).then_some(Self { first, end })
+    }
 }
 
 impl fmt::Display for LayerRange {
--- a/crates/banyan-core/src/pipeline/fleet.rs
+++ b/crates/banyan-core/src/pipeline/fleet.rs
@@ -79,12 +79,7 @@
     /// The layers that it holds and goes on holding.
     pub fn kept_layers(&self) -> Vec<LayerRange> {
         let Some(ordered) = self.ordered else { return self.report.held.clone() };
-        let kept = |held: &LayerRange| {
-            let first = held.first.max(ordered.first);
-            let end = held.end.min(ordered.end);
-            (first < end).then_some(LayerRange { first, end })
-        };
-        self.report.held.iter().filter_map(kept).collect()
+        self.report.held.iter().filter_map(|held| held.overlap(ordered)).collect()
     }
 }
 
--- a/crates/banyan-core/src/pipeline/layout.rs
+++ b/crates/banyan-core/src/pipeline/layout.rs
@@ -82,11 +82,7 @@
 
     /// The window that is missed most once an engine has given its layers up.
     pub(super) fn best_window_without(&mut self, id: &TargetId, length: u32) -> Option<LayerRange> {
-        let held = self.held.remove(id)?;
-        subtract(&mut self.holders, held);
-        let window = self.best_window(length);
-        self.hold(id, held);
-        window
+        self.without(id, |layout| layout.best_window(length))
     }
 
     /// The window of `length` layers around those that an engine holds that is missed most.
@@ -100,12 +96,23 @@
         let length = length.min(layers);
         let earliest = held.end.saturating_sub(length);
         let latest = held.first.min(layers - length);
-        subtract(&mut self.holders, self.held.remove(id)?);
-        let window = self.best_of(earliest..=latest, length);
-        self.hold(id, held);
+        let window = self.without(id, |layout| layout.best_of(earliest..=latest, length));
         window.filter(|window| *window != held)
     }
 
+    /// What `choose` finds while an engine counts as a holder of nothing.
+    fn without(
+        &mut self,
+        id: &TargetId,
+        choose: impl FnOnce(&Self) -> Option<LayerRange>,
+    ) -> Option<LayerRange> {
+        let held = self.held.remove(id)?;
+        subtract(&mut self.holders, held);
+        let window = choose(self);
+        self.hold(id, held);
+        window
+    }
+
     /// What is missing within a window, from the first such layer to the last; all of it if nothing is.
     pub(super) fn missing_part(&self, window: LayerRange) -> LayerRange {
         let mut missing = (window.first..window.end).filter(|layer| self.is_missing(*layer));
--- a/crates/banyan-core/src/pipeline/reroute.rs
+++ b/crates/banyan-core/src/pipeline/reroute.rs
@@ -48,30 +48,27 @@
 /// avoided or giving its layers up; `None` where it cannot, or has no need to.
 pub fn reroute_chain(query: &RerouteQuery<'_>, chain: &TargetChain) -> Option<TargetChain> {
     let candidates = candidates(query.model, query.service, query.fleet);
-    let kept = |part: &ChainPart| kept_index(query, &candidates, part);
-    let mut parts: Vec<PartChoice> = vec![(kept(chain.parts.first()?)?, chain.parts[0].range)];
-    let mut gap: Option<LayerRange> = None;
-    let mut rerouted = false;
-    let used: BTreeSet<&TargetId> = chain.parts.iter().map(|part| &part.target).collect();
-    let others = other_candidates(query, &candidates, chain, &used);
-    for part in &chain.parts[1..] {
-        let Some(index) = kept(part) else {
-            let first = gap.map_or(part.range.first, |gap| gap.first);
-            gap = Some(LayerRange { first, end: part.range.end });
-            continue;
-        };
-        if let Some(gap) = gap.take() {
-            parts.extend(fill_gap(query.model, &candidates, &others, gap)?);
-            rerouted = true;
-        }
-        parts.push((index, part.range));
+    let kept: Vec<(&ChainPart, Option<usize>)> =
+        chain.parts.iter().map(|part| (part, kept_index(query, &candidates, part))).collect();
+    let first_stays = kept.first()?.1.is_some();
+    if !first_stays || kept.iter().all(|(_, index)| index.is_some()) {
+        return None;
     }
-    if let Some(gap) = gap {
-        parts.extend(fill_gap(query.model, &candidates, &others, gap)?);
-        rerouted = true;
+    let others = other_candidates(query, &candidates, chain);
+    let mut parts: Vec<PartChoice> = Vec::new();
+    for run in kept.chunk_by(|left, right| left.1.is_none() && right.1.is_none()) {
+        let (part, index) = run[0];
+        match index {
+            Some(index) => parts.push((index, part.range)),
+            None => {
+                let (last, _) = run[run.len() - 1];
+                let gap = LayerRange { first: part.range.first, end: last.range.end };
+                parts.extend(fill_gap(query.model, &candidates, &others, gap)?);
+            }
+        }
     }
     let distinct: BTreeSet<usize> = parts.iter().map(|(index, _)| *index).collect();
-    (rerouted && distinct.len() == parts.len()).then(|| to_chain(query.model, &candidates, &parts))
+    (distinct.len() == parts.len()).then(|| to_chain(query.model, &candidates, &parts))
 }
 
 /// The place among the candidates of an engine that goes on running its part of a chain.
@@ -83,10 +80,9 @@
     if !is_usable(query, &part.target) {
         return None;
     }
-    let holds = |held: &LayerRange| held.first <= part.range.first && part.range.end <= held.end;
-    candidates
-        .iter()
-        .position(|candidate| candidate.target == part.target && candidate.held.iter().any(holds))
+    let holds =
+        |candidate: &StageCandidate| candidate.held.iter().any(|held| held.covers(part.range));
+    candidates.iter().position(|candidate| candidate.target == part.target && holds(candidate))
 }
 
 fn is_usable(query: &RerouteQuery<'_>, target: &TargetId) -> bool {
@@ -98,7 +94,6 @@
     query: &RerouteQuery<'_>,
     candidates: &[StageCandidate],
     chain: &TargetChain,
-    used: &BTreeSet<&TargetId>,
 ) -> Vec<usize> {
     let near =
         |candidate: &StageCandidate| chain.zone.as_ref().is_none_or(|zone| candidate.zone == *zone);
@@ -109,7 +104,7 @@
         taken + asked <= FULLEST * candidate.token_layers as f64
     };
     let fits = |candidate: &StageCandidate| {
-        !used.contains(&candidate.target)
+        !chain.uses_any(std::slice::from_ref(&candidate.target))
             && near(candidate)
             && is_usable(query, &candidate.target)
             && has_room(candidate)
--- a/crates/banyan-core/tests/pipeline/layouts.rs
+++ b/crates/banyan-core/tests/pipeline/layouts.rs
@@ -114,19 +114,24 @@
     assert!(orders.iter().any(|order| order.target.as_str() == "c-slow-4"));
 }
 
-#[test]
-fn an_engine_without_requests_is_moved_before_a_busy_one() {
-    // Layers 0 to 8 are missing. Two engines hold layers that others hold too; one carries requests,
-    // and would wait for them before it loads anything.
-    let mut targets = vec![
+/// Engines of one zone that hold each layer but the first nine once.
+fn copy_without_first_nine() -> Vec<PlacementTarget> {
+    vec![
         engine("rest", "a", "fast", Some(layers(9, 24))),
         engine("rest-2", "a", "fast", Some(layers(24, 39))),
         engine("rest-3", "a", "fast", Some(layers(39, 54))),
         engine("rest-4", "a", "fast", Some(layers(54, 69))),
         engine("rest-5", "a", "fast", Some(layers(69, 80))),
-        engine("carrying", "a", "middle", Some(layers(9, 18))),
-        engine("idle", "a", "middle", Some(layers(20, 29))),
-    ];
+    ]
+}
+
+#[test]
+fn an_engine_without_requests_is_moved_before_a_busy_one() {
+    // Layers 0 to 8 are missing. Two engines hold layers that others hold too; one carries requests,
+    // and would wait for them before it loads anything.
+    let mut targets = copy_without_first_nine();
+    targets.push(engine("carrying", "a", "middle", Some(layers(9, 18))));
+    targets.push(engine("idle", "a", "middle", Some(layers(20, 29))));
     targets[5].load = 40_000;
     let orders = plan_placement(&model(), &targets);
     assert_eq!(orders, vec![PlacementOrder { target: targets[6].id.clone(), range: layers(0, 9) }]);
@@ -135,14 +140,8 @@
 #[test]
 fn an_engine_is_not_moved_while_the_others_still_load_its_layers() {
     // Moved before they have loaded, it would leave a second gap in the copy.
-    let mut targets = vec![
-        engine("rest", "a", "fast", Some(layers(9, 24))),
-        engine("rest-2", "a", "fast", Some(layers(24, 39))),
-        engine("rest-3", "a", "fast", Some(layers(39, 54))),
-        engine("rest-4", "a", "fast", Some(layers(54, 69))),
-        engine("rest-5", "a", "fast", Some(layers(69, 80))),
-        engine("twin", "a", "middle", Some(layers(24, 33))),
-    ];
+    let mut targets = copy_without_first_nine();
+    targets.push(engine("twin", "a", "middle", Some(layers(24, 33))));
     targets[1].busy = true;
     let orders = plan_placement(&model(), &targets);
     let moved = orders.iter().find(|order| order.target.as_str() == "twin");
--- a/crates/banyan-forward/src/answer.rs
+++ b/crates/banyan-forward/src/answer.rs
@@ -7,11 +7,14 @@
 use http::Response;
 use http::StatusCode;
 use http::header;
+use http::response::Parts;
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use http_body_util::combinators::UnsyncBoxBody;
 use thiserror::Error;
 
+use crate::ticket::strip_connection_headers;
+
 /// Why an answer ended before it was whole; the caller's connection is closed without an end mark.
 #[derive(Debug, Error)]
 #[error("the answer broke off: {0}")]
@@ -25,6 +28,13 @@
     Full::new(bytes.into()).map_err(|never| match never {}).boxed_unsync()
 }
 
+/// A target's answer as the caller gets it: its length and connection are the daemon's own matter.
+pub fn relayed(mut head: Parts, body: AnswerBody) -> Response<AnswerBody> {
+    strip_connection_headers(&mut head.headers);
+    head.headers.remove(header::CONTENT_LENGTH);
+    Response::from_parts(head, body)
+}
+
 /// Why a request gets no answer of a target.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Refusal {
--- a/crates/banyan-forward/src/call.rs
+++ b/crates/banyan-forward/src/call.rs
@@ -11,7 +11,6 @@
 use futures::stream::FuturesUnordered;
 use http::Response;
 use http::StatusCode;
-use http::header;
 use http::response::Parts;
 use http_body_util::BodyExt;
 use http_body_util::Limited;
@@ -19,18 +18,18 @@
 use crate::answer::AnswerBody;
 use crate::answer::NotRunCause;
 use crate::answer::Refusal;
+use crate::answer::relayed;
 use crate::answer::whole_body;
 use crate::edges::Dispatch;
 use crate::edges::Platform;
+use crate::exchange::AskFailure;
+use crate::exchange::ask_target;
 use crate::leases::RequestLease;
 use crate::leases::lease_replica;
-use crate::link::LinkError;
-use crate::link::send_request;
 use crate::logs;
 use crate::serve::NO_TARGET_TIME;
 use crate::state::ForwardState;
 use crate::ticket::RequestTicket;
-use crate::ticket::strip_connection_headers;
 use banyan_core::ids::TargetId;
 use banyan_core::pipeline::replica::ReplicaChoice;
 use banyan_core::pipeline::replica::ReplicaQuery;
@@ -179,20 +178,12 @@
         last_event: None,
         urgent: false,
     };
-    let request = ticket.dispatch(&state.platform, &dispatch);
-    let (head, body) = match send_request(choice.address, request).await {
+    let (head, body) = match ask_target(state, ticket, choice.address, &dispatch).await {
         Ok(answer) => answer,
-        Err(LinkError::NotSent(_)) => return AttemptEnd::NotSent,
-        Err(LinkError::MaybeRun(_)) => return AttemptEnd::MaybeRun("the connection ended"),
+        Err(AskFailure::NotSent) => return AttemptEnd::NotSent,
+        Err(AskFailure::NotRun(_)) => return AttemptEnd::NotRun,
+        Err(AskFailure::MaybeRun(cause)) => return AttemptEnd::MaybeRun(cause),
     };
-    let facts = state.platform.read_answer(head.status, &head.headers);
-    let success = head.status.is_success();
-    if !ticket.accepts(&facts, &head.headers, success) || (success && !facts.signature) {
-        return AttemptEnd::MaybeRun("the answer is not this request's");
-    }
-    if facts.not_run {
-        return AttemptEnd::NotRun;
-    }
     let read = Limited::new(body, ANSWER_LIMIT_BYTES).collect().await;
     match read {
         Ok(collected) => AttemptEnd::Answered(head, collected.to_bytes()),
@@ -279,11 +270,7 @@
     refusal: Refusal,
 ) -> Response<AnswerBody> {
     let refusal = match refusal {
-        Refusal::NotRun(cause, earliest) => {
-            let now = state.now();
-            let after = state.tables().comebacks.next(now + earliest, now);
-            Refusal::NotRun(cause, after)
-        }
+        Refusal::NotRun(cause, wait) => state.tables().not_run(cause, wait, state.now()),
         other => other,
     };
     logs::refused(Some(&ticket.token), refusal, Some(state.now().since(ticket.received)));
@@ -297,10 +284,8 @@
     answer: (Parts, Bytes),
     progress: &CallProgress,
 ) -> Response<AnswerBody> {
-    let (mut head, body) = answer;
-    strip_connection_headers(&mut head.headers);
-    head.headers.remove(header::CONTENT_LENGTH);
+    let (head, body) = answer;
     let took = state.now().since(ticket.received);
     logs::answered(ticket, head.status, progress.tried.last(), progress.sent, took);
-    Response::from_parts(head, whole_body(body))
+    relayed(head, whole_body(body))
 }
--- a/crates/banyan-forward/src/chain_attempt.rs
+++ b/crates/banyan-forward/src/chain_attempt.rs
@@ -13,16 +13,17 @@
 use crate::edges::Platform;
 use crate::events::EventBatch;
 use crate::events::EventSplitter;
+use crate::exchange::AskFailure;
+use crate::exchange::ask_target;
 use crate::leases::RequestLease;
 use crate::link::LinkBody;
-use crate::link::LinkError;
-use crate::link::send_request;
 use crate::state::ForwardState;
 use crate::ticket::RequestTicket;
 use banyan_core::pipeline::chain::TargetChain;
 
 /// The largest failure that is read whole, in bytes.
 const FAILURE_LIMIT_BYTES: usize = 1 << 20;
+
 /// A chain that has begun to answer.
 pub struct OpenedStream {
     /// The chain.
@@ -51,6 +52,16 @@
     MaybeRun(&'static str),
 }
 
+impl From<AskFailure> for OpenFailure {
+    fn from(failure: AskFailure) -> Self {
+        match failure {
+            AskFailure::NotSent => Self::NotSent,
+            AskFailure::NotRun(facts) => Self::NotRun(facts),
+            AskFailure::MaybeRun(cause) => Self::MaybeRun(cause),
+        }
+    }
+}
+
 /// Sends a request to the first engine of a chain and waits for the first event.
 pub async fn open_chain<P: Platform>(
     state: Arc<ForwardState<P>>,
@@ -69,22 +80,8 @@
         last_event,
         urgent: resuming,
     };
-    let request = ticket.dispatch(&state.platform, &dispatch);
-    let (head, mut body) = match send_request(first.address, request).await {
-        Ok(answer) => answer,
-        Err(LinkError::NotSent(_)) => return Err(OpenFailure::NotSent),
-        Err(LinkError::MaybeRun(_)) => {
-            return Err(OpenFailure::MaybeRun("the connection ended"));
-        }
-    };
-    let facts = state.platform.read_answer(head.status, &head.headers);
-    let success = head.status.is_success();
-    if !ticket.accepts(&facts, &head.headers, success) || (success && !facts.signature) {
-        return Err(OpenFailure::MaybeRun("the answer is not this request's"));
-    }
-    if facts.not_run {
-        return Err(OpenFailure::NotRun(facts));
-    }
+    let asked = ask_target(&state, &ticket, first.address, &dispatch).await;
+    let (head, mut body) = asked?;
     if head.status != StatusCode::OK {
         return Err(read_failure(head, body).await);
     }
--- a/crates/banyan-forward/src/edges.rs
+++ b/crates/banyan-forward/src/edges.rs
@@ -269,6 +269,31 @@
     },
 }
 
+/// What an engine answers within a time, where nothing in time counts as no answer.
+pub async fn within<T>(
+    limit: Duration,
+    answer: impl Future<Output = Result<T, OrderError>>,
+) -> Result<T, OrderError> {
+    tokio::time::timeout(limit, answer).await.unwrap_or_else(|_| {
+        Err(OrderError::NoAnswer { cause: format!("no answer within {limit:?}") })
+    })
+}
+
+/// An order to hold just some layers.
+#[derive(Clone, Debug)]
+pub struct LayerOrder<'a> {
+    /// The engine.
+    pub target: &'a TargetId,
+    /// Where it is reached.
+    pub address: SocketAddr,
+    /// The layers that it should hold.
+    pub range: LayerRange,
+    /// The number by which engines refuse an earlier leader.
+    pub fence: FencingToken,
+    /// The orders that the engine must have begun so far.
+    pub expected: u64,
+}
+
 /// Orders to engines.
 pub trait EngineOrders: Send + Sync + 'static {
     /// Reads an engine's state.
@@ -277,14 +302,10 @@
         address: SocketAddr,
     ) -> impl Future<Output = Result<EngineState, OrderError>> + Send;
 
-    /// Orders an engine to hold just these layers, provided that it has begun `expected` orders.
+    /// Orders an engine to hold just some layers.
     fn place(
         &self,
-        target: &TargetId,
-        address: SocketAddr,
-        range: LayerRange,
-        fence: FencingToken,
-        expected: u64,
+        order: &LayerOrder<'_>,
     ) -> impl Future<Output = Result<OrderOutcome, OrderError>> + Send;
 
     /// Orders the first engine of a running request to go on with it on another chain, which begins
--- a/crates/banyan-forward/src/feeds.rs
+++ b/crates/banyan-forward/src/feeds.rs
@@ -35,11 +35,10 @@
             Ok(listing) => {
                 note_answer(&state, "configuration");
                 next = Some(listing.next);
-                if let Some(record) = listing.content {
-                    put_in_force(&state, record);
+                match listing.content {
+                    Some(record) => put_in_force(&state, record),
+                    None => note_routes_known(&state),
                 }
-                state.tables().routes_known = true;
-                state.note_known();
             }
             Err(StoreError::Forgotten) => next = None,
             Err(error) => {
@@ -121,13 +120,18 @@
     }
     let version = record.table.version;
     tables.routes = Some(record);
-    tables.routes_known = true;
     drop(tables);
-    state.note_known();
+    note_routes_known(state);
     metrics::gauge!("banyan_configuration_version").set(version as f64);
     tracing::info!(part = "configuration", version, was = current, "In force.");
 }
 
+/// Notes that it is known which configuration is in force, if any.
+fn note_routes_known<P>(state: &ForwardState<P>) {
+    state.tables().routes_known = true;
+    state.note_known();
+}
+
 fn apply_changes<P>(state: &ForwardState<P>, changes: Vec<FleetChange>) {
     let now = state.now();
     let mut tables = state.tables();
--- a/crates/banyan-forward/src/leadership.rs
+++ b/crates/banyan-forward/src/leadership.rs
@@ -8,6 +8,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::edges::LayerOrder;
 use crate::edges::OrderOutcome;
 use crate::edges::Platform;
 use crate::membership::keep_membership;
@@ -60,9 +61,6 @@
         tokio::time::sleep(GATHER_TIME).await;
         state.tables().expire_orders(state.now());
         let Some(generation) = leading_generation(&state) else { continue };
-        if state.tables().generation_fenced >= generation {
-            continue;
-        }
         observe_pending(&state);
         carry_out(&state, generation, due_orders(&state));
     }
@@ -71,11 +69,11 @@
 /// The fencing token with which this instance may order layers now, if it may.
 fn leading_generation<P>(state: &ForwardState<P>) -> Option<u64> {
     let tables = state.tables();
-    let place = tables.membership;
-    match place {
+    let generation = match tables.membership {
         Some(place) if place.leads => Some(place.generation),
         _ => deputy_generation(state, &tables),
-    }
+    };
+    generation.filter(|generation| *generation > tables.generation_fenced)
 }
 
 /// While the group is silent and no leader is heard, the peer with the lowest name orders layers with
@@ -226,9 +224,7 @@
     let now = state.now();
     let until = now + GIVE_LIMIT;
     let pending = PendingOrder { range: Some(order.range), ask: until, until };
-    let mut tables = state.tables();
-    tables.pending_orders.insert(order.target.clone(), pending);
-    tables.sync_orders();
+    state.tables().put_order(order.target.clone(), Some(pending));
 }
 
 /// How an order ended.
@@ -270,10 +266,14 @@
     if engine.held == [order.range] {
         return OrderEnd::Outcome(OrderOutcome::Taken);
     }
-    let fence = FencingToken(generation);
-    let expected = engine.accepted_orders;
-    let placed = state.platform.place(&order.target, address, order.range, fence, expected).await;
-    match placed {
+    let order = LayerOrder {
+        target: &order.target,
+        address,
+        range: order.range,
+        fence: FencingToken(generation),
+        expected: engine.accepted_orders,
+    };
+    match state.platform.place(&order).await {
         Ok(outcome) => OrderEnd::Outcome(outcome),
         Err(error) => {
             tracing::info!(part = "placement", target = %order.target, %error, "Not answered.");
@@ -298,29 +298,22 @@
     tracing::info!(part = "placement", %target, %layers, generation, ?end, "Ordered layers.");
     let pending = match end {
         OrderEnd::Outcome(OrderOutcome::Taken) => {
-            PendingOrder { range: Some(range), ask: now + load, until: now + load_limit }
+            Some(PendingOrder { range: Some(range), ask: now + load, until: now + load_limit })
+        }
+        OrderEnd::Outcome(OrderOutcome::Conflict | OrderOutcome::Refused(_)) | OrderEnd::Busy => {
+            Some(PendingOrder { range: None, ask: now, until: now + REFUSED_PAUSE })
         }
         OrderEnd::Outcome(OrderOutcome::Fenced) => {
             let mut tables = state.tables();
             tables.generation_fenced = tables.generation_fenced.max(generation);
-            tables.pending_orders.remove(&target);
-            tables.sync_orders();
-            return;
-        }
-        OrderEnd::Outcome(OrderOutcome::Conflict | OrderOutcome::Refused(_)) | OrderEnd::Busy => {
-            PendingOrder { range: None, ask: now, until: now + REFUSED_PAUSE }
+            None
         }
         // Whether it was begun shows in the engine's state when the next plan is carried out; a copy
         // that comes late names an earlier number of orders then, and is refused.
         OrderEnd::Unknown => {
-            let mut tables = state.tables();
-            tables.pending_orders.remove(&target);
-            tables.sync_orders();
             state.plan_due.notify_one();
-            return;
+            None
         }
     };
-    let mut tables = state.tables();
-    tables.pending_orders.insert(target, pending);
-    tables.sync_orders();
+    state.tables().put_order(target, pending);
 }
--- a/crates/banyan-forward/src/lib.rs
+++ b/crates/banyan-forward/src/lib.rs
@@ -4,7 +4,7 @@
 //! A caller's connection is served by [`front`]; [`serve`] finds a request's route, workspace and
 //! time, and hands it as a [`ticket`] to [`stream`] (which relays what [`opening`] got from a chain
 //! of engines by a [`chain_attempt`]) or to [`call`] (one replica, whole answers). Both send through
-//! [`link`]. [`feeds`] follows the platform's configuration and list of targets, [`membership`] keeps
+//! [`exchange`] on connections of [`link`]. [`feeds`] follows the platform's configuration and list of targets, [`membership`] keeps
 //! the instance in the group, [`leadership`] orders layers onto engines where it leads, [`readiness`]
 //! answers the balancer, and [`daemon`] starts and stops all of it. What the platform looks like stands
 //! behind the traits of [`edges`]; what the tasks share is [`state`].
@@ -16,6 +16,7 @@
 pub mod digests;
 pub mod edges;
 pub mod events;
+pub mod exchange;
 pub mod feeds;
 pub mod front;
 pub mod leadership;
--- a/crates/banyan-forward/src/logs.rs
+++ b/crates/banyan-forward/src/logs.rs
@@ -9,7 +9,6 @@
 use std::time::Duration;
 
 use http::StatusCode;
-use tokio::time::error::Elapsed;
 use tracing_appender::non_blocking::ErrorCounter;
 use tracing_appender::non_blocking::NonBlockingBuilder;
 use tracing_appender::non_blocking::WorkerGuard;
@@ -240,9 +239,9 @@
     token: &RequestToken,
     chain: &TargetChain,
     rerouted: &TargetChain,
-    outcome: &Result<Result<OrderOutcome, OrderError>, Elapsed>,
+    outcome: &Result<OrderOutcome, OrderError>,
+    taken: bool,
 ) {
-    let taken = matches!(outcome, Ok(Ok(OrderOutcome::Taken)));
     metrics::counter!("banyan_reroutes_total", "taken" => taken.to_string()).increment(1);
     let from = chain_text(chain);
     let to = chain_text(rerouted);
--- a/crates/banyan-forward/src/opening.rs
+++ b/crates/banyan-forward/src/opening.rs
@@ -17,6 +17,7 @@
 use crate::chain_attempt::open_chain;
 use crate::edges::OrderOutcome;
 use crate::edges::Platform;
+use crate::edges::within;
 use crate::leases::RequestLease;
 use crate::leases::lease_chain;
 use crate::leases::lease_reading;
@@ -143,10 +144,10 @@
         let rerouted =
             self.state.tables().reroute_chain(service, chain, total, &self.avoided, now)?;
         let lease = lease_chain(&self.state, &rerouted, total);
-        let ordered = self.state.platform.reroute(&self.ticket.token, &rerouted.parts);
-        let outcome = tokio::time::timeout(REROUTE_LIMIT, ordered).await;
-        let taken = matches!(outcome, Ok(Ok(OrderOutcome::Taken)));
-        logs::stream_rerouted(&self.ticket.token, chain, &rerouted, &outcome);
+        let ordering = self.state.platform.reroute(&self.ticket.token, &rerouted.parts);
+        let outcome = within(REROUTE_LIMIT, ordering).await;
+        let taken = matches!(outcome, Ok(OrderOutcome::Taken));
+        logs::stream_rerouted(&self.ticket.token, chain, &rerouted, &outcome, taken);
         taken.then_some((rerouted, lease))
     }
 
@@ -234,15 +235,15 @@
             } else {
                 (NotRunCause::NoRoom, NO_ROOM_TIME)
             };
-            let after = tables.comebacks.next(now + wait, now);
+            let refusal = tables.not_run(cause, wait, now);
             drop(tables);
-            return Err(self.refusal_for(Refusal::NotRun(cause, after)));
+            return Err(self.refusal_for(refusal));
         };
         let bounds = &settings.bounds.retries;
         if self.attempts > 0 && !tables.retries.take(service, bounds, now) {
-            let after = tables.comebacks.next(now + NO_ROOM_TIME, now);
+            let refusal = tables.not_run(NotRunCause::NoRoom, NO_ROOM_TIME, now);
             drop(tables);
-            return Err(self.refusal_for(Refusal::NotRun(NotRunCause::NoRoom, after)));
+            return Err(self.refusal_for(refusal));
         }
         drop(tables);
         logs::chain_chosen(&self.ticket.token, &choice, self.attempts, self.last_event);
@@ -272,8 +273,10 @@
         let repeat = self.ticket.route.kind.may_repeat() || !self.maybe_run;
         if !repeat || self.attempts >= self.ticket.route.max_attempts {
             let now = self.state.now();
-            let after = self.state.tables().comebacks.next(now + NO_TARGET_TIME, now);
-            return Err(self.refusal_for(Refusal::NotRun(NotRunCause::TargetRefused, after)));
+            let mut tables = self.state.tables();
+            let refusal = tables.not_run(NotRunCause::TargetRefused, NO_TARGET_TIME, now);
+            drop(tables);
+            return Err(self.refusal_for(refusal));
         }
         self.start()
     }
@@ -293,18 +296,12 @@
     fn note_failure(&mut self, chain: &Arc<TargetChain>, failure: OpenFailure) {
         let now = self.state.now();
         let first = chain.parts[0].target.clone();
+        let refused = matches!(failure, OpenFailure::NotRun(_));
         let (at_fault, cause) = match failure {
             OpenFailure::NotRun(facts) => {
-                let mut tables = self.state.tables();
+                let tables = self.state.tables();
                 let named = facts.at_fault.and_then(|address| tables.fleet.at_address(address));
-                let at_fault = named.cloned().unwrap_or(first);
-                tables.suspicions.note_refusal(&at_fault, now);
-                drop(tables);
-                logs::attempt_failed(&self.ticket.token, &at_fault, "it refused the request");
-                // It tells what it holds now, or that it is gone.
-                probe_targets(&self.state, std::slice::from_ref(&at_fault));
-                self.avoided.push(at_fault);
-                return;
+                (named.cloned().unwrap_or(first), "it refused the request")
             }
             OpenFailure::NotSent => {
                 self.attempts -= 1;
@@ -321,7 +318,13 @@
             }
         };
         logs::attempt_failed(&self.ticket.token, &at_fault, cause);
-        self.state.tables().suspicions.note_failure(&at_fault, now);
+        if refused {
+            self.state.tables().suspicions.note_refusal(&at_fault, now);
+            // It tells what it holds now, or that it is gone.
+            probe_targets(&self.state, std::slice::from_ref(&at_fault));
+        } else {
+            self.state.tables().suspicions.note_failure(&at_fault, now);
+        }
         self.avoided.push(at_fault);
     }
 
--- a/crates/banyan-forward/src/probes.rs
+++ b/crates/banyan-forward/src/probes.rs
@@ -7,6 +7,7 @@
 use crate::edges::EngineState;
 use crate::edges::OrderError;
 use crate::edges::Platform;
+use crate::edges::within;
 use crate::state::ForwardState;
 use banyan_core::ids::TargetId;
 use banyan_core::pipeline::suspicion::ProbeEnd;
@@ -71,9 +72,7 @@
 ) -> Result<EngineState, OrderError> {
     let asked = state.now();
     let asking = state.platform.engine_state(address);
-    let answer = tokio::time::timeout(limit, asking).await.unwrap_or_else(|_| {
-        Err(OrderError::NoAnswer { cause: format!("no answer within {limit:?}") })
-    });
+    let answer = within(limit, asking).await;
     if let Err(error) = &answer {
         tracing::debug!(part = "health", target = %id, %error, "It was asked in vain.");
     }
--- a/crates/banyan-forward/src/state.rs
+++ b/crates/banyan-forward/src/state.rs
@@ -12,6 +12,8 @@
 use tokio::sync::Notify;
 use tokio::sync::watch;
 
+use crate::answer::NotRunCause;
+use crate::answer::Refusal;
 use crate::edges::ConfigurationRecord;
 use crate::edges::Membership;
 use crate::logs;
@@ -142,6 +144,20 @@
         }
     }
 
+    /// Notes what an engine has been ordered, or that nothing is.
+    pub fn put_order(&mut self, target: TargetId, order: Option<PendingOrder>) {
+        match order {
+            Some(order) => self.pending_orders.insert(target, order),
+            None => self.pending_orders.remove(&target),
+        };
+        self.sync_orders();
+    }
+
+    /// The refusal of a request that has not run, where nothing can change for `wait`.
+    pub fn not_run(&mut self, cause: NotRunCause, wait: Duration, now: Moment) -> Refusal {
+        Refusal::NotRun(cause, self.comebacks.next(now + wait, now))
+    }
+
     /// Tells the table of targets which layers have been ordered.
     pub fn sync_orders(&mut self) {
         let pending = &self.pending_orders;
@@ -186,7 +202,7 @@
     pub fn is_given_up(&self, chain: &TargetChain) -> bool {
         let gives_up = |part: &ChainPart| {
             let ordered = self.fleet.rows.get(&part.target).and_then(|row| row.ordered);
-            ordered.is_some_and(|kept| part.range.first < kept.first || kept.end < part.range.end)
+            ordered.is_some_and(|kept| !kept.covers(part.range))
         };
         chain.parts.iter().skip(1).any(gives_up)
     }
--- a/crates/banyan-forward/src/stream.rs
+++ b/crates/banyan-forward/src/stream.rs
@@ -10,8 +10,6 @@
 
 use bytes::Bytes;
 use http::Response;
-use http::header;
-use http::response::Parts;
 use http_body_util::BodyExt;
 use http_body_util::StreamBody;
 use hyper::body::Frame;
@@ -19,6 +17,7 @@
 
 use crate::answer::AnswerBody;
 use crate::answer::AnswerBroken;
+use crate::answer::relayed;
 use crate::answer::whole_body;
 use crate::chain_attempt::OpenedStream;
 use crate::edges::Platform;
@@ -29,7 +28,6 @@
 use crate::opening::note_progress;
 use crate::state::ForwardState;
 use crate::ticket::RequestTicket;
-use crate::ticket::strip_connection_headers;
 
 /// The part of the pause target after which a stream that stands still is checked.
 const PAUSE_PART: f64 = 0.35;
@@ -64,7 +62,7 @@
             let took = state.now().since(ticket.received);
             if let Some((head, body)) = opener.take_failure() {
                 logs::answered(&ticket, head.status, None, opener.attempts(), took);
-                return with_body(head, whole_body(body));
+                return relayed(head, whole_body(body));
             }
             logs::refused(Some(&ticket.token), refusal, Some(took));
             return refusal.response("no chain of engines gave a stream");
@@ -77,14 +75,7 @@
         let next = relay.next().await?;
         Some((next.map(Frame::data), relay))
     });
-    with_body(head, StreamBody::new(frames).boxed_unsync())
-}
-
-/// A target's head over a body whose length and connection are the daemon's own matter.
-fn with_body(mut head: Parts, body: AnswerBody) -> Response<AnswerBody> {
-    strip_connection_headers(&mut head.headers);
-    head.headers.remove(header::CONTENT_LENGTH);
-    Response::from_parts(head, body)
+    relayed(head, StreamBody::new(frames).boxed_unsync())
 }
 
 /// Passes a stream's events on to the caller and goes on elsewhere where it must.
--- a/crates/banyan-load/src/emulate/engines.rs
+++ b/crates/banyan-load/src/emulate/engines.rs
@@ -66,11 +66,7 @@
 
     /// Begins to load layers; what it held of others is given up.
     pub fn place(&mut self, range: LayerRange, load_ms: f64) {
-        self.held = self.held.and_then(|held| {
-            let first = held.first.max(range.first);
-            let end = held.end.min(range.end);
-            (first < end).then_some(LayerRange { first, end })
-        });
+        self.held = self.held.and_then(|held| held.overlap(range));
         self.loading = Some((range, load_ms));
     }
 
--- a/crates/banyan-load/src/emulate/world.rs
+++ b/crates/banyan-load/src/emulate/world.rs
@@ -291,9 +291,8 @@
 
     /// The time to load what an engine does not hold yet.
     fn load_ms(&self, id: &TargetId, range: LayerRange) -> f64 {
-        let held = self.engines[id].held;
-        let kept = held
-            .map_or(0, |held| held.end.min(range.end).saturating_sub(held.first.max(range.first)));
+        let kept = self.engines[id].held.and_then(|held| held.overlap(range));
+        let kept = kept.map_or(0, LayerRange::count);
         self.model.load_time_of(range.count() - kept).as_secs_f64() * 1e3
     }
 
