A path through a gap ends at the gap

Cause: the search for engines that run the layers of a gap also looked from the gap's last cut on; where another holder reached beyond the gap it asked for an empty range of cuts and panicked, which ended the stream's task and cut its caller off.

Tests that were red first: reroutes.rs.

--- a/crates/banyan-core/src/pipeline/path.rs
+++ b/crates/banyan-core/src/pipeline/path.rs
@@ -71,7 +71,8 @@
     let zones = zone_places(candidates);
     let mut reached: BTreeMap<PathPoint, PathStep> =
         zones.values().map(|place| ((span.first, *place), (0.0, None))).collect();
-    for cut in &cuts {
+    // Nothing runs from the last cut on, whatever lies behind it.
+    for cut in cuts.range(..span.end) {
         let here: Vec<(usize, f64)> = reached
             .range((*cut, 0)..=(*cut, usize::MAX))
             .map(|((_, zone), (cost, _))| (*zone, *cost))
--- a/crates/banyan-core/tests/pipeline/main.rs
+++ b/crates/banyan-core/tests/pipeline/main.rs
@@ -5,6 +5,7 @@
 mod fleets;
 mod layouts;
 mod loads;
+mod reroutes;
 mod retry_budget;
 mod route_table;
 mod support;
