--- a/crates/banyan-forward/src/daemon.rs
+++ b/crates/banyan-forward/src/daemon.rs
@@ -44,7 +44,7 @@
 
 /// Starts a daemon: binds its addresses and begins to follow the platform.
 pub async fn start<P: Platform>(
-    settings: ForwardSettings,
+    mut settings: ForwardSettings,
     platform: P,
     metrics: Option<PrometheusHandle>,
 ) -> eyre::Result<RunningForwarder<P>> {
@@ -53,6 +53,8 @@
     let peer_listener = bind(settings.peer_address, "the peers' address").await?;
     let caller_address = callers.local_addr()?;
     let ready_address = ready.local_addr()?;
+    // Peers are told the address that was bound, also where the settings leave the port open.
+    settings.peer_address = peer_listener.local_addr()?;
     let mut tasks = JoinSet::new();
     if let (Some(address), Some(handle)) = (settings.metrics_address, metrics) {
         let listener = bind(address, "the metrics address").await?;
