--- a/crates/banyan-core/src/pipeline.rs
+++ b/crates/banyan-core/src/pipeline.rs
@@ -4,18 +4,21 @@
 //! which requests may be served and how, [`fleet`] which targets exist and what they hold,
 //! [`placement`] which layers each engine should hold, [`chain`] which engines serve a request,
 //! [`reroute`] how a running request leaves some of them, [`suspicion`] which of them are doubted,
-//! [`load`] what they carry, [`replica`] which replica of a plain service is called, [`retries`]
+//! [`load`] what they carry, [`history`] what their records said lately, [`readers`] which instance
+//! reads them for others, [`replica`] which replica of a plain service is called, [`retries`]
 //! whether a request may be sent once more, and [`comeback`] when a refused caller should return.
 //! [`model`] describes the model and the accelerators.
 
 pub mod chain;
 pub mod comeback;
 pub mod fleet;
+pub mod history;
 mod layout;
 pub mod load;
 pub mod model;
 mod path;
 pub mod placement;
+pub mod readers;
 pub mod replica;
 pub mod reroute;
 pub mod retries;
--- a/crates/banyan-core/src/pipeline/fleet.rs
+++ b/crates/banyan-core/src/pipeline/fleet.rs
@@ -131,6 +131,25 @@
         }
     }
 
+    /// Lets records go before the word of targets again that told their layers too long ago.
+    pub fn restate(&mut self, listed: &BTreeMap<TargetId, TargetReport>, now: Moment) {
+        let overdue = |row: &TargetRow| {
+            row.removed.is_none() && row.observed.is_some_and(|at| now.since(at) >= OBSERVED_TIME)
+        };
+        let differs = |id: &TargetId, row: &TargetRow| {
+            listed.get(id).filter(|report| report.held != row.report.held).cloned()
+        };
+        let restated: Vec<(TargetId, TargetReport)> = self
+            .rows
+            .iter()
+            .filter(|(_, row)| overdue(row))
+            .filter_map(|(id, row)| Some((id.clone(), differs(id, row)?)))
+            .collect();
+        for (id, report) in restated {
+            self.report(id, report, now);
+        }
+    }
+
     /// Drops rows whose records were removed longer ago than `grace`.
     pub fn drop_removed(&mut self, grace: Duration, now: Moment) -> Vec<TargetId> {
         let gone: Vec<TargetId> = self
--- a/crates/banyan-forward/src/daemon.rs
+++ b/crates/banyan-forward/src/daemon.rs
@@ -13,6 +13,7 @@
 use crate::feeds;
 use crate::front;
 use crate::leadership;
+use crate::news;
 use crate::peers;
 use crate::probes;
 use crate::readiness;
@@ -64,6 +65,7 @@
     let state = Arc::new(ForwardState::new(settings, platform));
     tasks.spawn(feeds::follow_configuration(state.clone()));
     tasks.spawn(feeds::follow_fleet(state.clone()));
+    tasks.spawn(news::run_source(state.clone()));
     tasks.spawn(leadership::run_leadership(state.clone()));
     tasks.spawn(peers::serve_peers(state.clone(), peer_listener));
     tasks.spawn(peers::run_peers(state.clone()));
--- a/crates/banyan-forward/src/digests.rs
+++ b/crates/banyan-forward/src/digests.rs
@@ -18,6 +18,7 @@
 use banyan_core::pipeline::fleet::TargetReport;
 use banyan_core::pipeline::fleet::TargetRow;
 use banyan_core::pipeline::load::TargetLoad;
+use banyan_core::pipeline::readers::ReaderWord;
 use banyan_core::units::Moment;
 use banyan_wire::forward::ForwardDigest;
 use banyan_wire::forward::ForwardSnapshot;
@@ -37,8 +38,11 @@
     let tables = state.tables();
     ForwardDigest {
         instance: SmolStr::new(settings.instance.as_str()),
+        zone: SmolStr::new(settings.zone.as_str()),
+        address: settings.peer_address,
+        read_age_ms: state.read_age(&tables, now).map(millis),
         configuration: tables.routes.as_ref().map_or(0, |record| record.table.version),
-        fleet_next: tables.fleet_next.map_or(0, |next| next.0),
+        fleet_next: tables.history.next().map_or(0, |next| next.0),
         loads: tables.loads.rows().map(LoadWire::from).collect(),
         unreachable: tables
             .suspicions
@@ -89,6 +93,16 @@
     };
     let now = state.now();
     let mut tables = state.tables();
+    match digest.zone.parse() {
+        Ok(zone) => {
+            let read_age = digest.read_age_ms.map(Duration::from_millis);
+            let word = ReaderWord { zone, address: digest.address, read_age };
+            tables.readers.hear(instance.clone(), word, now);
+        }
+        Err(error) => {
+            tracing::warn!(part = "peers", %instance, %error, "A bad zone was passed over.")
+        }
+    }
     tables.peer_loads.hear(instance, loads, unreachable, now);
     tables.generation_heard = tables.generation_heard.max(digest.generation);
     if digest.leads {
@@ -104,6 +118,11 @@
     }
 }
 
+/// A time in whole milliseconds, as peers are told it.
+pub fn millis(time: Duration) -> u64 {
+    time.as_millis() as u64
+}
+
 /// Remembers what the leader has ordered, for the case that this instance leads next.
 fn take_orders(tables: &mut ForwardTables, ordered: Vec<OrderedWire>, now: Moment) {
     if tables.membership.is_some_and(|place| place.leads) {
@@ -124,11 +143,10 @@
 /// What this instance has read from the platform.
 pub fn own_snapshot<P>(state: &ForwardState<P>) -> ForwardSnapshot {
     let tables = state.tables();
-    let listed = tables.fleet.rows.iter().filter(|(_, row)| row.removed.is_none());
     ForwardSnapshot {
         configuration: tables.routes.as_ref().map_or(Vec::new(), |record| record.bytes.to_vec()),
-        fleet_next: tables.fleet_next.map_or(0, |next| next.0),
-        fleet: listed.map(|(id, row)| TargetWire::from((id, &row.report))).collect(),
+        fleet_next: tables.history.next().map_or(0, |next| next.0),
+        fleet: tables.history.listed().iter().map(TargetWire::from).collect(),
     }
 }
 
--- a/crates/banyan-forward/src/feeds.rs
+++ b/crates/banyan-forward/src/feeds.rs
@@ -17,6 +17,8 @@
 const FLEET_PAUSE: Duration = Duration::from_millis(800);
 /// The time after a failed call before the next one.
 const FAILURE_PAUSE: Duration = Duration::from_millis(250);
+/// The same where another instance of the zone tries as well and will tell when the store is back.
+const STANDBY_PAUSE: Duration = Duration::from_millis(1_000);
 /// The part of the time to leave for which a target stays usable after its record was removed.
 const REMOVED_PART: f64 = 0.25;
 /// The time for which targets stay listed whose records were removed while the store had trouble: a
@@ -27,6 +29,9 @@
 pub async fn follow_configuration<P: Platform>(state: Arc<ForwardState<P>>) {
     let mut next: Option<LogOffset> = None;
     loop {
+        if state.wait_for_turn().await {
+            next = None;
+        }
         let read = match next {
             Some(from) => state.platform.configuration_after(from).await,
             None => state.platform.configuration().await,
@@ -43,7 +48,7 @@
             Err(StoreError::Forgotten) => next = None,
             Err(error) => {
                 note_trouble(&state, "configuration", &error);
-                tokio::time::sleep(FAILURE_PAUSE).await;
+                tokio::time::sleep(failure_pause(&state)).await;
             }
         }
     }
@@ -53,11 +58,15 @@
 pub async fn follow_fleet<P: Platform>(state: Arc<ForwardState<P>>) {
     let mut relist = true;
     loop {
-        let next = state.tables().fleet_next.filter(|_| !relist);
+        state.wait_for_turn().await;
+        let next = state.tables().history.next().filter(|_| !relist);
         let read = match next {
             Some(from) => read_changes(&state, from).await,
             None => read_listing(&state).await,
         };
+        // Until the first listing nothing can be served.
+        let known = state.tables().fleet_known;
+        let mut pause = if known { FLEET_PAUSE } else { FAILURE_PAUSE };
         match read {
             Ok(()) => {
                 note_answer(&state, "targets");
@@ -65,15 +74,25 @@
                 state.tables().fleet_read = state.now();
             }
             Err(StoreError::Forgotten) => relist = true,
-            Err(error) => note_trouble(&state, "targets", &error),
+            Err(error) => {
+                note_trouble(&state, "targets", &error);
+                pause = pause.max(failure_pause(&state));
+            }
         }
-        drop_removed(&state);
-        // Until the first listing nothing can be served.
-        let known = state.tables().fleet_known;
-        tokio::time::sleep(if known { FLEET_PAUSE } else { FAILURE_PAUSE }).await;
+        settle_fleet(&state);
+        tokio::time::sleep(pause).await;
     }
 }
 
+/// The time after a failed call before the next one.
+fn failure_pause<P>(state: &ForwardState<P>) -> Duration {
+    let settings = state.settings();
+    let tables = state.tables();
+    let known = tables.routes_known && tables.fleet_known;
+    let waits = tables.readers.may_wait(&settings.instance, &settings.zone, state.now());
+    if known && waits { STANDBY_PAUSE } else { FAILURE_PAUSE }
+}
+
 async fn read_listing<P: Platform>(state: &ForwardState<P>) -> Result<(), StoreError> {
     let listing = state.platform.fleet().await?;
     put_listing(state, listing.content, listing.next);
@@ -85,10 +104,9 @@
     from: LogOffset,
 ) -> Result<(), StoreError> {
     let listing = state.platform.fleet_after(from).await?;
-    // A peer's snapshot that came meanwhile may be further on.
-    if state.tables().fleet_next == Some(from) {
-        apply_changes(state, listing.content);
-        state.tables().fleet_next = Some(listing.next);
+    // What a peer told meanwhile may be further on.
+    if state.tables().history.next() == Some(from) {
+        put_changes(state, listing.content, listing.next);
     }
     Ok(())
 }
@@ -101,14 +119,15 @@
 ) {
     let now = state.now();
     let mut tables = state.tables();
-    if tables.fleet_next.is_some_and(|known| known > next) {
+    if tables.history.next().is_some_and(|known| known > next) {
         return;
     }
-    tables.fleet.replace(listing, now);
-    tables.fleet_next = Some(next);
+    tables.fleet.replace(listing.clone(), now);
+    tables.history.replace(listing, next);
     tables.fleet_known = true;
     drop(tables);
     state.note_known();
+    state.read_news.send_replace(());
 }
 
 /// Puts a configuration in force, unless the one in force is as new.
@@ -122,6 +141,7 @@
     tables.routes = Some(record);
     drop(tables);
     note_routes_known(state);
+    state.read_news.send_replace(());
     metrics::gauge!("banyan_configuration_version").set(version as f64);
     tracing::info!(part = "configuration", version, was = current, "In force.");
 }
@@ -132,9 +152,15 @@
     state.note_known();
 }
 
-fn apply_changes<P>(state: &ForwardState<P>, changes: Vec<FleetChange>) {
+/// Takes in a batch of records up to `next`, unless what is known is newer.
+pub fn put_changes<P>(state: &ForwardState<P>, batch: Vec<FleetChange>, next: LogOffset) {
     let now = state.now();
     let mut tables = state.tables();
+    if tables.history.next().is_some_and(|known| known > next) {
+        return;
+    }
+    let changes = tables.history.apply(batch, next);
+    let told = !changes.is_empty();
     let before = tables.fleet.revision;
     for change in changes {
         if let FleetChange::Removed(id) = &change {
@@ -144,16 +170,23 @@
     }
     let revision = tables.fleet.revision;
     drop(tables);
+    if told {
+        state.read_news.send_replace(());
+    }
     if revision != before {
         tracing::debug!(part = "targets", revision, "The targets changed.");
         state.plan_due.notify_one();
     }
 }
 
-fn drop_removed<P>(state: &ForwardState<P>) {
+/// Forgets targets whose records were removed long enough ago, and lets records go before the word of
+/// targets that told their layers too long ago.
+pub fn settle_fleet<P>(state: &ForwardState<P>) {
     let now = state.now();
     let bounds = state.settings().bounds;
-    let mut tables = state.tables();
+    let mut guard = state.tables();
+    let tables = &mut *guard;
+    tables.fleet.restate(tables.history.listed(), now);
     let unsound = tables.store_trouble.is_some_and(|at| now.since(at) < bounds.settle_time);
     let grace = if unsound { RELISTED_TIME } else { bounds.leave_time.mul_f64(REMOVED_PART) };
     let gone = tables.fleet.drop_removed(grace, now);
@@ -167,8 +200,10 @@
     let now = state.now();
     let mut tables = state.tables();
     tables.store_trouble = Some(now);
+    tables.own_trouble = Some(now);
     let news = tables.failing_calls.insert(call, now).is_none();
     drop(tables);
+    state.read_news.send_replace(());
     metrics::counter!("banyan_store_failures_total", "call" => call).increment(1);
     if news {
         tracing::warn!(part = "store", call, %error, "The store is lost.");
--- a/crates/banyan-forward/src/peers.rs
+++ b/crates/banyan-forward/src/peers.rs
@@ -30,8 +30,11 @@
 use crate::digests::take_snapshot;
 use crate::edges::Platform;
 use crate::feeds;
+use crate::news;
 use crate::state::ForwardState;
 use banyan_core::units::Moment;
+use banyan_wire::forward::FeedNews;
+use banyan_wire::forward::FeedPosition;
 use banyan_wire::forward::ForwardDigest;
 use banyan_wire::forward::ForwardService;
 use banyan_wire::forward::ForwardServiceClient;
@@ -199,7 +202,8 @@
     }
 }
 
-async fn connect(address: SocketAddr) -> std::io::Result<ForwardServiceClient> {
+/// Connects to a peer.
+pub async fn connect(address: SocketAddr) -> std::io::Result<ForwardServiceClient> {
     let stream = TcpStream::connect(address).await?;
     stream.set_nodelay(true)?;
     let transport = serde_transport::new(Framed::new(stream, codec()), Bincode::default());
@@ -210,7 +214,8 @@
     LengthDelimitedCodec::builder().max_frame_length(FRAME_LIMIT_BYTES).new_codec()
 }
 
-fn call_context(limit: Duration) -> Context {
+/// The context of a call that may take `limit`.
+pub fn call_context(limit: Duration) -> Context {
     let mut context = context::current();
     context.deadline = (tokio::time::Instant::now() + limit).into_std();
     context
@@ -220,7 +225,7 @@
 fn is_ahead<P>(state: &ForwardState<P>, digest: &ForwardDigest) -> bool {
     let tables = state.tables();
     let version = tables.routes.as_ref().map_or(0, |record| record.table.version);
-    let next = tables.fleet_next.map_or(0, |next| next.0);
+    let next = tables.history.next().map_or(0, |next| next.0);
     let stale = state.now().since(tables.fleet_read) >= LAG_LIMIT;
     digest.configuration > version || (stale && digest.fleet_next > next)
 }
@@ -245,6 +250,10 @@
     async fn snapshot(self, _: Context) -> ForwardSnapshot {
         own_snapshot(&self.state)
     }
+
+    async fn news(self, _: Context, behind: FeedPosition) -> FeedNews {
+        news::wait_for_news(&self.state, behind).await
+    }
 }
 
 /// Answers peers until the daemon ends.
--- a/crates/banyan-forward/src/state.rs
+++ b/crates/banyan-forward/src/state.rs
@@ -20,7 +20,6 @@
 use crate::settings::ForwardSettings;
 use crate::settings::ServiceBounds;
 use banyan_core::ids::LayerRange;
-use banyan_core::ids::LogOffset;
 use banyan_core::ids::ServiceId;
 use banyan_core::ids::TargetId;
 use banyan_core::pipeline::chain::ChainChoice;
@@ -30,9 +29,11 @@
 use banyan_core::pipeline::chain::TargetChain;
 use banyan_core::pipeline::comeback::ComebackTable;
 use banyan_core::pipeline::fleet::FleetTable;
+use banyan_core::pipeline::history::FleetHistory;
 use banyan_core::pipeline::load::LoadTable;
 use banyan_core::pipeline::load::LoadView;
 use banyan_core::pipeline::load::PeerLoadTable;
+use banyan_core::pipeline::readers::ReaderTable;
 use banyan_core::pipeline::reroute::RerouteQuery;
 use banyan_core::pipeline::reroute::reroute_chain;
 use banyan_core::pipeline::retries::RetryShare;
@@ -81,10 +82,12 @@
     pub routes_known: bool,
     /// Whether the targets were listed since the start.
     pub fleet_known: bool,
-    /// Where the changes of targets begin that were not read, once they were listed.
-    pub fleet_next: Option<LogOffset>,
-    /// When the platform's store last told of the targets.
+    /// What the records of targets say, and what changed lately.
+    pub history: FleetHistory,
+    /// When the targets were last known to be as the platform's store has them.
     pub fleet_read: Moment,
+    /// Which peers read the platform's store.
+    pub readers: ReaderTable,
     /// Which targets are doubted.
     pub suspicions: SuspicionTable,
     /// What this instance has under way at targets.
@@ -112,8 +115,10 @@
     pub generation_heard: u64,
     /// When the group last answered.
     pub membership_heard: Moment,
-    /// When the platform's store last failed a call.
+    /// When the platform's store last failed a call, here or at the peer that reads it for this instance.
     pub store_trouble: Option<Moment>,
+    /// When the platform's store last failed a call of this instance.
+    pub own_trouble: Option<Moment>,
     /// Kinds of calls to the store that fail, with the time of the last failure.
     pub failing_calls: BTreeMap<&'static str, Moment>,
     /// Requests that have been read and not been answered whole.
@@ -244,6 +249,10 @@
     pub phase: watch::Sender<DaemonPhase>,
     /// Told when something has changed for which layers may have to be ordered.
     pub plan_due: Notify,
+    /// Whether this instance reads the platform's store itself, or lets a peer do so.
+    pub reading: watch::Sender<bool>,
+    /// Told when something was read that peers may not know, or when reading has failed.
+    pub read_news: watch::Sender<()>,
     /// Whether the configuration and the targets were read since the start.
     known: watch::Sender<bool>,
     settings: Mutex<Arc<ForwardSettings>>,
@@ -258,6 +267,8 @@
             clock: RuntimeClock::start(),
             phase: watch::Sender::new(DaemonPhase::Serving),
             plan_due: Notify::new(),
+            reading: watch::Sender::new(true),
+            read_news: watch::Sender::new(()),
             known: watch::Sender::new(false),
             settings: Mutex::new(Arc::new(settings)),
             tables: Mutex::new(ForwardTables::default()),
@@ -292,6 +303,24 @@
         }
     }
 
+    /// Waits until this instance reads the platform's store itself; tells whether it had to wait.
+    pub async fn wait_for_turn(&self) -> bool {
+        let mut reading = self.reading.subscribe();
+        if *reading.borrow_and_update() {
+            return false;
+        }
+        // The sender lives as long as this state does.
+        let _ = reading.wait_for(|reading| *reading).await;
+        true
+    }
+
+    /// How long ago this instance read the platform's store, if it does so itself.
+    pub fn read_age(&self, tables: &ForwardTables, now: Moment) -> Option<Duration> {
+        let reads = *self.reading.borrow() && tables.fleet_known;
+        let failed = tables.own_trouble.is_some_and(|at| at >= tables.fleet_read);
+        (reads && !failed).then(|| now.since(tables.fleet_read))
+    }
+
     /// Waits until the configuration and the targets were read once, or the start is over.
     pub async fn wait_for_start(&self) {
         let mut known = self.known.subscribe();
--- a/crates/banyan-wire/src/forward.rs
+++ b/crates/banyan-wire/src/forward.rs
@@ -1,7 +1,8 @@
 //! What forwarding daemons say to each other, over tarpc.
 //!
 //! A digest is soft state: what its sender has under way and whom it cannot reach. A snapshot carries
-//! what the sender has read from the platform, for an instance that cannot reach the platform itself.
+//! what the sender has read from the platform, for an instance that cannot reach the platform itself;
+//! news carry what came since, for instances that let another one read the platform's store.
 
 use std::net::SocketAddr;
 
@@ -13,6 +14,7 @@
 use banyan_core::ids::IdError;
 use banyan_core::ids::LayerRange;
 use banyan_core::ids::TargetId;
+use banyan_core::pipeline::fleet::FleetChange;
 use banyan_core::pipeline::fleet::TargetPhase;
 use banyan_core::pipeline::fleet::TargetReport;
 use banyan_core::pipeline::load::TargetLoad;
@@ -24,13 +26,63 @@
     async fn exchange(digest: ForwardDigest) -> ForwardDigest;
     /// The configuration and the targets that this peer knows.
     async fn snapshot() -> ForwardSnapshot;
+    /// What this peer has read from the platform behind a position; waits a while for something.
+    async fn news(behind: FeedPosition) -> FeedNews;
+}
+
+/// How far an instance knows what the platform keeps.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct FeedPosition {
+    /// The version of the configuration in force; zero is none.
+    pub configuration: u64,
+    /// Where the changes of targets begin that are not known.
+    pub fleet_next: u64,
+}
+
+/// What one instance tells another of what the platform keeps.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct FeedNews {
+    /// How long ago the sender read the store, in milliseconds, if it reads the store itself.
+    pub read_age_ms: Option<u64>,
+    /// How long ago a call to the store last failed there, in milliseconds.
+    pub trouble_age_ms: Option<u64>,
+    /// The configuration record, if it is newer than the one asked about; empty is none.
+    pub configuration: Vec<u8>,
+    /// The targets.
+    pub fleet: FleetNews,
+    /// Where the changes of targets begin that the sender has not read.
+    pub fleet_next: u64,
+}
+
+/// What changed of the targets.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum FleetNews {
+    /// The changes since the position asked about.
+    Changes(Vec<FleetChangeWire>),
+    /// All targets, where the changes are no longer known.
+    Listing(Vec<TargetWire>),
+}
+
+/// One change of the targets.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum FleetChangeWire {
+    /// A target said this.
+    Reported(TargetWire),
+    /// The record of the target with this id was removed.
+    Removed(SmolStr),
 }
 
 /// What a peer has under way and whom it cannot reach.
-#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct ForwardDigest {
     /// Who speaks.
     pub instance: SmolStr,
+    /// Its availability zone.
+    pub zone: SmolStr,
+    /// Where it answers its peers.
+    pub address: SocketAddr,
+    /// How long ago it read the store, in milliseconds, if it reads the store itself.
+    pub read_age_ms: Option<u64>,
     /// The version of the configuration in force there; zero is none.
     pub configuration: u64,
     /// Where the changes of targets begin that it has not read.
@@ -164,6 +216,29 @@
     }
 }
 
+impl From<FleetChange> for FleetChangeWire {
+    fn from(change: FleetChange) -> Self {
+        match change {
+            FleetChange::Reported(id, report) => Self::Reported((&id, &report).into()),
+            FleetChange::Removed(id) => Self::Removed(SmolStr::new(id.as_str())),
+        }
+    }
+}
+
+impl TryFrom<FleetChangeWire> for FleetChange {
+    type Error = ForwardWireError;
+
+    fn try_from(wire: FleetChangeWire) -> Result<Self, ForwardWireError> {
+        match wire {
+            FleetChangeWire::Reported(target) => {
+                let (id, report) = target.try_into()?;
+                Ok(Self::Reported(id, report))
+            }
+            FleetChangeWire::Removed(id) => Ok(Self::Removed(id.parse()?)),
+        }
+    }
+}
+
 /// The ranges of layers in a peer's word.
 pub fn layer_ranges(wire: Vec<(u32, u32)>) -> Result<Vec<LayerRange>, ForwardWireError> {
     wire.into_iter().map(layer_range).collect()
