A zone's chains together fill all the room that its engines have

Cause: chains were found one after the other by making engines dearer that were used, by two each time.

Change: the quickest chain first, then the quickest through what room it leaves, until no room is left; chains that differ only by dearness come after these, up to the same number.

Red before: chains.rs, a_quick_engine_that_is_full_does_not_close_the_zone.

--- a/crates/banyan-core/src/pipeline/search.rs
+++ b/crates/banyan-core/src/pipeline/search.rs
@@ -25,6 +25,8 @@
 const ENGINES_FOR_ALL: usize = 128;
 /// Steps in which equal engines differ for an instance.
 const SPREAD_STEPS: u64 = 1_024;
+/// The part of its room with which an engine is of no more use to another chain.
+const LEAST_ROOM: f64 = 0.1;
 /// How much dearer an engine becomes for the next chain once a chain uses it.
 const REUSE_FACTOR: f64 = 2.0;
 /// How much dearer all layers become elsewhere for a chain of a zone that lacks only some.
@@ -149,14 +151,19 @@
     }
 }
 
-/// Finds one chain after the other, each time making the engines dearer that are used already.
+/// Chains that can fill all the room there is, and after them some that differ, each time making the
+/// engines dearer that are used already.
 fn several_chains(
     model: &PipelineModel,
     mut candidates: Vec<StageCandidate>,
 ) -> Vec<Arc<TargetChain>> {
     let mut found: Vec<Arc<TargetChain>> = Vec::new();
+    for parts in filling_paths(model, &candidates) {
+        found.push(Arc::new(to_chain(model, &candidates, &parts)));
+        make_dearer(&mut candidates, &parts);
+    }
     let mut most = CHAINS_AT_LEAST;
-    let mut tried = 0;
+    let mut tried = found.len();
     while tried < most {
         let Some(parts) = best_chain(model, &candidates) else { break };
         // So many that each engine can have a place in one.
@@ -171,6 +178,27 @@
     found
 }
 
+/// The quickest paths, each through what room the ones before it have left: where a few quick engines
+/// stand in every quick chain, the room of all others is of use only through chains without them.
+fn filling_paths(model: &PipelineModel, candidates: &[StageCandidate]) -> Vec<Vec<PartChoice>> {
+    let mut open = candidates.to_vec();
+    let mut left: Vec<f64> = open.iter().map(|candidate| candidate.token_layers as f64).collect();
+    let mut paths = Vec::new();
+    while paths.len() < CHAINS_AT_MOST {
+        let Some(parts) = best_chain(model, &open) else { break };
+        let room = |(index, range): &PartChoice| left[*index] / f64::from(range.count());
+        let tokens = parts.iter().map(room).fold(f64::INFINITY, f64::min);
+        for (index, range) in &parts {
+            left[*index] -= tokens * f64::from(range.count());
+            if left[*index] <= LEAST_ROOM * candidates[*index].token_layers as f64 {
+                open[*index].held.clear();
+            }
+        }
+        paths.push(parts);
+    }
+    paths
+}
+
 /// Makes equal engines differ in an order of the instance's own where a zone has more engines than its
 /// chains can use, so that all instances together use all of them.
 fn spread_choice(candidates: &mut [StageCandidate], seed: u64) {
--- a/crates/banyan-core/tests/pipeline/chains.rs
+++ b/crates/banyan-core/tests/pipeline/chains.rs
@@ -220,6 +220,30 @@
     assert_eq!(used.len(), 100);
 }
 
+#[test]
+fn a_quick_engine_that_is_full_does_not_close_the_zone() {
+    // Every chain that was kept went through the quick engine, while the others had room.
+    let mut rows = vec![
+        ("quick".to_owned(), "fast", layers(0, 16)),
+        ("long-a".to_owned(), "slow-vast", layers(0, 24)),
+        ("long-b".to_owned(), "slow-vast", layers(0, 24)),
+    ];
+    for place in 0..7 {
+        for copy in ["a", "b"] {
+            let first = 24 + place * 8;
+            rows.push((format!("{copy}{place}"), "middle", layers(first, first + 8)));
+        }
+    }
+    let rows: Vec<_> =
+        rows.iter().map(|(name, kind, held)| (name.as_str(), "a", *kind, *held)).collect();
+    let fleet = fleet(&rows);
+    let pool = pool(&fleet, &SuspicionTable::default(), at(0));
+    let mut loads = LoadTable::default();
+    loads.add(&target("quick"), TokenCount(100_000), 16, true);
+    let chain = choose(&pool, &loads, "a").expect("a chain around the quick engine");
+    assert!(!chain.uses_any(&[target("quick")]), "{chain:?}");
+}
+
 #[test]
 fn instances_share_a_zone_of_many_engines_out_among_them() {
     let fleet = many_copies(60);
