--- a/crates/banyan-core/src/pipeline/readers.rs
+++ b/crates/banyan-core/src/pipeline/readers.rs
@@ -85,6 +85,11 @@
         }
     }
 
+    /// Where the peers that were heard lately answer.
+    pub fn addresses(&self) -> impl Iterator<Item = SocketAddr> {
+        self.rows.values().map(|row| row.word.address)
+    }
+
     /// Where an instance should learn what the platform keeps. `trouble` is when its own call to the
     /// store last failed.
     pub fn source(
--- a/crates/banyan-core/tests/pipeline/main.rs
+++ b/crates/banyan-core/tests/pipeline/main.rs
@@ -3,8 +3,10 @@
 mod chains;
 mod comebacks;
 mod fleets;
+mod histories;
 mod layouts;
 mod loads;
+mod readers;
 mod reroutes;
 mod retry_budget;
 mod route_table;
--- a/crates/banyan-forward/src/membership.rs
+++ b/crates/banyan-forward/src/membership.rs
@@ -1,4 +1,7 @@
 //! This instance's place in the group of instances: [`keep_membership`].
+//!
+//! A few instances of each zone belong to the group, so that one of them can lead; the others would
+//! only make its calls dearer.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -13,10 +16,24 @@
 /// The time after which the group takes an instance as gone that says nothing.
 pub const MEMBERSHIP_TTL: Duration = Duration::from_millis(2_200);
 
+/// With fewer other instances each of them is heard at once, and joins at once.
+const MANY_INSTANCES: usize = 24;
+/// The time between two looks at how many instances there are, at the start.
+const START_PAUSE: Duration = Duration::from_millis(100);
+/// The number of those looks.
+const START_LOOKS: u32 = 12;
+
 /// Stays in the group until the daemon ends.
 pub async fn keep_membership<P: Platform>(state: Arc<ForwardState<P>>) {
     let mut generation = 0;
+    wait_for_peers(&state).await;
     loop {
+        if !stands_by(&state) {
+            leave_group(&state).await;
+            generation = 0;
+            tokio::time::sleep(MEMBERSHIP_PAUSE).await;
+            continue;
+        }
         let asked = state.now();
         match state.platform.keep_membership(generation).await {
             Ok(place) => {
@@ -45,6 +62,47 @@
     }
 }
 
+/// Where there are many instances, waits until some of them were heard: whoever joins only to leave
+/// again makes the group deal out its work anew.
+async fn wait_for_peers<P: Platform>(state: &ForwardState<P>) {
+    for _ in 0..START_LOOKS {
+        if state.tables().peers_listed.is_some_and(|listed| listed < MANY_INSTANCES) {
+            return;
+        }
+        tokio::time::sleep(START_PAUSE).await;
+    }
+}
+
+/// Whether this instance should belong to the group.
+fn stands_by<P>(state: &ForwardState<P>) -> bool {
+    let settings = state.settings();
+    let now = state.now();
+    state.tables().readers.stands_by(&settings.instance, &settings.zone, now)
+}
+
+/// Belongs to the group no longer, as long as enough others of the zone do.
+async fn leave_group<P: Platform>(state: &ForwardState<P>) {
+    if !drop_place(state) {
+        return;
+    }
+    match state.platform.leave().await {
+        Ok(()) => tracing::info!(part = "leadership", "Left the group to others of the zone."),
+        Err(error) => note_trouble(state, "membership", &error),
+    }
+}
+
+/// Gives up this instance's place in the group; tells whether it had one.
+fn drop_place<P>(state: &ForwardState<P>) -> bool {
+    let now = state.now();
+    let mut tables = state.tables();
+    // The leader is heard from peers, so that nothing is missed while the group is not asked.
+    tables.membership_heard = now;
+    let Some(place) = tables.membership.take() else { return false };
+    tables.generation_heard = tables.generation_heard.max(place.generation);
+    tables.retries.set_share(0.0);
+    true
+}
+
 /// Leads no longer until the group answers again, since it may have made another instance the leader.
 fn step_down<P>(state: &ForwardState<P>) {
     let mut tables = state.tables();
--- a/crates/banyan-forward/src/peers.rs
+++ b/crates/banyan-forward/src/peers.rs
@@ -71,8 +71,6 @@
     /// When the list is read next.
     listing: Moment,
     announced: bool,
-    /// The group's generation when the list was read.
-    generation: u64,
     lagging: Option<Moment>,
 }
 
@@ -93,13 +91,10 @@
 async fn read_listing<P: Platform>(state: &Arc<ForwardState<P>>, desk: &mut PeerDesk) {
     let now = state.now();
     let settings = state.settings();
-    let generation = state.tables().membership.map_or(0, |place| place.generation);
-    let changed = generation != desk.generation && desk.announced;
-    if now < desk.listing && !changed {
+    if now < desk.listing {
         return;
     }
     desk.listing = now + LISTING_RETRY;
-    desk.generation = generation;
     if !desk.announced {
         match state.platform.announce(&settings.instance, settings.peer_address).await {
             Ok(()) => {
@@ -115,7 +110,7 @@
             desk.addresses.extend(peers.into_values());
             desk.addresses.remove(&settings.peer_address);
             desk.listing = now + LISTING_PAUSE;
-            state.tables().peers_listed = desk.addresses.len();
+            state.tables().peers_listed = Some(desk.addresses.len());
         }
         Err(error) => feeds::note_trouble(state, "peers", &error),
     }
@@ -124,6 +119,9 @@
 async fn exchange_round<P: Platform>(state: &Arc<ForwardState<P>>, desk: &mut PeerDesk) {
     let now = state.now();
     desk.silent.retain(|_, until| now < *until);
+    // Whoever starts later calls the others.
+    desk.addresses.extend(state.tables().readers.addresses());
+    desk.addresses.remove(&state.settings().peer_address);
     let awake: Vec<SocketAddr> =
         desk.addresses.iter().filter(|at| !desk.silent.contains_key(at)).copied().collect();
     if awake.is_empty() {
--- a/crates/banyan-forward/src/state.rs
+++ b/crates/banyan-forward/src/state.rs
@@ -94,8 +94,8 @@
     pub loads: LoadTable,
     /// What peers have under way at targets.
     pub peer_loads: PeerLoadTable,
-    /// The number of other instances that announced themselves.
-    pub peers_listed: usize,
+    /// The number of other instances that announced themselves, once they were listed.
+    pub peers_listed: Option<usize>,
     /// The chains of each service that serves a model.
     pub pools: BTreeMap<ServiceId, ChainPool>,
     /// This instance's part of the retry budget.
@@ -136,7 +136,8 @@
     /// How many instances each peer that was heard stands for.
     pub fn peer_scale(&self, now: Moment) -> f64 {
         let heard = self.peer_loads.heard(now).max(1);
-        if self.peers_listed <= ALL_HEARD { 1.0 } else { self.peers_listed as f64 / heard as f64 }
+        let listed = self.peers_listed.unwrap_or_default();
+        if listed <= ALL_HEARD { 1.0 } else { listed as f64 / heard as f64 }
     }
 
     /// Forgets orders that should have been carried out by now, also those of a leader that is heard no
@@ -317,8 +318,7 @@
     /// How long ago this instance read the platform's store, if it does so itself.
     pub fn read_age(&self, tables: &ForwardTables, now: Moment) -> Option<Duration> {
         let reads = *self.reading.borrow() && tables.fleet_known;
-        let failed = tables.own_trouble.is_some_and(|at| at >= tables.fleet_read);
-        (reads && !failed).then(|| now.since(tables.fleet_read))
+        reads.then(|| now.since(tables.fleet_read))
     }
 
     /// Waits until the configuration and the targets were read once, or the start is over.
