emulate: a larger fleet whose memory binds, and the load that filled its quick engines

The pattern 'steady' on examples/emulate/four-zones.jsonc replays the load that the larger second installation showed.

--- a/crates/banyan-load/tests/emulated.rs
+++ b/crates/banyan-load/tests/emulated.rs
@@ -19,6 +19,14 @@
     }
 }
 
+#[test]
+fn zones_whose_quick_engines_are_full_serve_on_with_the_others() {
+    // A third of these requests were refused while half of the zones' memory was empty: all chains ran
+    // through the quick engines, and a few layers had one holder.
+    let line = run_pattern("steady", &fleet("four-zones.jsonc"), 1).expect("a run");
+    assert!(line.met, "{:?} {:?}", line.notes, line.figures);
+}
+
 #[test]
 fn streams_of_a_lost_engine_move_on_within_half_a_second() {
     for seed in 1..=3 {
