--- a/crates/banyan-forward/src/peers.rs
+++ b/crates/banyan-forward/src/peers.rs
@@ -10,6 +10,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bincode::DefaultOptions;
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
 use tarpc::client;
@@ -204,11 +205,16 @@
 pub async fn connect(address: SocketAddr) -> std::io::Result<ForwardServiceClient> {
     let stream = TcpStream::connect(address).await?;
     stream.set_nodelay(true)?;
-    let transport = serde_transport::new(Framed::new(stream, codec()), Bincode::default());
+    let transport = serde_transport::new(Framed::new(stream, frames()), format());
     Ok(ForwardServiceClient::new(client::Config::default(), transport).spawn())
 }
 
-fn codec() -> LengthDelimitedCodec {
+/// Numbers as short as they are: most of a digest is small numbers.
+fn format<Received, Sent>() -> Bincode<Received, Sent, DefaultOptions> {
+    Bincode::from(DefaultOptions::new())
+}
+
+fn frames() -> LengthDelimitedCodec {
     LengthDelimitedCodec::builder().max_frame_length(FRAME_LIMIT_BYTES).new_codec()
 }
 
@@ -274,7 +280,7 @@
         tracing::debug!(part = "peers", %error, "A connection keeps its delay.");
     }
     crate::link::limit_unacknowledged(&stream, SILENT_PAUSE);
-    let transport = serde_transport::new(Framed::new(stream, codec()), Bincode::default());
+    let transport = serde_transport::new(Framed::new(stream, frames()), format());
     let channel = BaseChannel::with_defaults(transport);
     let answers = channel.execute(PeerAnswerer { state }.serve());
     answers.for_each_concurrent(None, |answer| answer).await;
--- a/crates/banyan-wire/src/forward.rs
+++ b/crates/banyan-wire/src/forward.rs
@@ -128,10 +128,6 @@
 pub struct LoadWire {
     /// The target.
     pub target: SmolStr,
-    /// Requests under way.
-    pub requests: u32,
-    /// Those for which the target is the first of the chain.
-    pub first_requests: u32,
     /// Tokens of those requests, times the layers that they pass through there.
     pub token_layers: u64,
 }
@@ -254,12 +250,7 @@
 
 impl From<(&TargetId, TargetLoad)> for LoadWire {
     fn from((id, load): (&TargetId, TargetLoad)) -> Self {
-        Self {
-            target: SmolStr::new(id.as_str()),
-            requests: load.requests,
-            first_requests: load.first_requests,
-            token_layers: load.token_layers,
-        }
+        Self { target: SmolStr::new(id.as_str()), token_layers: load.token_layers }
     }
 }
 
@@ -267,12 +258,7 @@
     type Error = IdError;
 
     fn try_from(wire: LoadWire) -> Result<Self, IdError> {
-        let load = TargetLoad {
-            requests: wire.requests,
-            first_requests: wire.first_requests,
-            token_layers: wire.token_layers,
-            unread: 0,
-        };
+        let load = TargetLoad { token_layers: wire.token_layers, ..TargetLoad::default() };
         Ok((wire.target.parse()?, load))
     }
 }
