--- a/crates/banyan-forward/src/membership.rs
+++ b/crates/banyan-forward/src/membership.rs
@@ -19,9 +19,9 @@
 /// With fewer other instances each of them is heard at once, and joins at once.
 const MANY_INSTANCES: usize = 24;
 /// The time between two looks at how many instances there are, at the start.
-const START_PAUSE: Duration = Duration::from_millis(100);
+const START_PAUSE: Duration = Duration::from_millis(20);
 /// The number of those looks.
-const START_LOOKS: u32 = 12;
+const START_LOOKS: u32 = 60;
 
 /// Stays in the group until the daemon ends.
 pub async fn keep_membership<P: Platform>(state: Arc<ForwardState<P>>) {
