Every instance has an equal part of the extra retries

Cause: the extra retries of the shared budget went with the partitions that the group deals out, eight in all. Of 73 instances 61 had no part, and a window of an instance's own requests earns about two retries there: streams that were cut when an engine was lost were not sent again (10 of 31 streams broken by one crash ended for want of budget). An instance has its part as soon as the instances were listed, no longer only with its place in the group.

Change: the part is one by the number of instances that are known (listed, heard, or seeds; those that are gone count too, so that the sum stays below one).

--- a/crates/banyan-core/src/pipeline/retries.rs
+++ b/crates/banyan-core/src/pipeline/retries.rs
@@ -34,7 +34,8 @@
 /// This instance's part of the shared budget.
 ///
 /// Invariant: the parts of all instances add up to no more than the budget, since the ratio counts
-/// each instance's own requests and the shares of the extra add up to one at most.
+/// each instance's own requests and the shares of the extra add up to one; the margin covers the time
+/// until all know of instances that were added, up to a quarter of them.
 #[derive(Debug, Default)]
 pub struct RetryShare {
     windows: BTreeMap<ServiceId, ServiceWindow>,
@@ -42,9 +43,9 @@
 }
 
 impl RetryShare {
-    /// Sets the part of the extra retries that belongs to this instance, from 0 to 1.
-    pub fn set_share(&mut self, share: f64) {
-        self.share_of_extra = share.clamp(0.0, 1.0);
+    /// Takes the extra retries as shared by so many instances; before that this one has none of them.
+    pub fn share_among(&mut self, instances: usize) {
+        self.share_of_extra = 1.0 / instances.max(1) as f64;
     }
 
     /// Counts a request of a caller.
--- a/crates/banyan-forward/src/edges.rs
+++ b/crates/banyan-forward/src/edges.rs
@@ -174,10 +174,6 @@
     /// Whether this instance leads. Invariant: among the instances that were told so, the one with
     /// the highest generation is the leader.
     pub leads: bool,
-    /// The equal parts of the group's work that are this instance's.
-    pub parts: u32,
-    /// All parts of the group's work.
-    pub all_parts: u32,
 }
 
 /// What the platform keeps for all instances.
--- a/crates/banyan-forward/src/membership.rs
+++ b/crates/banyan-forward/src/membership.rs
@@ -41,7 +41,7 @@
                 generation = place.generation;
                 let mut tables = state.tables();
                 let before = tables.membership;
-                tables.set_membership(place);
+                tables.membership = Some(place);
                 tables.membership_heard = asked;
                 drop(tables);
                 if before.is_none_or(|before| before.leads != place.leads) {
@@ -99,7 +99,6 @@
     tables.membership_heard = now;
     let Some(place) = tables.membership.take() else { return false };
     tables.generation_heard = tables.generation_heard.max(place.generation);
-    tables.retries.set_share(0.0);
     true
 }
 
--- a/crates/banyan-forward/src/peers.rs
+++ b/crates/banyan-forward/src/peers.rs
@@ -111,7 +111,7 @@
             desk.addresses.extend(peers.into_values());
             desk.addresses.remove(&settings.peer_address);
             desk.listing = now + LISTING_PAUSE;
-            state.tables().peers_listed = Some(desk.addresses.len());
+            state.tables().set_peers(desk.addresses.len());
         }
         Err(error) => feeds::note_trouble(state, "peers", &error),
     }
@@ -120,9 +120,7 @@
 async fn exchange_round<P: Platform>(state: &Arc<ForwardState<P>>, desk: &mut PeerDesk) {
     let now = state.now();
     desk.silent.retain(|_, until| now < *until);
-    // Whoever starts later calls the others.
-    desk.addresses.extend(state.tables().readers.addresses());
-    desk.addresses.remove(&state.settings().peer_address);
+    take_addresses(state, desk);
     let awake: Vec<SocketAddr> =
         desk.addresses.iter().filter(|at| !desk.silent.contains_key(at)).copied().collect();
     if awake.is_empty() {
@@ -172,6 +170,17 @@
     }
 }
 
+/// Takes in where peers answer that were heard: whoever starts later calls the others.
+fn take_addresses<P>(state: &ForwardState<P>, desk: &mut PeerDesk) {
+    let own = state.settings().peer_address;
+    let mut tables = state.tables();
+    desk.addresses.extend(tables.readers.addresses().filter(|address| *address != own));
+    // Until they were listed once, there may be many more.
+    if tables.peers_listed.is_some() {
+        tables.set_peers(desk.addresses.len());
+    }
+}
+
 async fn exchange(
     address: SocketAddr,
     link: Option<ForwardServiceClient>,
--- a/crates/banyan-forward/src/state.rs
+++ b/crates/banyan-forward/src/state.rs
@@ -175,10 +175,10 @@
         self.routes.as_ref().map(|record| record.table.clone())
     }
 
-    /// Takes in this instance's place among the live ones.
-    pub fn set_membership(&mut self, place: Membership) {
-        self.membership = Some(place);
-        self.retries.set_share(f64::from(place.parts) / f64::from(place.all_parts.max(1)));
+    /// Takes in how many other instances there are.
+    pub fn set_peers(&mut self, count: usize) {
+        self.peers_listed = Some(count);
+        self.retries.share_among(count + 1);
     }
 
     /// The chain for a request that uses none of `avoided`.
