Chains reckon with engines that say they are slow

Cause: engines report by what factor their work takes longer than usual, and nobody read it; a chain through one engine that works twelve times as slowly was taken like any other, and every chain of a zone has eight to ten engines.

Change: the instance that reads the store for a zone asks the zone's engines in turn, each every two seconds; digests tell the others which are slow. A slow engine's steps and reading count by that factor in the search for chains and in what a chain is expected to take. What was told counts for 4.5 s. Digests tell observed layers only where the records say otherwise, so that these questions do not lengthen them.

Ruled out: refusals for want of room (they follow from it), leaders that change (the orders were given).

New tests: fleets.rs, chains.rs (a_slow_engine_...); without the change there is no word of pace to test.

--- a/crates/banyan-core/src/pipeline/fleet.rs
+++ b/crates/banyan-core/src/pipeline/fleet.rs
@@ -56,8 +56,26 @@
     /// The layers that it has been ordered to hold and may still be loading. It takes no new work for
     /// those that it gives up.
     pub ordered: Option<LayerRange>,
+    /// How slow it said that it is, if it is slow.
+    pub pace: Option<SlowPace>,
 }
 
+/// What a slow engine says of its pace.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct SlowPace {
+    /// How many times as long as usual its work takes. Invariant: at least [`SLOW_FACTOR`].
+    pub factor: f64,
+    /// When it said so.
+    pub seen: Moment,
+}
+
+/// From this factor on an engine counts as slow.
+pub const SLOW_FACTOR: f64 = 1.3;
+/// The time for which an engine counts as slow that is not heard again: two rounds of questions.
+const PACE_TIME: Duration = Duration::from_millis(4_500);
+/// Factors that differ by less are taken as the same, so that chains are not found anew for them.
+const SAME_PACE: f64 = 0.25;
+
 /// The time for which a target's own word on its layers goes before its record, which may have been
 /// written earlier.
 const OBSERVED_TIME: Duration = Duration::from_millis(1_500);
@@ -68,6 +86,11 @@
         self.removed.is_none() && self.report.phase == TargetPhase::Ready
     }
 
+    /// How many times as long as usual its work takes.
+    pub fn slowdown(&self) -> f64 {
+        self.pace.map_or(1.0, |pace| pace.factor)
+    }
+
     /// The most layers that it has memory taken up by until its order is carried out.
     pub fn most_layers(&self) -> u32 {
         let held: u32 = self.report.held.iter().map(|range| range.count()).sum();
@@ -192,6 +215,28 @@
         }
     }
 
+    /// Takes in how many times as long as usual a target's work takes, as it said at `seen`.
+    pub fn note_pace(&mut self, id: &TargetId, factor: f64, seen: Moment) {
+        let Some(row) = self.rows.get_mut(id) else { return };
+        if row.pace.is_some_and(|pace| pace.seen >= seen) {
+            return;
+        }
+        let before = row.slowdown();
+        row.pace = (factor >= SLOW_FACTOR).then_some(SlowPace { factor, seen });
+        if (row.slowdown() - before).abs() > SAME_PACE * before {
+            self.revision += 1;
+        }
+    }
+
+    /// Takes targets as quick again that did not say lately that they are slow.
+    pub fn forget_paces(&mut self, now: Moment) {
+        let old = |pace: &SlowPace| now.since(pace.seen) >= PACE_TIME;
+        for row in self.rows.values_mut().filter(|row| row.pace.as_ref().is_some_and(old)) {
+            row.pace = None;
+            self.revision += 1;
+        }
+    }
+
     /// Notes which layers targets have been ordered to hold; `ordered` tells of one target.
     pub fn set_ordered(&mut self, ordered: impl Fn(&TargetId) -> Option<LayerRange>) {
         for (id, row) in &mut self.rows {
@@ -205,8 +250,14 @@
 
     fn report(&mut self, id: TargetId, mut report: TargetReport, now: Moment) {
         let Some(row) = self.rows.get_mut(&id) else {
-            let row =
-                TargetRow { report, removed: None, changed: now, observed: None, ordered: None };
+            let row = TargetRow {
+                report,
+                removed: None,
+                changed: now,
+                observed: None,
+                ordered: None,
+                pace: None,
+            };
             self.rows.insert(id, row);
             self.revision += 1;
             return;
@@ -220,7 +271,8 @@
         }
         let observed = row.observed.filter(|_| same_run);
         let ordered = row.ordered.filter(|_| same_run);
-        *row = TargetRow { report, removed: None, changed: now, observed, ordered };
+        let pace = row.pace.filter(|_| same_run);
+        *row = TargetRow { report, removed: None, changed: now, observed, ordered, pace };
         self.revision += 1;
     }
 
--- a/crates/banyan-core/src/pipeline/search.rs
+++ b/crates/banyan-core/src/pipeline/search.rs
@@ -80,14 +80,15 @@
         let Some(kind) = row.report.kind.as_ref().and_then(|kind| model.kinds.get(kind)) else {
             continue;
         };
+        let slowdown = row.slowdown();
         candidates.push(StageCandidate {
             target: id.clone(),
             address: row.report.address,
             zone: row.report.zone.clone(),
             held: kept,
-            step_factor: kind.step_factor,
-            read_factor: kind.read_factor,
-            search_factor: kind.step_factor,
+            step_factor: kind.step_factor * slowdown,
+            read_factor: kind.read_factor * slowdown,
+            search_factor: kind.step_factor * slowdown,
             token_layers: model.token_room(kind.memory, row.most_layers(), 1).0,
         });
     }
--- a/crates/banyan-core/tests/pipeline/chains.rs
+++ b/crates/banyan-core/tests/pipeline/chains.rs
@@ -244,6 +244,20 @@
     assert!(!chain.uses_any(&[target("quick")]), "{chain:?}");
 }
 
+#[test]
+fn a_slow_engine_is_left_out_where_another_holds_its_layers() {
+    let mut fleet = fleet(&[
+        ("a1", "a", "fast", layers(0, 15)),
+        ("a2", "a", "fast", layers(0, 15)),
+        ("a3", "a", "fast-vast", layers(15, 80)),
+    ]);
+    fleet.note_pace(&target("a1"), 8.0, at(0));
+    let pool = pool(&fleet, &SuspicionTable::default(), at(0));
+    let chain = choose(&pool, &LoadTable::default(), "a").expect("a chain");
+    assert!(!chain.uses_any(&[target("a1")]), "{chain:?}");
+    assert!(chain.step_time < std::time::Duration::from_millis(4), "{:?}", chain.step_time);
+}
+
 #[test]
 fn instances_share_a_zone_of_many_engines_out_among_them() {
     let fleet = many_copies(60);
--- a/crates/banyan-core/tests/pipeline/fleets.rs
+++ b/crates/banyan-core/tests/pipeline/fleets.rs
@@ -9,6 +9,7 @@
 use crate::support::report;
 use crate::support::target;
 use banyan_core::pipeline::fleet::FleetChange;
+use banyan_core::pipeline::fleet::FleetTable;
 
 #[test]
 fn a_record_that_says_nothing_new_changes_nothing() {
@@ -76,3 +77,27 @@
     table.observe(&target("a1"), &[layers(0, 10)], at(50), at(120));
     assert_eq!(table.rows[&target("a1")].report.held, vec![layers(10, 20)]);
 }
+
+#[test]
+fn a_slow_engine_counts_as_slow_until_it_is_quick_or_not_heard_again() {
+    let mut table = fleet(&[("a1", "a", "fast", layers(0, 20))]);
+    let slowdown = |table: &FleetTable| table.rows[&target("a1")].slowdown();
+    table.note_pace(&target("a1"), 1.1, at(50));
+    assert_eq!(slowdown(&table), 1.0, "a little slower is no news");
+    let before = table.revision;
+    table.note_pace(&target("a1"), 5.0, at(100));
+    assert_eq!(slowdown(&table), 5.0);
+    assert!(table.revision > before);
+    let before = table.revision;
+    table.note_pace(&target("a1"), 5.5, at(200));
+    assert_eq!(table.revision, before, "chains are not found anew for it");
+    table.note_pace(&target("a1"), 9.0, at(150));
+    assert_eq!(slowdown(&table), 5.5, "an earlier word that comes late");
+    table.note_pace(&target("a1"), 1.0, at(300));
+    assert_eq!(slowdown(&table), 1.0);
+    table.note_pace(&target("a1"), 5.0, at(400));
+    table.forget_paces(at(4_800));
+    assert_eq!(slowdown(&table), 5.0);
+    table.forget_paces(at(4_900));
+    assert_eq!(slowdown(&table), 1.0);
+}
--- a/crates/banyan-forward/src/digests.rs
+++ b/crates/banyan-forward/src/digests.rs
@@ -25,6 +25,7 @@
 use banyan_wire::forward::LoadWire;
 use banyan_wire::forward::ObservedWire;
 use banyan_wire::forward::OrderedWire;
+use banyan_wire::forward::SlowWire;
 use banyan_wire::forward::TargetWire;
 use banyan_wire::forward::layer_range;
 use banyan_wire::forward::layer_ranges;
@@ -50,7 +51,8 @@
             .iter()
             .map(|id| SmolStr::new(id.as_str()))
             .collect(),
-        observed: tables.fleet.rows.iter().filter_map(|row| observed_wire(row, now)).collect(),
+        observed: observed_wires(&tables, now),
+        slow: tables.fleet.rows.iter().filter_map(|row| slow_wire(row, now)).collect(),
         generation: tables.membership.map_or(0, |place| place.generation),
         leads: tables.membership.is_some_and(|place| place.leads),
         ordered: tables.pending_orders.iter().filter_map(|row| ordered_wire(row, now)).collect(),
@@ -66,6 +68,26 @@
     })
 }
 
+/// What targets told this instance of their layers, where their records say otherwise.
+fn observed_wires(tables: &ForwardTables, now: Moment) -> Vec<ObservedWire> {
+    let listed = tables.history.listed();
+    let news = |(id, row): &(&TargetId, &TargetRow)| {
+        listed.get(*id).is_none_or(|report| report.held != row.report.held)
+    };
+    let rows = tables.fleet.rows.iter().filter(news);
+    rows.filter_map(|row| observed_wire(row, now)).collect()
+}
+
+/// What a slow engine said of its pace.
+fn slow_wire((id, row): (&TargetId, &TargetRow), now: Moment) -> Option<SlowWire> {
+    let pace = row.pace?;
+    Some(SlowWire {
+        target: SmolStr::new(id.as_str()),
+        factor_thousandths: (pace.factor * 1e3) as u32,
+        age_ms: millis(now.since(pace.seen)),
+    })
+}
+
 /// What a target told this instance of its layers, if that is fresh.
 fn observed_wire((id, row): (&TargetId, &TargetRow), now: Moment) -> Option<ObservedWire> {
     let age = now.since(row.observed?);
@@ -109,6 +131,13 @@
         tables.leader_heard = Some(now);
         take_orders(&mut tables, digest.ordered, now);
     }
+    for slow in digest.slow {
+        let seen = Moment(now.0.saturating_sub(slow.age_ms * 1_000));
+        match slow.target.parse() {
+            Ok(id) => tables.fleet.note_pace(&id, f64::from(slow.factor_thousandths) / 1e3, seen),
+            Err(error) => tracing::warn!(part = "peers", %error, "A bad pace was passed over."),
+        }
+    }
     for observed in digest.observed {
         let at = Moment(now.0.saturating_sub(observed.age_ms * 1_000));
         match (observed.target.parse(), layer_ranges(observed.held)) {
--- a/crates/banyan-forward/src/edges.rs
+++ b/crates/banyan-forward/src/edges.rs
@@ -226,7 +226,7 @@
 }
 
 /// What an engine says of its orders and layers.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct EngineState {
     /// Whether an order is under way.
     pub busy: bool,
@@ -236,6 +236,8 @@
     pub born: Option<u64>,
     /// The layers that it holds.
     pub held: Vec<LayerRange>,
+    /// How many times as long as usual its work takes.
+    pub slowdown: f64,
 }
 
 /// What became of an order.
--- a/crates/banyan-forward/src/feeds.rs
+++ b/crates/banyan-forward/src/feeds.rs
@@ -179,14 +179,15 @@
     }
 }
 
-/// Forgets targets whose records were removed long enough ago, and lets records go before the word of
-/// targets that told their layers too long ago.
+/// Forgets targets whose records were removed long enough ago, and what targets told of their layers
+/// and their pace too long ago.
 pub fn settle_fleet<P>(state: &ForwardState<P>) {
     let now = state.now();
     let bounds = state.settings().bounds;
     let mut guard = state.tables();
     let tables = &mut *guard;
     tables.fleet.restate(tables.history.listed(), now);
+    tables.fleet.forget_paces(now);
     let unsound = tables.store_trouble.is_some_and(|at| now.since(at) < bounds.settle_time);
     let grace = if unsound { RELISTED_TIME } else { bounds.leave_time.mul_f64(REMOVED_PART) };
     let gone = tables.fleet.drop_removed(grace, now);
--- a/crates/banyan-forward/src/probes.rs
+++ b/crates/banyan-forward/src/probes.rs
@@ -1,4 +1,5 @@
-//! Asks targets that are doubted whether they are there: [`probe_targets`], [`watch_unreachable`].
+//! Asks targets that are doubted whether they are there: [`probe_targets`], [`watch_unreachable`]; and
+//! engines how quick they are: [`watch_paces`].
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -10,6 +11,7 @@
 use crate::edges::within;
 use crate::state::ForwardState;
 use banyan_core::ids::TargetId;
+use banyan_core::pipeline::fleet::TargetRow;
 use banyan_core::pipeline::suspicion::ProbeEnd;
 
 /// The time within which a target that is there answers.
@@ -17,6 +19,15 @@
 /// The time between two probes of targets that did not answer.
 const REPEAT_PAUSE: Duration = Duration::from_millis(400);
 
+/// The time between two rounds of questions to engines how quick they are.
+const PACE_PAUSE: Duration = Duration::from_millis(500);
+/// The rounds in which each engine is asked once.
+const PACE_ROUNDS: usize = 4;
+/// The most engines that one instance asks in a round, so that large zones cost it no more.
+const PACES_AT_ONCE: usize = 24;
+/// The time within which an engine tells how quick it is.
+const PACE_LIMIT: Duration = Duration::from_millis(300);
+
 /// About how many instances check what peers say of a target.
 const CHECKERS: u64 = 7;
 
@@ -40,6 +51,39 @@
     }
 }
 
+/// Asks the engines of the zone in turn how quick they are, where this instance reads the platform's
+/// store for the zone; the others learn from digests which are slow.
+pub async fn watch_paces<P: Platform>(state: Arc<ForwardState<P>>) {
+    let mut turn = 0;
+    loop {
+        tokio::time::sleep(PACE_PAUSE).await;
+        if !*state.reading.borrow() {
+            continue;
+        }
+        let engines = near_engines(&state);
+        let count = engines.len().div_ceil(PACE_ROUNDS).min(PACES_AT_ONCE);
+        for (id, address) in engines.iter().cycle().skip(turn).take(count).cloned() {
+            let state = state.clone();
+            // An engine that does not answer shows where it is used.
+            tokio::spawn(async move {
+                let _ = observe_target(&state, &id, address, PACE_LIMIT).await;
+            });
+        }
+        turn = (turn + count) % engines.len().max(1);
+    }
+}
+
+/// The engines of this instance's zone that hold layers.
+fn near_engines<P>(state: &ForwardState<P>) -> Vec<(TargetId, SocketAddr)> {
+    let settings = state.settings();
+    let tables = state.tables();
+    let near = |row: &TargetRow| {
+        row.takes_work() && row.report.zone == settings.zone && !row.report.held.is_empty()
+    };
+    let rows = tables.fleet.rows.iter().filter(|(_, row)| near(row));
+    rows.map(|(id, row)| (id.clone(), row.report.address)).collect()
+}
+
 async fn probe_target<P: Platform>(state: Arc<ForwardState<P>>, id: TargetId) {
     let address = state.tables().fleet.rows.get(&id).map(|row| row.report.address);
     let end = match address {
@@ -82,6 +126,7 @@
         let now = state.now();
         state.tables().fleet.observe(id, &engine.held, asked, now);
     }
+    state.tables().fleet.note_pace(id, engine.slowdown, asked);
     Ok(engine)
 }
 
--- a/crates/banyan-wire/src/forward.rs
+++ b/crates/banyan-wire/src/forward.rs
@@ -91,8 +91,10 @@
     pub loads: Vec<LoadWire>,
     /// Targets that did not answer it.
     pub unreachable: Vec<SmolStr>,
-    /// What targets themselves told it lately of their layers.
+    /// What targets themselves told it lately of their layers, where their records say otherwise.
     pub observed: Vec<ObservedWire>,
+    /// Engines that told it lately that they are slow.
+    pub slow: Vec<SlowWire>,
     /// The generation of the group, as it last heard it.
     pub generation: u64,
     /// Whether it leads.
@@ -112,6 +114,17 @@
     pub left_ms: u64,
 }
 
+/// What an engine said of its pace.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct SlowWire {
+    /// The engine.
+    pub target: SmolStr,
+    /// How many times as long as usual its work takes, in thousandths.
+    pub factor_thousandths: u32,
+    /// How long ago it said so, in milliseconds.
+    pub age_ms: u64,
+}
+
 /// What a target said of its layers.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct ObservedWire {
