No pace that an engine tells can stop the search for chains; digests are taken in by one function a part

Factors count up to 100 now, and what is no number counts as none. Red before: chains.rs, whatever_pace_an_engine_tells_chains_are_found.

take_digest had grown: paces and observations have functions of their own, and the moment that an age stands for is reckoned in one place. banyan_reader_failures_total is described like the other metrics.

--- a/crates/banyan-core/src/pipeline/fleet.rs
+++ b/crates/banyan-core/src/pipeline/fleet.rs
@@ -71,6 +71,8 @@
 
 /// From this factor on an engine counts as slow.
 pub const SLOW_FACTOR: f64 = 1.3;
+/// The largest factor that is believed: whatever an engine says, times stay times.
+const SLOWEST_FACTOR: f64 = 100.0;
 /// The time for which an engine counts as slow that is not heard again: two rounds of questions.
 const PACE_TIME: Duration = Duration::from_millis(4_500);
 /// Factors that differ by less are taken as the same, so that chains are not found anew for them.
@@ -221,6 +223,7 @@
         if row.pace.is_some_and(|pace| pace.seen >= seen) {
             return;
         }
+        let factor = if factor.is_finite() { factor.min(SLOWEST_FACTOR) } else { 1.0 };
         let before = row.slowdown();
         row.pace = (factor >= SLOW_FACTOR).then_some(SlowPace { factor, seen });
         if (row.slowdown() - before).abs() > SAME_PACE * before {
--- a/crates/banyan-core/tests/pipeline/chains.rs
+++ b/crates/banyan-core/tests/pipeline/chains.rs
@@ -258,6 +258,16 @@
     assert!(chain.step_time < std::time::Duration::from_millis(4), "{:?}", chain.step_time);
 }
 
+#[test]
+fn whatever_pace_an_engine_tells_chains_are_found() {
+    let mut fleet = fleet(&[("a1", "a", "fast-vast", layers(0, 80))]);
+    for (millis, factor) in [(1, 1e300), (2, f64::INFINITY), (3, f64::NAN), (4, -5.0), (5, 0.0)] {
+        fleet.note_pace(&target("a1"), factor, at(millis));
+        let pool = pool(&fleet, &SuspicionTable::default(), at(millis));
+        assert!(choose(&pool, &LoadTable::default(), "a").is_some(), "{factor}");
+    }
+}
+
 #[test]
 fn instances_share_a_zone_of_many_engines_out_among_them() {
     let fleet = many_copies(60);
--- a/crates/banyan-forward/src/digests.rs
+++ b/crates/banyan-forward/src/digests.rs
@@ -115,9 +115,9 @@
     };
     let now = state.now();
     let mut tables = state.tables();
+    let read_age = digest.read_age_ms.map(Duration::from_millis);
     match digest.zone.parse() {
         Ok(zone) => {
-            let read_age = digest.read_age_ms.map(Duration::from_millis);
             let word = ReaderWord { zone, address: digest.address, read_age };
             tables.readers.hear(instance.clone(), word, now);
         }
@@ -131,22 +131,37 @@
         tables.leader_heard = Some(now);
         take_orders(&mut tables, digest.ordered, now);
     }
-    for slow in digest.slow {
-        let seen = Moment(now.0.saturating_sub(slow.age_ms * 1_000));
-        match slow.target.parse() {
-            Ok(id) => tables.fleet.note_pace(&id, f64::from(slow.factor_thousandths) / 1e3, seen),
+    take_paces(&mut tables, digest.slow, now);
+    take_observations(&mut tables, digest.observed, now);
+}
+
+/// Takes in which engines told a peer that they are slow.
+fn take_paces(tables: &mut ForwardTables, slow: Vec<SlowWire>, now: Moment) {
+    for pace in slow {
+        let factor = f64::from(pace.factor_thousandths) / 1e3;
+        match pace.target.parse() {
+            Ok(id) => tables.fleet.note_pace(&id, factor, before(now, pace.age_ms)),
             Err(error) => tracing::warn!(part = "peers", %error, "A bad pace was passed over."),
         }
     }
-    for observed in digest.observed {
-        let at = Moment(now.0.saturating_sub(observed.age_ms * 1_000));
-        match (observed.target.parse(), layer_ranges(observed.held)) {
+}
+
+/// Takes in what targets told a peer of their layers.
+fn take_observations(tables: &mut ForwardTables, observed: Vec<ObservedWire>, now: Moment) {
+    for observation in observed {
+        let at = before(now, observation.age_ms);
+        match (observation.target.parse(), layer_ranges(observation.held)) {
             (Ok(id), Ok(held)) => tables.fleet.observe(&id, &held, at, now),
             _ => tracing::warn!(part = "peers", "A bad observation was passed over."),
         }
     }
 }
 
+/// The moment some milliseconds before another one.
+pub fn before(now: Moment, age_ms: u64) -> Moment {
+    Moment(now.0.saturating_sub(age_ms * 1_000))
+}
+
 /// A time in whole milliseconds, as peers are told it.
 pub fn millis(time: Duration) -> u64 {
     time.as_millis() as u64
--- a/crates/banyan-forward/src/metric.rs
+++ b/crates/banyan-forward/src/metric.rs
@@ -38,6 +38,11 @@
     describe_counter!("banyan_probes_total", count, "Probes of silent targets, by how they ended.");
     describe_counter!("banyan_store_answers_total", count, "Answered calls to the store, by call.");
     describe_counter!("banyan_store_failures_total", count, "Failed calls to the store, by call.");
+    describe_counter!(
+        "banyan_reader_failures_total",
+        count,
+        "Peers that read the store for this instance and gave no news."
+    );
     describe_counter!("banyan_log_lines_dropped_total", count, "Log lines that were left out.");
     describe_gauge!("banyan_configuration_version", count, "The configuration version in force.");
     describe_histogram!("banyan_answer_seconds", seconds, "Time from a head to the whole answer.");
--- a/crates/banyan-forward/src/news.rs
+++ b/crates/banyan-forward/src/news.rs
@@ -11,6 +11,7 @@
 
 use thiserror::Error;
 
+use crate::digests::before;
 use crate::digests::millis;
 use crate::edges::Platform;
 use crate::feeds;
@@ -24,7 +25,6 @@
 use banyan_core::pipeline::fleet::TargetReport;
 use banyan_core::pipeline::readers::FRESH_TIME;
 use banyan_core::pipeline::readers::FeedSource;
-use banyan_core::units::Moment;
 use banyan_wire::forward::FeedNews;
 use banyan_wire::forward::FeedPosition;
 use banyan_wire::forward::FleetNews;
@@ -183,11 +183,9 @@
         }
     }
     let mut tables = state.tables();
-    tables.fleet_read = Moment(now.0.saturating_sub(age.as_micros() as u64));
-    if let Some(age) = news.trouble_age_ms {
-        let at = Moment(now.0.saturating_sub(age * 1_000));
-        tables.store_trouble = tables.store_trouble.max(Some(at));
-    }
+    tables.fleet_read = before(now, millis(age));
+    let trouble = news.trouble_age_ms.map(|age_ms| before(now, age_ms));
+    tables.store_trouble = tables.store_trouble.max(trouble);
     drop(tables);
     feeds::settle_fleet(state);
     Ok(())
