One piece for the lower names of a zone, one for a peer's connection; nothing unused in the history

Found by reading the whole change again; behaviour stays as it was: ReaderTable::stands_by and may_wait count the same instances (lower); digests and news take up a kept connection or a new one in the same way (peers::linked); nobody called FleetHistory::has_news.

--- a/crates/banyan-core/src/pipeline/history.rs
+++ b/crates/banyan-core/src/pipeline/history.rs
@@ -72,12 +72,6 @@
         Some(behind.map(|(_, change)| change.clone()).collect())
     }
 
-    /// Whether something changed behind an offset.
-    pub fn has_news(&self, from: LogOffset) -> bool {
-        let newest = self.recent.back().map_or(self.complete_from, |(offset, _)| *offset);
-        self.next.is_some() && newest > from
-    }
-
     fn take(&mut self, change: &FleetChange) -> bool {
         match change {
             FleetChange::Reported(id, report) => {
--- a/crates/banyan-core/src/pipeline/readers.rs
+++ b/crates/banyan-core/src/pipeline/readers.rs
@@ -112,19 +112,19 @@
     /// Whether an instance is among the few of its zone that stand by for what one of all instances
     /// does at a time: the store need not hear of the others.
     pub fn stands_by(&self, own: &InstanceId, zone: &ZoneId, now: Moment) -> bool {
-        let lower = |(peer, row): &(&InstanceId, &ReaderRow)| {
-            row.is_live(now) && row.word.zone == *zone && *peer < own
-        };
-        self.rows.iter().filter(lower).count() < STANDBYS_IN_ZONE
+        self.lower(own, zone, now) < STANDBYS_IN_ZONE
     }
 
     /// Whether a lower name of the same zone lives, so that this instance need not hurry to reach a
     /// store that is away.
     pub fn may_wait(&self, own: &InstanceId, zone: &ZoneId, now: Moment) -> bool {
-        let lower = |(peer, row): (&InstanceId, &ReaderRow)| {
-            row.is_live(now) && row.word.zone == *zone && peer < own
-        };
-        self.rows.iter().any(lower)
+        self.lower(own, zone, now) > 0
+    }
+
+    /// The number of live instances of a zone with lower names.
+    fn lower(&self, own: &InstanceId, zone: &ZoneId, now: Moment) -> usize {
+        let lower = self.rows.range::<InstanceId, _>(..own);
+        lower.filter(|(_, row)| row.is_live(now) && row.word.zone == *zone).count()
     }
 }
 
--- a/crates/banyan-forward/src/news.rs
+++ b/crates/banyan-forward/src/news.rs
@@ -16,7 +16,7 @@
 use crate::edges::Platform;
 use crate::feeds;
 use crate::peers::call_context;
-use crate::peers::connect;
+use crate::peers::linked;
 use crate::state::ForwardState;
 use banyan_core::ids::InstanceId;
 use banyan_core::ids::LogOffset;
@@ -106,10 +106,7 @@
     let limit = NEWS_WAIT + ANSWER_LIMIT;
     let behind = position(state);
     let asking = async {
-        let link = match link {
-            Some(link) => link,
-            None => connect(address).await.ok()?,
-        };
+        let link = linked(address, link).await?;
         let news = link.news(call_context(limit), behind).await.ok()?;
         Some((link, news))
     };
--- a/crates/banyan-forward/src/peers.rs
+++ b/crates/banyan-forward/src/peers.rs
@@ -187,10 +187,7 @@
     digest: ForwardDigest,
 ) -> Option<(ForwardServiceClient, ForwardDigest)> {
     let work = async {
-        let link = match link {
-            Some(link) => link,
-            None => connect(address).await.ok()?,
-        };
+        let link = linked(address, link).await?;
         let answer = link.exchange(call_context(EXCHANGE_LIMIT), digest).await.ok()?;
         Some((link, answer))
     };
@@ -210,8 +207,18 @@
     }
 }
 
-/// Connects to a peer.
-pub async fn connect(address: SocketAddr) -> std::io::Result<ForwardServiceClient> {
+/// The connection to a peer that was kept, or a new one.
+pub async fn linked(
+    address: SocketAddr,
+    kept: Option<ForwardServiceClient>,
+) -> Option<ForwardServiceClient> {
+    match kept {
+        Some(link) => Some(link),
+        None => connect(address).await.ok(),
+    }
+}
+
+async fn connect(address: SocketAddr) -> std::io::Result<ForwardServiceClient> {
     let stream = TcpStream::connect(address).await?;
     stream.set_nodelay(true)?;
     let transport = serde_transport::new(Framed::new(stream, frames()), format());
