Refactor: banyan-forward in folders, shared types of core in files of their own

29 files stood flat in banyan-forward, so a reader could not see which of them meet callers, engines, the store or peers. They now stand in callers, engines, store, peers and decisions. leadership is split into placement (what is ordered) and orders (how it is sent), peers into peer_link, rounds and answers, the tables leave state.

Circles of two files that imported each other are cut: layout/placement by placement_target, chain/search by target_chain, admission/waiting by admission_request, choice/price by chain_query, call/serve by the retry delays in answer, news/peers by peer_link. implies_not_run stands beside the exchange that both callers of it use.

No behaviour is meant to change.

--- a/crates/banyan-core/src/pipeline.rs
+++ b/crates/banyan-core/src/pipeline.rs
@@ -9,7 +9,8 @@
 //! - [`readers`]: which instance reads those records for others.
 //! - [`model`]: the model and the accelerators.
 //! - [`placement`]: which layers each engine should hold.
-//! - [`chain`]: which engines serve a request.
+//! - [`target_chain`]: engines that together run all layers.
+//! - [`chain`]: which chain serves a request.
 //! - [`reroute`]: how a running request moves off some of its engines.
 //! - [`suspicion`]: which targets are suspected of having failed.
 //! - [`load`]: the load of each target.
@@ -25,6 +26,7 @@
 pub mod model;
 mod path;
 pub mod placement;
+pub mod placement_target;
 pub mod readers;
 pub mod replica;
 pub mod reroute;
@@ -33,3 +35,4 @@
 pub mod routes;
 mod search;
 pub mod suspicion;
+pub mod target_chain;
--- a/crates/banyan-core/src/pipeline/layout.rs
+++ b/crates/banyan-core/src/pipeline/layout.rs
@@ -6,7 +6,7 @@
 
 use crate::ids::LayerRange;
 use crate::ids::TargetId;
-use crate::pipeline::placement::PlacementTarget;
+use crate::pipeline::placement_target::PlacementTarget;
 
 /// Number of holders of a layer beyond which another one adds nothing.
 const MAX_USEFUL_HOLDERS: u32 = 8;
--- a/crates/banyan-core/src/pipeline/placement.rs
+++ b/crates/banyan-core/src/pipeline/placement.rs
@@ -16,31 +16,12 @@
 use crate::ids::ZoneId;
 use crate::pipeline::layout::GroupLayout;
 use crate::pipeline::model::PipelineModel;
-use crate::units::ByteCount;
+use crate::pipeline::placement_target::PlacementTarget;
 use crate::units::TokenCount;
 
 /// Fractions of the desired request capacity, tried in order until all layers fit.
 const CAPACITY_FRACTIONS: [f64; 5] = [1.0, 0.6, 0.3, 0.1, 0.0];
 
-/// An engine that layers can be ordered onto.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct PlacementTarget {
-    /// The engine.
-    pub id: TargetId,
-    /// Its availability zone.
-    pub zone: ZoneId,
-    /// Its memory.
-    pub memory: ByteCount,
-    /// Its step time in thousandths of the model's step time.
-    pub step_time_permille: u64,
-    /// The layers that it holds or was ordered to hold.
-    pub range: Option<LayerRange>,
-    /// The load of its requests, in tokens times layers.
-    pub load: u64,
-    /// Whether it is executing an order, so that it must not get another one.
-    pub busy: bool,
-}
-
 /// An order for an engine to hold a range of layers.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct PlacementOrder {
--- a/crates/banyan-core/src/pipeline/search.rs
+++ b/crates/banyan-core/src/pipeline/search.rs
@@ -7,14 +7,14 @@
 use crate::ids::ServiceId;
 use crate::ids::TargetId;
 use crate::ids::ZoneId;
-use crate::pipeline::chain::ChainPart;
-use crate::pipeline::chain::TargetChain;
 use crate::pipeline::fleet::FleetTable;
 use crate::pipeline::model::PipelineModel;
 use crate::pipeline::path::PartChoice;
 use crate::pipeline::path::StageCandidate;
 use crate::pipeline::path::find_path;
 use crate::pipeline::suspicion::SuspicionTable;
+use crate::pipeline::target_chain::ChainPart;
+use crate::pipeline::target_chain::TargetChain;
 use crate::units::Moment;
 
 /// Minimum number of searches for chains in one zone.
--- a/crates/banyan-core/src/serving.rs
+++ b/crates/banyan-core/src/serving.rs
@@ -6,8 +6,10 @@
 //! table that all of them share. [`decisions`] groups the functions that have naive counterparts.
 
 pub mod admission;
+pub mod admission_request;
 pub mod budget;
 pub mod capacity;
+pub mod chain_query;
 pub mod choice;
 pub mod decisions;
 pub mod estimate;
--- a/crates/banyan-core/src/serving/admission.rs
+++ b/crates/banyan-core/src/serving/admission.rs
@@ -12,6 +12,7 @@
 
 use crate::ids::RequestId;
 use crate::ids::WorkspaceId;
+use crate::serving::admission_request::AdmissionRequest;
 use crate::serving::estimate::ServiceEstimates;
 use crate::serving::waiting::WaitingTable;
 use crate::units::Moment;
@@ -23,23 +24,6 @@
 /// The shortest retry delay that is given to a refused caller.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(100);
 
-/// A request for admission.
-#[derive(Clone, Debug)]
-pub struct AdmissionRequest {
-    /// The request.
-    pub request: RequestId,
-    /// The workspace that sent it.
-    pub workspace: WorkspaceId,
-    /// The workspace's weight in fair sharing.
-    pub share: u32,
-    /// The workspace's priority.
-    pub priority: u8,
-    /// The most tokens that it may generate. Its workspace is charged for them.
-    pub tokens: u64,
-    /// The deadline for its end.
-    pub deadline: Moment,
-}
-
 /// The answer to a request for admission.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum AdmissionVerdict {
--- a/crates/banyan-core/src/serving/choice.rs
+++ b/crates/banyan-core/src/serving/choice.rs
@@ -12,17 +12,15 @@
 
 use crate::declaration::TargetRole;
 use crate::ids::LayerRange;
-use crate::ids::ModelId;
 use crate::ids::ServiceId;
 use crate::ids::TargetId;
-use crate::ids::ZoneId;
+use crate::serving::chain_query::ChainQuery;
 use crate::serving::groups::TargetGroup;
 use crate::serving::price::StagePrice;
 use crate::serving::price::replica_price;
 use crate::serving::price::stage_price;
 use crate::serving::targets::TargetRow;
 use crate::serving::targets::TargetTable;
-use crate::units::ByteCount;
 
 /// The number of group members that are sampled and compared.
 const SAMPLE_SIZE: usize = 3;
@@ -37,25 +35,6 @@
 /// lowest one in the sample.
 const MAX_CACHED_PEAK_PERCENT: u64 = 115;
 
-/// The input of a choice.
-#[derive(Clone, Debug)]
-pub struct ChainQuery<'a> {
-    /// The model.
-    pub model: &'a ModelId,
-    /// The model's number of layers.
-    pub layers: u32,
-    /// The size of the data that one stage passes to the next.
-    pub handoff: ByteCount,
-    /// The zone of the instance that makes the choice.
-    pub zone: &'a ZoneId,
-    /// Digests of the prompt's prefixes, shortest first.
-    pub prefixes: &'a [u64],
-    /// Targets that must not be chosen.
-    pub excluded: &'a BTreeSet<TargetId>,
-    /// A random number that is new for each request.
-    pub draw: u64,
-}
-
 /// One stage of a chain.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct StageChoice {
--- a/crates/banyan-core/src/serving/decisions.rs
+++ b/crates/banyan-core/src/serving/decisions.rs
@@ -8,8 +8,8 @@
 use crate::ids::LayerRange;
 use crate::ids::ServiceId;
 use crate::ids::TargetId;
+use crate::serving::chain_query::ChainQuery;
 use crate::serving::choice;
-use crate::serving::choice::ChainQuery;
 use crate::serving::choice::StageChoice;
 use crate::serving::targets::TargetTable;
 
--- a/crates/banyan-core/src/serving/price.rs
+++ b/crates/banyan-core/src/serving/price.rs
@@ -4,7 +4,7 @@
 
 use crate::declaration::TargetRole;
 use crate::ids::ZoneId;
-use crate::serving::choice::ChainQuery;
+use crate::serving::chain_query::ChainQuery;
 use crate::serving::targets::TargetHealth;
 use crate::serving::targets::TargetRow;
 use crate::serving::targets::TargetTable;
--- a/crates/banyan-core/src/serving/waiting.rs
+++ b/crates/banyan-core/src/serving/waiting.rs
@@ -9,7 +9,7 @@
 
 use crate::ids::RequestId;
 use crate::ids::WorkspaceId;
-use crate::serving::admission::AdmissionRequest;
+use crate::serving::admission_request::AdmissionRequest;
 use crate::serving::estimate::SmoothedTime;
 use crate::units::Moment;
 
--- a/crates/banyan-core/tests/pipeline/chains.rs
+++ b/crates/banyan-core/tests/pipeline/chains.rs
@@ -12,13 +12,13 @@
 use banyan_core::ids::LayerRange;
 use banyan_core::pipeline::chain::ChainPool;
 use banyan_core::pipeline::chain::RequestSize;
-use banyan_core::pipeline::chain::TargetChain;
 use banyan_core::pipeline::fleet::FleetTable;
 use banyan_core::pipeline::load::LoadTable;
 use banyan_core::pipeline::load::LoadView;
 use banyan_core::pipeline::load::PeerLoadTable;
 use banyan_core::pipeline::suspicion::ProbeOutcome;
 use banyan_core::pipeline::suspicion::SuspicionTable;
+use banyan_core::pipeline::target_chain::TargetChain;
 use banyan_core::units::Moment;
 use banyan_core::units::TokenCount;
 
--- a/crates/banyan-core/tests/pipeline/layouts.rs
+++ b/crates/banyan-core/tests/pipeline/layouts.rs
@@ -8,8 +8,8 @@
 use crate::support::layers;
 use crate::support::model;
 use banyan_core::pipeline::placement::PlacementOrder;
-use banyan_core::pipeline::placement::PlacementTarget;
 use banyan_core::pipeline::placement::plan_placement;
+use banyan_core::pipeline::placement_target::PlacementTarget;
 use banyan_core::units::TokenCount;
 
 /// Applies orders to the engines.
--- a/crates/banyan-core/tests/pipeline/reroutes.rs
+++ b/crates/banyan-core/tests/pipeline/reroutes.rs
@@ -7,7 +7,6 @@
 use crate::support::service;
 use crate::support::target;
 use banyan_core::pipeline::chain::ChainPool;
-use banyan_core::pipeline::chain::TargetChain;
 use banyan_core::pipeline::fleet::FleetTable;
 use banyan_core::pipeline::load::LoadTable;
 use banyan_core::pipeline::load::LoadView;
@@ -15,6 +14,7 @@
 use banyan_core::pipeline::reroute::RerouteQuery;
 use banyan_core::pipeline::reroute::reroute_chain;
 use banyan_core::pipeline::suspicion::SuspicionTable;
+use banyan_core::pipeline::target_chain::TargetChain;
 use banyan_core::units::TokenCount;
 
 /// The best chain of a fleet.
--- a/crates/banyan-core/tests/pipeline/support.rs
+++ b/crates/banyan-core/tests/pipeline/support.rs
@@ -17,7 +17,7 @@
 use banyan_core::pipeline::model::AcceleratorKind;
 use banyan_core::pipeline::model::PassTiming;
 use banyan_core::pipeline::model::PipelineModel;
-use banyan_core::pipeline::placement::PlacementTarget;
+use banyan_core::pipeline::placement_target::PlacementTarget;
 use banyan_core::units::ByteCount;
 use banyan_core::units::Moment;
 use banyan_core::units::TokenCount;
--- a/crates/banyan-core/tests/serving_choice.rs
+++ b/crates/banyan-core/tests/serving_choice.rs
@@ -13,7 +13,7 @@
 use banyan_core::ids::ServiceId;
 use banyan_core::ids::TargetId;
 use banyan_core::serving::capacity::capacity_share;
-use banyan_core::serving::choice::ChainQuery;
+use banyan_core::serving::chain_query::ChainQuery;
 use banyan_core::serving::choice::choose_chain;
 use banyan_core::serving::choice::choose_replica;
 use banyan_core::serving::choice::choose_stage;
--- a/crates/banyan-core/tests/serving_prefix.rs
+++ b/crates/banyan-core/tests/serving_prefix.rs
@@ -8,8 +8,8 @@
 use smol_str::SmolStr;
 
 use banyan_core::ids::LayerRange;
+use banyan_core::serving::chain_query::ChainQuery;
 use banyan_core::serving::choice;
-use banyan_core::serving::choice::ChainQuery;
 use banyan_core::serving::decisions::DecisionSet;
 use banyan_core::serving::prefix::PrefixEvent;
 use banyan_core::serving::prefix::PrefixIndex;
--- a/crates/banyan-entry/src/admission.rs
+++ b/crates/banyan-entry/src/admission.rs
@@ -17,8 +17,8 @@
 use banyan_core::ids::ModelId;
 use banyan_core::ids::RequestId;
 use banyan_core::ids::WorkspaceId;
-use banyan_core::serving::admission::AdmissionRequest;
 use banyan_core::serving::admission::AdmissionVerdict;
+use banyan_core::serving::admission_request::AdmissionRequest;
 use banyan_core::units::Moment;
 
 /// The time past its deadline for which a request stays queued without fair admission.
--- a/crates/banyan-entry/src/lineage/chain.rs
+++ b/crates/banyan-entry/src/lineage/chain.rs
@@ -12,7 +12,7 @@
 use crate::state::EntryTables;
 use banyan_core::event::EventKind;
 use banyan_core::ids::TargetId;
-use banyan_core::serving::choice::ChainQuery;
+use banyan_core::serving::chain_query::ChainQuery;
 use banyan_core::serving::choice::StageChoice;
 
 impl LineageRun {
--- a/crates/banyan-forward/src/answer.rs
+++ b/crates/banyan-forward/src/callers/answer.rs
@@ -13,7 +13,12 @@
 use http_body_util::combinators::UnsyncBoxBody;
 use thiserror::Error;
 
-use crate::routed_request::strip_connection_headers;
+use crate::callers::routed_request::strip_connection_headers;
+
+/// The retry delay when no target is usable: about the time until targets are next listed.
+pub const NO_TARGET_RETRY_AFTER: Duration = Duration::from_millis(700);
+/// The retry delay when all chains are full: about the time until running requests end.
+pub const NO_ROOM_RETRY_AFTER: Duration = Duration::from_millis(400);
 
 /// Why an answer ended early. The caller's connection is closed without the final chunk, so that
 /// the caller can tell the answer is incomplete.
--- a/crates/banyan-forward/src/front.rs
+++ b/crates/banyan-forward/src/callers/front.rs
@@ -13,14 +13,14 @@
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 
-use crate::answer::AnswerBody;
+use crate::callers::answer::AnswerBody;
+use crate::callers::serve::serve_request;
+use crate::callers::watched::ConnectionActivity;
+use crate::callers::watched::WatchedStream;
 use crate::edges::Platform;
-use crate::link::set_unacknowledged_timeout;
-use crate::serve::serve_request;
+use crate::engines::link::set_unacknowledged_timeout;
 use crate::state::DaemonPhase;
 use crate::state::ForwardState;
-use crate::watched::ConnectionActivity;
-use crate::watched::WatchedStream;
 use banyan_core::pipeline::routes::CallerLimits;
 use banyan_core::units::ByteCount;
 
--- a/crates/banyan-forward/src/readiness.rs
+++ b/crates/banyan-forward/src/callers/readiness.rs
@@ -12,8 +12,8 @@
 use metrics_exporter_prometheus::PrometheusHandle;
 use tokio::net::TcpListener;
 
-use crate::answer::AnswerBody;
-use crate::answer::whole_body;
+use crate::callers::answer::AnswerBody;
+use crate::callers::answer::whole_body;
 use crate::edges::Platform;
 use crate::state::DaemonPhase;
 use crate::state::ForwardState;
--- a/crates/banyan-forward/src/serve.rs
+++ b/crates/banyan-forward/src/callers/serve.rs
@@ -14,18 +14,19 @@
 use http_body_util::Limited;
 use hyper::body::Incoming;
 
-use crate::answer::AnswerBody;
-use crate::answer::NotRunCause;
-use crate::answer::Refusal;
-use crate::call;
+use crate::callers::answer::AnswerBody;
+use crate::callers::answer::NO_TARGET_RETRY_AFTER;
+use crate::callers::answer::NotRunCause;
+use crate::callers::answer::Refusal;
+use crate::callers::routed_request::RoutedRequest;
 use crate::edges::CallerRequest;
 use crate::edges::Platform;
-use crate::leases::count_active;
+use crate::engines::call;
+use crate::engines::leases::count_active;
+use crate::engines::stream;
 use crate::logs;
-use crate::routed_request::RoutedRequest;
 use crate::state::DaemonPhase;
 use crate::state::ForwardState;
-use crate::stream;
 use banyan_core::pipeline::routes::RouteMiss;
 use banyan_core::pipeline::routes::RouteSpec;
 use banyan_core::pipeline::routes::RouteTable;
@@ -35,10 +36,6 @@
 /// The retry delay given to callers by an instance that has no configuration, is stopping, or did
 /// not receive the body in time. It is short since another instance can serve them at once.
 const OTHER_INSTANCE_RETRY_AFTER: Duration = Duration::from_millis(50);
-/// The retry delay when no target is usable: about the time until targets are next listed.
-pub const NO_TARGET_RETRY_AFTER: Duration = Duration::from_millis(700);
-/// The retry delay when all chains are full: about the time until running requests end.
-pub const NO_ROOM_RETRY_AFTER: Duration = Duration::from_millis(400);
 
 /// Serves one request. The daemon's own errors become answers too, so this cannot fail.
 pub async fn serve_request<P: Platform>(
--- a/crates/banyan-forward/src/daemon.rs
+++ b/crates/banyan-forward/src/daemon.rs
@@ -9,17 +9,18 @@
 use tokio::net::TcpListener;
 use tokio::task::JoinSet;
 
+use crate::callers::front;
+use crate::callers::readiness;
+use crate::decisions::placement;
 use crate::edges::Platform;
-use crate::feeds;
-use crate::front;
-use crate::leadership;
-use crate::news;
-use crate::peers;
-use crate::probes;
-use crate::readiness;
+use crate::engines::probes;
+use crate::peers::answers;
+use crate::peers::news;
+use crate::peers::rounds;
 use crate::settings::ForwardSettings;
 use crate::state::DaemonPhase;
 use crate::state::ForwardState;
+use crate::store::feeds;
 
 /// The time after a stop request during which new requests are still served. The load balancer
 /// needs it to notice that the instance is no longer ready.
@@ -69,9 +70,9 @@
     tasks.spawn(feeds::follow_configuration(state.clone()));
     tasks.spawn(feeds::follow_fleet(state.clone()));
     tasks.spawn(news::run_source(state.clone()));
-    tasks.spawn(leadership::run_leadership(state.clone()));
-    tasks.spawn(peers::serve_peers(state.clone(), peer_listener));
-    tasks.spawn(peers::run_peers(state.clone()));
+    tasks.spawn(placement::run_leadership(state.clone()));
+    tasks.spawn(answers::serve_peers(state.clone(), peer_listener));
+    tasks.spawn(rounds::run_peers(state.clone()));
     tasks.spawn(probes::watch_unreachable(state.clone()));
     tasks.spawn(probes::watch_slowdowns(state.clone()));
     tasks.spawn(front::serve_callers(state.clone(), callers));
--- a/crates/banyan-forward/src/edges.rs
+++ b/crates/banyan-forward/src/edges.rs
@@ -23,10 +23,10 @@
 use banyan_core::ids::LogOffset;
 use banyan_core::ids::TargetId;
 use banyan_core::ids::WorkspaceId;
-use banyan_core::pipeline::chain::ChainPart;
 use banyan_core::pipeline::fleet::FleetChange;
 use banyan_core::pipeline::fleet::TargetReport;
 use banyan_core::pipeline::routes::RouteTable;
+use banyan_core::pipeline::target_chain::ChainPart;
 use banyan_core::units::TokenCount;
 
 /// The id that a caller assigned to one of its attempts.
--- /dev/null
+++ b/crates/banyan-forward/src/engines.rs
@@ -0,0 +1,13 @@
+//! The targets' side: [`stream`] relays the events of a chain of engines, which [`stream_opener`]
+//! starts with a [`chain_attempt`], and [`call`] relays the answer of one replica. Both use
+//! [`exchange`] on connections from [`link`].
+
+pub mod call;
+pub mod chain_attempt;
+pub mod events;
+pub mod exchange;
+pub mod leases;
+pub mod link;
+pub mod probes;
+pub mod stream;
+pub mod stream_opener;
--- a/crates/banyan-forward/src/call.rs
+++ b/crates/banyan-forward/src/engines/call.rs
@@ -10,25 +10,25 @@
 use futures::future::BoxFuture;
 use futures::stream::FuturesUnordered;
 use http::Response;
-use http::StatusCode;
 use http::response::Parts;
 use http_body_util::BodyExt;
 use http_body_util::Limited;
 
-use crate::answer::AnswerBody;
-use crate::answer::NotRunCause;
-use crate::answer::Refusal;
-use crate::answer::relay_response;
-use crate::answer::whole_body;
+use crate::callers::answer::AnswerBody;
+use crate::callers::answer::NO_TARGET_RETRY_AFTER;
+use crate::callers::answer::NotRunCause;
+use crate::callers::answer::Refusal;
+use crate::callers::answer::relay_response;
+use crate::callers::answer::whole_body;
+use crate::callers::routed_request::RoutedRequest;
 use crate::edges::Dispatch;
 use crate::edges::Platform;
-use crate::exchange::ExchangeFailure;
-use crate::exchange::send_to_target;
-use crate::leases::RequestLease;
-use crate::leases::lease_replica;
+use crate::engines::exchange::ExchangeFailure;
+use crate::engines::exchange::implies_not_run;
+use crate::engines::exchange::send_to_target;
+use crate::engines::leases::RequestLease;
+use crate::engines::leases::lease_replica;
 use crate::logs;
-use crate::routed_request::RoutedRequest;
-use crate::serve::NO_TARGET_RETRY_AFTER;
 use crate::state::ForwardState;
 use banyan_core::ids::TargetId;
 use banyan_core::pipeline::replica::ReplicaChoice;
@@ -248,19 +248,6 @@
     }
 }
 
-/// Whether a caller would take this status as proof that its request has not run and will not run.
-/// An answer with such a status is never relayed: if the target did state that the request has not
-/// run, the daemon retries or refuses it instead.
-pub fn implies_not_run(status: StatusCode) -> bool {
-    matches!(
-        status,
-        StatusCode::REQUEST_TIMEOUT
-            | StatusCode::MISDIRECTED_REQUEST
-            | StatusCode::TOO_MANY_REQUESTS
-            | StatusCode::SERVICE_UNAVAILABLE
-    )
-}
-
 fn finish_unanswered<P: Platform>(
     state: &ForwardState<P>,
     request: &RoutedRequest,
--- a/crates/banyan-forward/src/chain_attempt.rs
+++ b/crates/banyan-forward/src/engines/chain_attempt.rs
@@ -8,18 +8,19 @@
 use http_body_util::BodyExt;
 use http_body_util::Limited;
 
+use crate::callers::routed_request::RoutedRequest;
 use crate::edges::AnswerFacts;
 use crate::edges::Dispatch;
 use crate::edges::Platform;
-use crate::events::EventBatch;
-use crate::events::EventSplitter;
-use crate::exchange::ExchangeFailure;
-use crate::exchange::send_to_target;
-use crate::leases::RequestLease;
-use crate::link::LinkBody;
-use crate::routed_request::RoutedRequest;
+use crate::engines::events::EventBatch;
+use crate::engines::events::EventSplitter;
+use crate::engines::exchange::ExchangeFailure;
+use crate::engines::exchange::implies_not_run;
+use crate::engines::exchange::send_to_target;
+use crate::engines::leases::RequestLease;
+use crate::engines::link::LinkBody;
 use crate::state::ForwardState;
-use banyan_core::pipeline::chain::TargetChain;
+use banyan_core::pipeline::target_chain::TargetChain;
 
 /// The largest error answer of an engine that is buffered.
 const MAX_FAILURE_BYTES: usize = 1 << 20;
@@ -112,7 +113,7 @@
 /// Reads an engine's error answer. It cannot be relayed if its status implies that the request has
 /// not run, since the engine did not state that.
 async fn read_failure(head: Parts, body: LinkBody) -> OpenFailure {
-    if crate::call::implies_not_run(head.status) {
+    if implies_not_run(head.status) {
         return OpenFailure::MaybeRun("it failed without stating that the request has not run");
     }
     match Limited::new(body, MAX_FAILURE_BYTES).collect().await {
--- a/crates/banyan-forward/src/exchange.rs
+++ b/crates/banyan-forward/src/engines/exchange.rs
@@ -2,15 +2,16 @@
 
 use std::net::SocketAddr;
 
+use http::StatusCode;
 use http::response::Parts;
 
+use crate::callers::routed_request::RoutedRequest;
 use crate::edges::AnswerFacts;
 use crate::edges::Dispatch;
 use crate::edges::Platform;
-use crate::link::LinkBody;
-use crate::link::LinkError;
-use crate::link::send_request;
-use crate::routed_request::RoutedRequest;
+use crate::engines::link::LinkBody;
+use crate::engines::link::LinkError;
+use crate::engines::link::send_request;
 use crate::state::ForwardState;
 
 /// Why a target gave no answer that can be relayed.
@@ -51,3 +52,16 @@
     }
     Ok((head, body))
 }
+
+/// Whether a caller would take this status as proof that its request has not run and will not run.
+/// An answer with such a status is never relayed: if the target did state that the request has not
+/// run, the daemon retries or refuses it instead.
+pub fn implies_not_run(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+    )
+}
--- a/crates/banyan-forward/src/leases.rs
+++ b/crates/banyan-forward/src/engines/leases.rs
@@ -4,7 +4,7 @@
 
 use crate::state::ForwardState;
 use banyan_core::ids::TargetId;
-use banyan_core::pipeline::chain::TargetChain;
+use banyan_core::pipeline::target_chain::TargetChain;
 use banyan_core::units::TokenCount;
 
 /// A resource that a request holds. Dropping the lease releases it.
--- a/crates/banyan-forward/src/stream.rs
+++ b/crates/banyan-forward/src/engines/stream.rs
@@ -15,19 +15,19 @@
 use hyper::body::Frame;
 use tokio::time::Instant;
 
-use crate::answer::AnswerBody;
-use crate::answer::AnswerInterrupted;
-use crate::answer::relay_response;
-use crate::answer::whole_body;
-use crate::chain_attempt::OpenedStream;
+use crate::callers::answer::AnswerBody;
+use crate::callers::answer::AnswerInterrupted;
+use crate::callers::answer::relay_response;
+use crate::callers::answer::whole_body;
+use crate::callers::routed_request::RoutedRequest;
 use crate::edges::Platform;
-use crate::events::EventBatch;
-use crate::leases::RequestLease;
+use crate::engines::chain_attempt::OpenedStream;
+use crate::engines::events::EventBatch;
+use crate::engines::leases::RequestLease;
+use crate::engines::stream_opener::StreamOpener;
+use crate::engines::stream_opener::record_progress;
 use crate::logs;
-use crate::routed_request::RoutedRequest;
 use crate::state::ForwardState;
-use crate::stream_opener::StreamOpener;
-use crate::stream_opener::record_progress;
 
 /// The fraction of the pause target after which a stream without events is checked.
 const STALL_CHECK_FRACTION: f64 = 0.35;
--- a/crates/banyan-forward/src/logs.rs
+++ b/crates/banyan-forward/src/logs.rs
@@ -18,18 +18,18 @@
 use tracing_subscriber::layer::SubscriberExt;
 use tracing_subscriber::util::SubscriberInitExt;
 
-use crate::answer::Refusal;
+use crate::callers::answer::Refusal;
+use crate::callers::routed_request::RoutedRequest;
 use crate::edges::OrderError;
 use crate::edges::OrderOutcome;
 use crate::edges::RequestToken;
 use crate::log_budget::LinePriority;
 use crate::log_budget::LogBudget;
-use crate::routed_request::RoutedRequest;
 use banyan_core::ids::ServiceId;
 use banyan_core::ids::TargetId;
 use banyan_core::ids::ZoneId;
 use banyan_core::pipeline::chain::ChainChoice;
-use banyan_core::pipeline::chain::TargetChain;
+use banyan_core::pipeline::target_chain::TargetChain;
 use banyan_http::clock::RuntimeClock;
 
 /// The largest number of lines that wait to be written.
--- /dev/null
+++ b/crates/banyan-forward/src/peers/answers.rs
@@ -0,0 +1,85 @@
+//! Answers the calls of other instances: [`serve_peers`].
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures::StreamExt;
+use tarpc::context::Context;
+use tarpc::serde_transport;
+use tarpc::server::BaseChannel;
+use tarpc::server::Channel;
+use tarpc::tokio_util::codec::Framed;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+
+use crate::edges::Platform;
+use crate::engines::link::set_unacknowledged_timeout;
+use crate::peers::digests::apply_digest;
+use crate::peers::digests::own_digest;
+use crate::peers::digests::own_snapshot;
+use crate::peers::news;
+use crate::peers::peer_link::frame_codec;
+use crate::peers::peer_link::message_format;
+use crate::state::ForwardState;
+use banyan_wire::forward::FeedPosition;
+use banyan_wire::forward::FeedUpdate;
+use banyan_wire::forward::ForwardDigest;
+use banyan_wire::forward::ForwardService;
+use banyan_wire::forward::ForwardSnapshot;
+
+/// The delay before the next connection is accepted after a failure.
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(400);
+/// The time after which a peer's connection is closed when the peer acknowledges nothing.
+const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(1_200);
+
+/// The server side of the calls between instances.
+struct PeerService<P> {
+    state: Arc<ForwardState<P>>,
+}
+
+impl<P> Clone for PeerService<P> {
+    fn clone(&self) -> Self {
+        Self { state: self.state.clone() }
+    }
+}
+
+impl<P: Platform> ForwardService for PeerService<P> {
+    async fn exchange(self, _: Context, digest: ForwardDigest) -> ForwardDigest {
+        apply_digest(&self.state, digest);
+        own_digest(&self.state)
+    }
+
+    async fn snapshot(self, _: Context) -> ForwardSnapshot {
+        own_snapshot(&self.state)
+    }
+
+    async fn news(self, _: Context, position: FeedPosition) -> FeedUpdate {
+        news::wait_for_update(&self.state, position).await
+    }
+}
+
+/// Accepts and serves connections of peers until the daemon stops.
+pub async fn serve_peers<P: Platform>(state: Arc<ForwardState<P>>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                tokio::spawn(serve_peer(state.clone(), stream));
+            }
+            Err(error) => {
+                tracing::warn!(part = "peers", %error, "Accepting a connection failed.");
+                tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
+            }
+        }
+    }
+}
+
+async fn serve_peer<P: Platform>(state: Arc<ForwardState<P>>, stream: TcpStream) {
+    if let Err(error) = stream.set_nodelay(true) {
+        tracing::debug!(part = "peers", %error, "Setting TCP_NODELAY failed.");
+    }
+    set_unacknowledged_timeout(&stream, UNACKNOWLEDGED_TIMEOUT);
+    let transport = serde_transport::new(Framed::new(stream, frame_codec()), message_format());
+    let channel = BaseChannel::with_defaults(transport);
+    let answers = channel.execute(PeerService { state }.serve());
+    answers.for_each_concurrent(None, |answer| answer).await;
+}
--- a/crates/banyan-forward/src/digests.rs
+++ b/crates/banyan-forward/src/peers/digests.rs
@@ -7,11 +7,11 @@
 
 use smol_str::SmolStr;
 
+use crate::decisions::tables::ForwardTables;
+use crate::decisions::tables::PendingOrder;
 use crate::edges::Platform;
-use crate::feeds;
 use crate::state::ForwardState;
-use crate::state::ForwardTables;
-use crate::state::PendingOrder;
+use crate::store::feeds;
 use banyan_core::ids::InstanceId;
 use banyan_core::ids::LogOffset;
 use banyan_core::ids::TargetId;
--- a/crates/banyan-forward/src/news.rs
+++ b/crates/banyan-forward/src/peers/news.rs
@@ -11,13 +11,13 @@
 
 use thiserror::Error;
 
-use crate::digests::millis;
-use crate::digests::moment_before;
 use crate::edges::Platform;
-use crate::feeds;
-use crate::peers::call_context;
-use crate::peers::connect_or_reuse;
+use crate::peers::digests::millis;
+use crate::peers::digests::moment_before;
+use crate::peers::peer_link::call_context;
+use crate::peers::peer_link::connect_or_reuse;
 use crate::state::ForwardState;
+use crate::store::feeds;
 use banyan_core::ids::InstanceId;
 use banyan_core::ids::LogOffset;
 use banyan_core::ids::TargetId;
--- a/crates/banyan-forward/src/membership.rs
+++ b/crates/banyan-forward/src/store/membership.rs
@@ -7,9 +7,9 @@
 use std::time::Duration;
 
 use crate::edges::Platform;
-use crate::feeds::record_store_failure;
-use crate::feeds::record_store_success;
 use crate::state::ForwardState;
+use crate::store::feeds::record_store_failure;
+use crate::store::feeds::record_store_success;
 
 /// The time between two heartbeats to the group.
 pub const MEMBERSHIP_INTERVAL: Duration = Duration::from_millis(700);
@@ -17,7 +17,7 @@
 pub const MEMBERSHIP_TTL: Duration = Duration::from_millis(2_200);
 
 /// If fewer other instances than this are listed, an instance joins the group at startup without
-/// waiting for digests: the first digest rounds ([`crate::peers::run_peers`]) reach all of them.
+/// waiting for digests: the first digest rounds ([`crate::peers::rounds::run_peers`]) reach all of them.
 const MIN_PEERS_TO_WAIT: usize = 24;
 /// The time between two checks of the number of instances at startup.
 const STARTUP_CHECK_INTERVAL: Duration = Duration::from_millis(20);
--- a/crates/banyan-forward/tests/events.rs
+++ b/crates/banyan-forward/tests/events.rs
@@ -2,8 +2,8 @@
 
 use bytes::Bytes;
 
-use banyan_forward::events::EventSplitter;
-use banyan_forward::events::EventStreamError;
+use banyan_forward::engines::events::EventSplitter;
+use banyan_forward::engines::events::EventStreamError;
 
 fn event(id: u64) -> String {
     format!("id: {id}\ndata: token-{id}\n\n")
--- a/crates/banyan-forward/tests/metrics_page.rs
+++ b/crates/banyan-forward/tests/metrics_page.rs
@@ -6,8 +6,8 @@
 use prometheus_parse::Scrape;
 use prometheus_parse::Value;
 
-use banyan_forward::answer::NotRunCause;
-use banyan_forward::answer::Refusal;
+use banyan_forward::callers::answer::NotRunCause;
+use banyan_forward::callers::answer::Refusal;
 use banyan_forward::logs;
 use banyan_forward::metric;
 
--- a/crates/banyan-forward/tests/tables.rs
+++ b/crates/banyan-forward/tests/tables.rs
@@ -6,8 +6,8 @@
 use banyan_core::pipeline::fleet::TargetPhase;
 use banyan_core::pipeline::fleet::TargetReport;
 use banyan_core::units::Moment;
-use banyan_forward::state::ForwardTables;
-use banyan_forward::state::PendingOrder;
+use banyan_forward::decisions::tables::ForwardTables;
+use banyan_forward::decisions::tables::PendingOrder;
 
 #[test]
 fn an_order_of_a_lost_leader_excludes_its_engine_from_chains_only_until_it_expires() {
--- a/crates/banyan-load/src/emulate/instances.rs
+++ b/crates/banyan-load/src/emulate/instances.rs
@@ -9,7 +9,6 @@
 use banyan_core::pipeline::chain::ChainChoice;
 use banyan_core::pipeline::chain::ChainPool;
 use banyan_core::pipeline::chain::RequestSize;
-use banyan_core::pipeline::chain::TargetChain;
 use banyan_core::pipeline::fleet::FleetTable;
 use banyan_core::pipeline::load::LoadTable;
 use banyan_core::pipeline::load::LoadView;
@@ -17,6 +16,7 @@
 use banyan_core::pipeline::load::TargetLoad;
 use banyan_core::pipeline::model::PipelineModel;
 use banyan_core::pipeline::suspicion::SuspicionTable;
+use banyan_core::pipeline::target_chain::TargetChain;
 use banyan_core::units::Moment;
 use banyan_core::units::TokenCount;
 
--- a/crates/banyan-naive/examples/affinity.rs
+++ b/crates/banyan-naive/examples/affinity.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use banyan_core::ids::LayerRange;
+use banyan_core::serving::chain_query::ChainQuery;
 use banyan_core::serving::choice;
-use banyan_core::serving::choice::ChainQuery;
 use banyan_core::serving::decisions::DecisionSet;
 use banyan_naive::batch_model::BatchModel;
 use banyan_naive::batch_model::ModelInput;
--- a/crates/banyan-naive/src/admission.rs
+++ b/crates/banyan-naive/src/admission.rs
@@ -11,9 +11,9 @@
 use banyan_core::ids::RequestId;
 use banyan_core::ids::WorkspaceId;
 use banyan_core::serving::admission::AdmissionQueue;
-use banyan_core::serving::admission::AdmissionRequest;
 use banyan_core::serving::admission::AdmissionRound;
 use banyan_core::serving::admission::AdmissionVerdict;
+use banyan_core::serving::admission_request::AdmissionRequest;
 use banyan_core::units::Moment;
 
 /// Admits requests in order of arrival up to its capacity; refuses only when the queue is full.
--- a/crates/banyan-naive/src/batch_model.rs
+++ b/crates/banyan-naive/src/batch_model.rs
@@ -20,7 +20,7 @@
 use banyan_core::declaration::TargetRole;
 use banyan_core::ids::ModelId;
 use banyan_core::ids::TargetId;
-use banyan_core::serving::choice::ChainQuery;
+use banyan_core::serving::chain_query::ChainQuery;
 use banyan_core::serving::decisions::DecisionSet;
 use banyan_core::serving::prefix::PrefixEvent;
 use banyan_core::serving::targets::ReportedLoad;
--- a/crates/banyan-naive/src/choice.rs
+++ b/crates/banyan-naive/src/choice.rs
@@ -9,7 +9,7 @@
 use banyan_core::ids::LayerRange;
 use banyan_core::ids::ServiceId;
 use banyan_core::ids::TargetId;
-use banyan_core::serving::choice::ChainQuery;
+use banyan_core::serving::chain_query::ChainQuery;
 use banyan_core::serving::choice::StageChoice;
 use banyan_core::serving::decisions::DecisionSet;
 use banyan_core::serving::targets::TargetRow;
