--- a/crates/banyan-core/src/pipeline.rs
+++ b/crates/banyan-core/src/pipeline.rs
@@ -12,6 +12,8 @@
 //! - [`target_chain`]: engines that together run all layers.
 //! - [`chain`]: which chain serves a request.
 //! - [`reroute`]: how a running request moves off some of its engines.
+//! - [`duties`]: which instances take on work for others.
+//! - [`checkers`]: which instance checks a target for the others of its zone.
 //! - [`suspicion`]: which targets are suspected of having failed.
 //! - [`load`]: the load of each target.
 //! - [`replica`]: which replica of an unpartitioned service is called.
@@ -19,6 +21,8 @@
 //! - [`retry_after`]: when a refused caller should retry.
 
 pub mod chain;
+pub mod checkers;
+pub mod duties;
 pub mod fleet;
 pub mod history;
 mod layout;
--- /dev/null
+++ b/crates/banyan-core/src/pipeline/duties.rs
@@ -0,0 +1,51 @@
+//! What an instance can spend on work for others: [`DutyCapacity`].
+//!
+//! Machines differ. Reading the store for a zone, leading and checking engines go to those that can
+//! carry it, by what each says of itself.
+
+use std::cmp::Reverse;
+use std::fmt;
+use std::num::ParseIntError;
+use std::str::FromStr;
+
+use crate::ids::InstanceId;
+use crate::ids::ZoneId;
+
+/// What an instance can spend on work for others, in thousandths of a processor core.
+#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
+pub struct DutyCapacity(pub u32);
+
+impl fmt::Display for DutyCapacity {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}m", self.0)
+    }
+}
+
+impl FromStr for DutyCapacity {
+    type Err = ParseIntError;
+
+    fn from_str(text: &str) -> Result<Self, ParseIntError> {
+        text.strip_suffix('m').unwrap_or(text).parse().map(Self)
+    }
+}
+
+/// The order in which instances take on work for others: by capacity, then by name.
+pub type DutyRank<'a> = (Reverse<DutyCapacity>, &'a InstanceId);
+
+/// The instance that makes a decision about its own duties.
+#[derive(Clone, Copy, Debug)]
+pub struct OwnInstance<'a> {
+    /// Its name.
+    pub name: &'a InstanceId,
+    /// Its availability zone.
+    pub zone: &'a ZoneId,
+    /// What it can spend on work for others.
+    pub capacity: DutyCapacity,
+}
+
+impl OwnInstance<'_> {
+    /// Its place in the order of duties.
+    pub fn rank(&self) -> DutyRank<'_> {
+        (Reverse(self.capacity), self.name)
+    }
+}
--- a/crates/banyan-core/src/pipeline/readers.rs
+++ b/crates/banyan-core/src/pipeline/readers.rs
@@ -1,21 +1,37 @@
 //! Chooses which instances read the platform's store for others: [`ReaderTable`].
 //!
 //! Each call to the store has a cost, and most records are heartbeats. In each availability zone
-//! the live instance with the lowest name reads the store, and the others fetch changes from it.
-//! This needs no agreement between instances: an instance that knows no better source reads the
-//! store itself, announces that, and stops once it learns of a reader with a lower name.
-
+//! one live instance fetches the records, and the others fetch the changes from it. Among these
+//! zone readers, the first [`MAX_STORE_READERS`] read the store, and the others are relays: they
+//! fetch the changes from one of these. Instances with more capacity come first, then those with
+//! lower names ([`DutyRank`]). This needs no agreement between instances: an instance that knows no
+//! better source reads the store itself, announces that, and stops once it learns of a reader that
+//! comes before it.
+
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use crate::ids::InstanceId;
+use crate::ids::TargetId;
 use crate::ids::ZoneId;
+use crate::pipeline::checkers::CheckerCandidate;
+use crate::pipeline::checkers::choose_checker;
+use crate::pipeline::duties::DutyCapacity;
+use crate::pipeline::duties::DutyRank;
+use crate::pipeline::duties::OwnInstance;
 use crate::units::Moment;
 
 /// Largest age of a peer's last read for it to count as a reader: one full interval between two
 /// reads of the targets, plus a slow answer.
 pub const MAX_READ_AGE: Duration = Duration::from_millis(1_200);
+/// How much older than [`MAX_READ_AGE`] the data of a relay may be. A relay whose reader fails needs
+/// this long to find another source, and its followers need not look for one meanwhile.
+const RELAY_GRACE: Duration = Duration::from_millis(400);
+/// Largest number of instances that read the store when all is well. With two, relays need not
+/// read the store themselves when one of them fails.
+const MAX_STORE_READERS: usize = 2;
 /// How long a peer's status is valid.
 const STATUS_VALIDITY: Duration = Duration::from_secs(6);
 /// How long a peer is not asked after it failed to deliver changes.
@@ -26,6 +42,17 @@
 /// time.
 const STANDBYS_PER_ZONE: usize = 3;
 
+/// Where an instance gets the platform's records from, as it announces it.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum FeedRole {
+    /// It reads the store itself.
+    Reader,
+    /// It passes on what a reader of another zone has read.
+    Relay,
+    /// It follows another instance of its zone, and is not asked by others.
+    Follower,
+}
+
 /// The source from which an instance fetches the platform's records.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum FeedSource {
@@ -42,7 +69,11 @@
     pub zone: ZoneId,
     /// The address at which it answers peers.
     pub address: SocketAddr,
-    /// The age of its last read of the store, if it reads the store itself.
+    /// What it can spend on work for others.
+    pub capacity: DutyCapacity,
+    /// Where it gets the platform's records from.
+    pub role: FeedRole,
+    /// The age of its records, if it reads the store or relays them.
     pub read_age: Option<Duration>,
 }
 
@@ -50,7 +81,10 @@
 struct ReaderRow {
     status: ReaderStatus,
     received: Moment,
+    /// When it last failed to deliver records.
     failed: Option<Moment>,
+    /// When it last did not answer as a checker.
+    silent_as_checker: Option<Moment>,
 }
 
 impl ReaderRow {
@@ -58,11 +92,31 @@
         now.since(self.received) < STATUS_VALIDITY
     }
 
-    fn reads(&self, now: Moment) -> bool {
+    /// Whether the peer has recent records for others and did not fail to deliver them.
+    fn delivers(&self, now: Moment) -> bool {
         let failed = self.failed.is_some_and(|at| now.since(at) < FAILURE_PAUSE);
-        let fresh = self.status.read_age.is_some_and(|age| age < MAX_READ_AGE);
+        let limit = max_read_age(self.status.role);
+        let fresh = limit.is_some_and(|limit| self.status.read_age.is_some_and(|age| age < limit));
         self.is_live(now) && fresh && !failed
     }
+
+    fn reads_store(&self, now: Moment) -> bool {
+        self.status.role == FeedRole::Reader && self.delivers(now)
+    }
+
+    fn rank<'a>(&self, name: &'a InstanceId) -> DutyRank<'a> {
+        (Reverse(self.status.capacity), name)
+    }
+}
+
+/// The largest age of the records that an instance of a role passes on, or `None` if it passes on
+/// none.
+pub fn max_read_age(role: FeedRole) -> Option<Duration> {
+    match role {
+        FeedRole::Reader => Some(MAX_READ_AGE),
+        FeedRole::Relay => Some(MAX_READ_AGE + RELAY_GRACE),
+        FeedRole::Follower => None,
+    }
 }
 
 /// The announced status of peers, which shows who reads the platform's store.
@@ -75,8 +129,10 @@
     /// Records the status that a peer announced, and drops peers whose status has expired.
     pub fn record_status(&mut self, peer: InstanceId, status: ReaderStatus, now: Moment) {
         self.rows.retain(|_, row| row.is_live(now));
-        let failed = self.rows.get(&peer).and_then(|row| row.failed);
-        self.rows.insert(peer, ReaderRow { status, received: now, failed });
+        let known = self.rows.get(&peer);
+        let failed = known.and_then(|row| row.failed);
+        let silent_as_checker = known.and_then(|row| row.silent_as_checker);
+        self.rows.insert(peer, ReaderRow { status, received: now, failed, silent_as_checker });
     }
 
     /// Records that a peer failed to deliver changes when it was asked.
@@ -86,6 +142,13 @@
         }
     }
 
+    /// Records that the peer at an address did not answer as a checker.
+    pub fn note_silent_checker(&mut self, address: SocketAddr, now: Moment) {
+        for row in self.rows.values_mut().filter(|row| row.status.address == address) {
+            row.silent_as_checker = Some(now);
+        }
+    }
+
     /// The addresses of all known peers.
     pub fn addresses(&self) -> impl Iterator<Item = SocketAddr> {
         self.rows.values().map(|row| row.status.address)
@@ -93,41 +156,87 @@
 
     /// Chooses the source for an instance. `last_failure` is when its own call to the store last
     /// failed.
+    ///
+    /// A relay asks only readers that come before it, and a follower asks only instances of its
+    /// zone that come before it, so that no two instances ask each other. An instance that the
+    /// store turns away asks any reader.
     pub fn source(
         &self,
-        own: &InstanceId,
-        zone: &ZoneId,
+        own: &OwnInstance<'_>,
         last_failure: Option<Moment>,
         now: Moment,
     ) -> FeedSource {
         let store_failed = last_failure.is_some_and(|at| now.since(at) < STORE_FAILURE_PAUSE);
-        let readers = || self.rows.iter().filter(|(_, row)| row.reads(now));
-        let local =
-            readers().find(|(peer, row)| row.status.zone == *zone && (store_failed || *peer < own));
-        let fallback =
-            || readers().min_by_key(|(peer, _)| spread_key(own, peer)).filter(|_| store_failed);
-        match local.or_else(fallback) {
+        let in_zone = |row: &ReaderRow| row.status.zone == *own.zone;
+        let comes_before = |peer: &InstanceId, row: &ReaderRow| row.rank(peer) < own.rank();
+        let local = self
+            .rows
+            .iter()
+            .filter(|(peer, row)| in_zone(row) && row.delivers(now) && comes_before(peer, row))
+            .min_by_key(|(peer, row)| row.rank(peer));
+        let readers = || self.rows.iter().filter(|(_, row)| row.reads_store(now));
+        let earlier = || readers().filter(|(peer, row)| comes_before(peer, row));
+        let relayed = || {
+            let enough = earlier().count() >= MAX_STORE_READERS;
+            earlier().min_by_key(|(peer, _)| spread_key(own.name, peer)).filter(|_| enough)
+        };
+        let fallback = || {
+            let key = |peer, row: &ReaderRow| (!in_zone(row), spread_key(own.name, peer));
+            readers().min_by_key(|(peer, row)| key(peer, row)).filter(|_| store_failed)
+        };
+        match local.or_else(relayed).or_else(fallback) {
             Some((peer, row)) => FeedSource::Peer(peer.clone(), row.status.address),
             None => FeedSource::Store,
         }
     }
 
+    /// The role of an instance that gets its records from a peer. Peers of another zone read the
+    /// store.
+    pub fn role_behind(&self, own: &OwnInstance<'_>, peer: &InstanceId) -> FeedRole {
+        let same_zone = |row: &ReaderRow| row.status.zone == *own.zone;
+        let follows = self.rows.get(peer).is_none_or(same_zone);
+        if follows { FeedRole::Follower } else { FeedRole::Relay }
+    }
+
     /// Whether an instance is one of the standbys of its zone for tasks that a single instance
     /// performs at a time. The other instances need not contact the store about them.
-    pub fn is_standby(&self, own: &InstanceId, zone: &ZoneId, now: Moment) -> bool {
-        self.lower_names(own, zone, now) < STANDBYS_PER_ZONE
+    pub fn is_standby(&self, own: &OwnInstance<'_>, now: Moment) -> bool {
+        self.earlier_instances(own, now) < STANDBYS_PER_ZONE
     }
 
-    /// Whether the zone has a live instance with a lower name, so that this instance need not hurry
-    /// to reconnect to an unavailable store.
-    pub fn may_wait(&self, own: &InstanceId, zone: &ZoneId, now: Moment) -> bool {
-        self.lower_names(own, zone, now) > 0
+    /// Whether the zone has a live instance that comes before this one, so that this instance need
+    /// not hurry to reconnect to an unavailable store.
+    pub fn may_wait(&self, own: &OwnInstance<'_>, now: Moment) -> bool {
+        self.earlier_instances(own, now) > 0
     }
 
-    /// The number of live instances of a zone with lower names.
-    fn lower_names(&self, own: &InstanceId, zone: &ZoneId, now: Moment) -> usize {
-        let lower_names = self.rows.range::<InstanceId, _>(..own);
-        lower_names.filter(|(_, row)| row.is_live(now) && row.status.zone == *zone).count()
+    /// The number of live instances of a zone that come before an instance.
+    fn earlier_instances(&self, own: &OwnInstance<'_>, now: Moment) -> usize {
+        let earlier = |(peer, row): &(&InstanceId, &ReaderRow)| {
+            row.is_live(now) && row.status.zone == *own.zone && row.rank(peer) < own.rank()
+        };
+        self.rows.iter().filter(earlier).count()
+    }
+
+    /// The instance of a zone that checks a target for the others, out of the live ones and the
+    /// asking instance itself. Returns `None` if that is the asking instance.
+    pub fn checker(
+        &self,
+        own: &OwnInstance<'_>,
+        target: &TargetId,
+        now: Moment,
+    ) -> Option<SocketAddr> {
+        let silent =
+            |row: &ReaderRow| row.silent_as_checker.is_some_and(|at| now.since(at) < FAILURE_PAUSE);
+        let can_check =
+            |row: &ReaderRow| row.is_live(now) && row.status.zone == *own.zone && !silent(row);
+        let peers =
+            self.rows.iter().filter(|(_, row)| can_check(row)).map(|(instance, row)| {
+                CheckerCandidate { instance, capacity: row.status.capacity }
+            });
+        let this = CheckerCandidate { instance: own.name, capacity: own.capacity };
+        let chosen = choose_checker(target, peers.chain(std::iter::once(this)))?;
+        self.rows.get(chosen).map(|row| row.status.address)
     }
 }
 
--- a/crates/banyan-core/src/pipeline/suspicion.rs
+++ b/crates/banyan-core/src/pipeline/suspicion.rs
@@ -27,7 +27,11 @@
 const PROBE_VALIDITY: Duration = Duration::from_millis(1_000);
 
 /// How long a probe may stay unanswered before the target counts as unresponsive.
-const PROBE_TIMEOUT: Duration = Duration::from_millis(25);
+pub const PROBE_TIMEOUT: Duration = Duration::from_millis(25);
+/// How long an instance waits for the checker of a target before it probes the target itself.
+pub const CHECKER_TIMEOUT: Duration = Duration::from_millis(30);
+/// The time within which a token that a target forwarded proves to others that it is alive.
+const PROGRESS_VALIDITY: Duration = Duration::from_millis(70);
 
 /// Reports within this time of the first one count as the same failure, since many streams report
 /// one crash.
@@ -44,6 +48,41 @@
     Absent,
 }
 
+/// What a checker knows about a target that another instance asks about.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum CheckOutcome {
+    /// It forwarded a token or answered a probe this long ago.
+    Alive(Duration),
+    /// A recent probe failed.
+    Unreachable,
+    /// A probe has not been answered yet.
+    Unknown,
+}
+
+/// A target that did not answer.
+#[derive(Clone, Copy, Debug)]
+struct UnreachableRow {
+    found: Moment,
+    outcome: ProbeOutcome,
+}
+
+impl UnreachableRow {
+    fn is_valid(&self, now: Moment) -> bool {
+        now.since(self.found) < UNREACHABLE_TIME
+    }
+}
+
+/// A probe or a question to a checker that has begun.
+#[derive(Clone, Copy, Debug)]
+struct PendingProbe {
+    started: Moment,
+    /// How long it may stay unanswered before the target counts as unresponsive.
+    timeout: Duration,
+    /// Whether the target proved to be alive since. A checker may say so from what it saw before
+    /// this question.
+    answered: bool,
+}
+
 /// The failures of one target.
 #[derive(Clone, Copy, Debug)]
 struct FailureRow {
@@ -59,10 +98,8 @@
     /// Targets that refused to run a request, and until when they are avoided.
     refused: BTreeMap<TargetId, Moment>,
     progress: BTreeMap<TargetId, Moment>,
-    /// Unreachable targets: until when they count as such, and whether the host refused
-    /// connections.
-    unreachable: BTreeMap<TargetId, (Moment, ProbeOutcome)>,
-    probing: BTreeMap<TargetId, Moment>,
+    unreachable: BTreeMap<TargetId, UnreachableRow>,
+    probing: BTreeMap<TargetId, PendingProbe>,
     answered: BTreeMap<TargetId, Moment>,
     /// Incremented when the set of suspects changes other than by time.
     pub revision: u64,
@@ -102,15 +139,61 @@
     pub fn begin_probes(&mut self, ids: &[TargetId], now: Moment) -> Vec<TargetId> {
         let mut due = Vec::new();
         for id in ids {
-            if self.probing.get(id).is_some_and(|started| now.since(*started) < PROBE_INTERVAL) {
+            let is_recent = |probe: &PendingProbe| now.since(probe.started) < PROBE_INTERVAL;
+            if self.probing.get(id).is_some_and(is_recent) {
                 continue;
             }
-            self.probing.insert(id.clone(), now);
+            let probe = PendingProbe { started: now, timeout: PROBE_TIMEOUT, answered: false };
+            self.probing.insert(id.clone(), probe);
             due.push(id.clone());
         }
         due
     }
 
+    /// Records that the checker of a target is asked first, which takes longer.
+    pub fn await_checker(&mut self, id: &TargetId) {
+        if let Some(probe) = self.probing.get_mut(id) {
+            probe.timeout = CHECKER_TIMEOUT + PROBE_TIMEOUT;
+        }
+    }
+
+    /// What this instance can say as the checker of a target without another probe.
+    pub fn known_outcome(&self, id: &TargetId, now: Moment) -> CheckOutcome {
+        let age = |seen: Option<&Moment>| seen.map(|seen| now.since(*seen));
+        let progress = age(self.progress.get(id)).filter(|age| *age < PROGRESS_VALIDITY);
+        let answered = age(self.answered.get(id)).filter(|age| *age < PROBE_INTERVAL);
+        if let Some(age) = progress.or(answered) {
+            return CheckOutcome::Alive(age);
+        }
+        let is_recent = |row: &UnreachableRow| now.since(row.found) < PROBE_INTERVAL;
+        if self.unreachable.get(id).is_some_and(is_recent) {
+            CheckOutcome::Unreachable
+        } else {
+            CheckOutcome::Unknown
+        }
+    }
+
+    /// Records what the checker of a target said, and returns whether this instance must probe the
+    /// target itself. The word of a checker ends a suspicion, but never causes one: a checker that
+    /// is slow or cut off would turn all instances against a sound target. It only extends what
+    /// this instance found itself.
+    pub fn record_check(&mut self, id: &TargetId, outcome: CheckOutcome, now: Moment) -> bool {
+        match outcome {
+            CheckOutcome::Alive(age) => {
+                self.record_alive(id, now.before(age));
+                false
+            }
+            CheckOutcome::Unreachable => match self.unreachable.get_mut(id) {
+                Some(row) if row.is_valid(now) => {
+                    row.found = now;
+                    false
+                }
+                _ => true,
+            },
+            CheckOutcome::Unknown => true,
+        }
+    }
+
     /// The targets of `ids` that have neither forwarded a token within `silence` nor answered a
     /// probe recently.
     pub fn silent<'a>(
@@ -134,48 +217,57 @@
         ids: impl Iterator<Item = &'a TargetId>,
         now: Moment,
     ) -> Vec<TargetId> {
-        let overdue = |id: &&TargetId| {
-            let Some(started) = self.probing.get(*id) else { return false };
-            let answered = self.answered.get(*id).is_some_and(|at| at >= started);
-            let waited = now.since(*started);
-            !answered && (PROBE_TIMEOUT..PROBE_VALIDITY).contains(&waited)
-        };
-        ids.filter(overdue).cloned().collect()
+        ids.filter(|id| self.is_overdue(id, now)).cloned().collect()
+    }
+
+    fn is_overdue(&self, id: &TargetId, now: Moment) -> bool {
+        let Some(probe) = self.probing.get(id) else { return false };
+        let waited = now.since(probe.started);
+        !probe.answered && (probe.timeout..PROBE_VALIDITY).contains(&waited)
     }
 
-    /// Records the outcome of a probe. Returns whether the target's reachability changed.
+    /// Records the outcome of this instance's own probe. Returns whether the target's reachability
+    /// changed.
     pub fn record_probe(&mut self, id: &TargetId, end: ProbeOutcome, now: Moment) -> bool {
         if end == ProbeOutcome::Answered {
-            self.answered.insert(id.clone(), now);
-            let was_suspect = self.rows.remove(id).is_some();
-            let changed = self.unreachable.remove(id).is_some();
-            self.revision += u64::from(was_suspect || changed);
-            return changed;
+            return self.record_alive(id, now);
         }
         self.answered.remove(id);
         self.note_failure(id, now);
-        let before = self.unreachable.insert(id.clone(), (now + UNREACHABLE_TIME, end));
-        let changed = before.is_none_or(|(_, before)| before != end);
+        let row = UnreachableRow { found: now, outcome: end };
+        let before = self.unreachable.insert(id.clone(), row);
+        let changed = before.is_none_or(|before| before.outcome != end);
         self.revision += u64::from(changed);
         changed
     }
 
+    fn record_alive(&mut self, id: &TargetId, at: Moment) -> bool {
+        if let Some(probe) = self.probing.get_mut(id) {
+            probe.answered = true;
+        }
+        let newest = self.answered.get(id).map_or(at, |known| at.max(*known));
+        self.answered.insert(id.clone(), newest);
+        let was_suspect = self.rows.remove(id).is_some();
+        let changed = self.unreachable.remove(id).is_some();
+        self.revision += u64::from(was_suspect || changed);
+        changed
+    }
+
     /// Whether a recent probe of a target went unanswered or was refused.
     pub fn is_unreachable(&self, id: &TargetId, now: Moment) -> bool {
-        self.unreachable.get(id).is_some_and(|(until, _)| now < *until)
+        self.unreachable.get(id).is_some_and(|row| row.is_valid(now))
     }
 
     /// Whether the target's host recently refused a connection.
     pub fn is_absent(&self, id: &TargetId, now: Moment) -> bool {
         let absent =
-            |(until, end): &(Moment, ProbeOutcome)| now < *until && *end == ProbeOutcome::Absent;
+            |row: &UnreachableRow| row.is_valid(now) && row.outcome == ProbeOutcome::Absent;
         self.unreachable.get(id).is_some_and(absent)
     }
 
     /// The targets that did not answer a recent probe.
-    pub fn unreachable(&self, now: Moment) -> Vec<TargetId> {
-        let recent = self.unreachable.iter().filter(|(_, (until, _))| now < *until);
-        recent.map(|(id, _)| id.clone()).collect()
+    pub fn unreachable(&self, now: Moment) -> impl Iterator<Item = &TargetId> {
+        self.unreachable.iter().filter(move |(_, row)| row.is_valid(now)).map(|(id, _)| id)
     }
 
     /// Records that a target answered or forwarded a token.
--- a/crates/banyan-core/src/units.rs
+++ b/crates/banyan-core/src/units.rs
@@ -37,6 +37,11 @@
     pub fn since(self, earlier: Moment) -> Duration {
         Duration::from_micros(self.0.saturating_sub(earlier.0))
     }
+
+    /// The moment `age` before this one, or the start of the process if that is later.
+    pub fn before(self, age: Duration) -> Moment {
+        Moment(self.0.saturating_sub(u64::try_from(age.as_micros()).unwrap_or(u64::MAX)))
+    }
 }
 
 impl Add<Duration> for Moment {
--- a/crates/banyan-core/tests/pipeline/main.rs
+++ b/crates/banyan-core/tests/pipeline/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the scheduling of requests over pipelines of engines.
 
 mod chains;
+mod checkers;
 mod fleets;
 mod histories;
 mod layouts;
--- a/crates/banyan-core/tests/pipeline/readers.rs
+++ b/crates/banyan-core/tests/pipeline/readers.rs
@@ -5,10 +5,16 @@
 use crate::support::at;
 use crate::support::zone;
 use banyan_core::ids::InstanceId;
+use banyan_core::pipeline::duties::DutyCapacity;
+use banyan_core::pipeline::duties::OwnInstance;
+use banyan_core::pipeline::readers::FeedRole;
 use banyan_core::pipeline::readers::FeedSource;
 use banyan_core::pipeline::readers::ReaderStatus;
 use banyan_core::pipeline::readers::ReaderTable;
 
+/// The capacity of all instances in tests about names.
+const EQUAL_CAPACITY: DutyCapacity = DutyCapacity(250);
+
 fn instance(name: &str) -> InstanceId {
     name.parse().expect("a name")
 }
@@ -24,14 +30,49 @@
     let status = ReaderStatus {
         zone: zone(in_zone),
         address: ([127, 0, 0, 1], port).into(),
+        capacity: EQUAL_CAPACITY,
+        role: if age_ms.is_some() { FeedRole::Reader } else { FeedRole::Follower },
         read_age: age_ms.map(Duration::from_millis),
     };
     table.record_status(instance(name), status, at(now_ms));
 }
 
+/// Records a peer with the given capacity and role.
+fn record_peer(
+    table: &mut ReaderTable,
+    name: &str,
+    in_zone: &str,
+    capacity: u32,
+    role: FeedRole,
+    age_ms: u64,
+) {
+    let port = 1_000 + u16::from(name.as_bytes()[1]);
+    let status = ReaderStatus {
+        zone: zone(in_zone),
+        address: ([127, 0, 0, 1], port).into(),
+        capacity: DutyCapacity(capacity),
+        role,
+        read_age: (role != FeedRole::Follower).then_some(Duration::from_millis(age_ms)),
+    };
+    table.record_status(instance(name), status, at(0));
+}
+
+/// The peer that an instance with the given zone and capacity asks, or `None` if it reads the
+/// store.
+fn source_of(table: &ReaderTable, own: &str, in_zone: &str, capacity: u32) -> Option<String> {
+    let (name, zone) = (instance(own), zone(in_zone));
+    let own = OwnInstance { name: &name, zone: &zone, capacity: DutyCapacity(capacity) };
+    match table.source(&own, None, at(10)) {
+        FeedSource::Store => None,
+        FeedSource::Peer(peer, _) => Some(peer.to_string()),
+    }
+}
+
 /// The peer that an instance of zone `a` asks, or `None` if it reads the store.
 fn source(table: &ReaderTable, own: &str, failure_ms: Option<u64>, now_ms: u64) -> Option<String> {
-    match table.source(&instance(own), &zone("a"), failure_ms.map(at), at(now_ms)) {
+    let (name, zone) = (instance(own), zone("a"));
+    let own = OwnInstance { name: &name, zone: &zone, capacity: EQUAL_CAPACITY };
+    match table.source(&own, failure_ms.map(at), at(now_ms)) {
         FeedSource::Store => None,
         FeedSource::Peer(peer, _) => Some(peer.to_string()),
     }
@@ -109,10 +150,67 @@
         record_status(&mut table, name, "a", Some(100), 0);
     }
     record_status(&mut table, "i0", "b", Some(100), 0);
-    let is_standby = |name| table.is_standby(&instance(name), &zone("a"), at(10));
-    assert!(is_standby("i1") && is_standby("i3"));
-    assert!(!is_standby("i4") && !is_standby("i5"));
-    assert!(table.is_standby(&instance("i5"), &zone("b"), at(10)));
-    assert!(table.may_wait(&instance("i2"), &zone("a"), at(10)));
-    assert!(!table.may_wait(&instance("i1"), &zone("a"), at(10)));
+    let is_standby = |name, in_zone| {
+        let (name, zone) = (instance(name), zone(in_zone));
+        let own = OwnInstance { name: &name, zone: &zone, capacity: EQUAL_CAPACITY };
+        (table.is_standby(&own, at(10)), table.may_wait(&own, at(10)))
+    };
+    assert!(is_standby("i1", "a").0 && is_standby("i3", "a").0);
+    assert!(!is_standby("i4", "a").0 && !is_standby("i5", "a").0);
+    assert!(is_standby("i5", "b").0);
+    assert!(is_standby("i2", "a").1);
+    assert!(!is_standby("i1", "a").1);
+}
+
+#[test]
+fn two_instances_read_the_store_however_many_zones_there_are() {
+    // Regression: each zone had a reader, so that calls to the store grew with the zones.
+    let mut table = ReaderTable::default();
+    record_peer(&mut table, "i1", "a", 100, FeedRole::Reader, 100);
+    assert_eq!(source_of(&table, "i3", "c", 100), None, "a second reader is wanted");
+    record_peer(&mut table, "i2", "b", 100, FeedRole::Reader, 100);
+    let asked = source_of(&table, "i3", "c", 100).expect("a reader");
+    assert!(asked == "i1" || asked == "i2");
+    assert_eq!(source_of(&table, "i2", "b", 100), None, "it is one of the first two itself");
+    assert_eq!(source_of(&table, "i0", "c", 100), None, "it comes before both");
+    record_peer(&mut table, "i3", "c", 100, FeedRole::Relay, 100);
+    assert_eq!(source_of(&table, "i4", "c", 100).as_deref(), Some("i3"), "it has a relay");
+}
+
+#[test]
+fn a_relay_is_not_asked_by_another_zone() {
+    let mut table = ReaderTable::default();
+    record_peer(&mut table, "i1", "a", 100, FeedRole::Relay, 100);
+    record_peer(&mut table, "i2", "b", 100, FeedRole::Relay, 100);
+    assert_eq!(source_of(&table, "i3", "c", 100), None);
+}
+
+#[test]
+fn the_data_of_a_relay_may_be_older_than_that_of_a_reader() {
+    // The relay finds another source first, so that its followers need not read the store at once.
+    let mut table = ReaderTable::default();
+    record_peer(&mut table, "i1", "a", 100, FeedRole::Relay, 1_300);
+    assert_eq!(source_of(&table, "i5", "a", 100).as_deref(), Some("i1"));
+    record_peer(&mut table, "i1", "a", 100, FeedRole::Relay, 1_700);
+    assert_eq!(source_of(&table, "i5", "a", 100), None);
+    record_peer(&mut table, "i1", "a", 100, FeedRole::Reader, 1_300);
+    assert_eq!(source_of(&table, "i5", "a", 100), None);
+}
+
+#[test]
+fn instances_with_more_capacity_come_first() {
+    let mut table = ReaderTable::default();
+    record_peer(&mut table, "i1", "a", 120, FeedRole::Reader, 100);
+    record_peer(&mut table, "i8", "a", 500, FeedRole::Reader, 100);
+    assert_eq!(source_of(&table, "i0", "a", 120).as_deref(), Some("i8"));
+    assert_eq!(source_of(&table, "i1", "a", 120).as_deref(), Some("i8"));
+    assert_eq!(source_of(&table, "i8", "a", 500), None);
+    assert_eq!(source_of(&table, "i9", "a", 120).as_deref(), Some("i8"));
+}
+
+#[test]
+fn a_weak_instance_reads_if_no_other_can() {
+    let mut table = ReaderTable::default();
+    record_peer(&mut table, "i8", "a", 500, FeedRole::Follower, 0);
+    assert_eq!(source_of(&table, "i1", "a", 120), None);
 }
--- a/crates/banyan-core/tests/pipeline/suspicions.rs
+++ b/crates/banyan-core/tests/pipeline/suspicions.rs
@@ -4,6 +4,7 @@
 
 use crate::support::at;
 use crate::support::target;
+use banyan_core::pipeline::suspicion::CheckOutcome;
 use banyan_core::pipeline::suspicion::ProbeOutcome;
 use banyan_core::pipeline::suspicion::SuspicionTable;
 
@@ -61,7 +62,7 @@
     assert!(table.is_unreachable(&target("a"), at(400)));
     assert!(table.record_probe(&target("a"), ProbeOutcome::Answered, at(500)));
     assert!(!table.is_suspect(&target("a"), at(500)));
-    assert!(table.unreachable(at(500)).is_empty());
+    assert_eq!(table.unreachable(at(500)).count(), 0);
 }
 
 #[test]
@@ -101,3 +102,63 @@
     table.record_probe(&target("gone"), ProbeOutcome::Answered, at(20));
     assert!(!table.is_absent(&target("gone"), at(20)));
 }
+
+#[test]
+fn a_checker_answers_from_what_it_knows() {
+    let mut table = SuspicionTable::default();
+    let id = target("a");
+    assert_eq!(table.known_outcome(&id, at(0)), CheckOutcome::Unknown);
+    table.note_progress(&id, at(0));
+    let alive = CheckOutcome::Alive(Duration::from_millis(50));
+    assert_eq!(table.known_outcome(&id, at(50)), alive);
+    assert_eq!(table.known_outcome(&id, at(80)), CheckOutcome::Unknown, "the token is too old");
+    table.record_probe(&id, ProbeOutcome::Absent, at(110));
+    assert_eq!(table.known_outcome(&id, at(400)), CheckOutcome::Unreachable);
+    assert_eq!(table.known_outcome(&id, at(410)), CheckOutcome::Unknown, "the probe is too old");
+}
+
+#[test]
+fn a_target_whose_checker_answers_late_is_not_unresponsive_yet() {
+    let mut table = SuspicionTable::default();
+    let ids = [target("a")];
+    table.begin_probes(&ids, at(0));
+    table.await_checker(&ids[0]);
+    assert!(table.unresponsive(ids.iter(), at(54)).is_empty());
+    assert_eq!(table.unresponsive(ids.iter(), at(55)), ids, "nor did the own probe get an answer");
+}
+
+#[test]
+fn the_word_of_a_checker_never_causes_a_suspicion() {
+    // Regression: a checker on a busy machine saw its probes answered late, and all instances of
+    // its zone moved their streams away from sound engines: 5,855 instead of 700 moves.
+    let mut table = SuspicionTable::default();
+    let id = target("a");
+    for outcome in [CheckOutcome::Unreachable, CheckOutcome::Unknown] {
+        assert!(table.record_check(&id, outcome, at(0)), "this instance must probe itself");
+        assert!(!table.is_suspect(&id, at(0)) && !table.is_unreachable(&id, at(0)));
+    }
+}
+
+#[test]
+fn a_checker_may_know_that_a_target_is_alive_from_before_the_question() {
+    // Regression: the word of the checker was older than the question, so that the target counted
+    // as unresponsive: 8,579 streams were moved away from sound engines.
+    let mut table = SuspicionTable::default();
+    let ids = [target("a")];
+    table.begin_probes(&ids, at(1_000));
+    table.await_checker(&ids[0]);
+    let alive = CheckOutcome::Alive(Duration::from_millis(200));
+    assert!(!table.record_check(&ids[0], alive, at(1_010)));
+    assert!(table.unresponsive(ids.iter(), at(1_100)).is_empty());
+}
+
+#[test]
+fn the_word_of_a_checker_extends_and_ends_a_finding() {
+    let mut table = SuspicionTable::default();
+    let id = target("a");
+    table.record_probe(&id, ProbeOutcome::NoAnswer, at(0));
+    assert!(!table.record_check(&id, CheckOutcome::Unreachable, at(1_000)));
+    assert!(table.is_unreachable(&id, at(2_400)));
+    assert!(!table.record_check(&id, CheckOutcome::Alive(Duration::ZERO), at(2_400)));
+    assert!(!table.is_unreachable(&id, at(2_400)) && !table.is_suspect(&id, at(2_400)));
+}
--- a/crates/banyan-forward/src/daemon.rs
+++ b/crates/banyan-forward/src/daemon.rs
@@ -13,6 +13,7 @@
 use crate::callers::readiness;
 use crate::decisions::placement;
 use crate::edges::Platform;
+use crate::engines::checks;
 use crate::engines::probes;
 use crate::peers::answers;
 use crate::peers::news;
@@ -73,7 +74,7 @@
     tasks.spawn(placement::run_leadership(state.clone()));
     tasks.spawn(answers::serve_peers(state.clone(), peer_listener));
     tasks.spawn(rounds::run_peers(state.clone()));
-    tasks.spawn(probes::watch_unreachable(state.clone()));
+    tasks.spawn(checks::watch_unreachable(state.clone()));
     tasks.spawn(probes::watch_slowdowns(state.clone()));
     tasks.spawn(front::serve_callers(state.clone(), callers));
     tasks.spawn(readiness::serve_readiness(state.clone(), ready));
--- a/crates/banyan-forward/src/decisions/orders.rs
+++ b/crates/banyan-forward/src/decisions/orders.rs
@@ -1,4 +1,4 @@
-//! Sends the leader's orders to engines: [`send_orders`].
+//! Sends the orders of the leader to engines.
 //!
 //! Each order states the number of orders that the engine has accepted so far, so that a delayed
 //! copy of it has no effect after a newer one.
--- a/crates/banyan-forward/src/decisions/placement.rs
+++ b/crates/banyan-forward/src/decisions/placement.rs
@@ -55,7 +55,9 @@
         let _ = tokio::time::timeout(PLAN_INTERVAL, state.plan_due.notified()).await;
         tokio::time::sleep(COLLECT_TIME).await;
         state.tables().expire_orders(state.now());
-        let Some(generation) = leading_generation(&state) else { continue };
+        let generation = leading_generation(&state);
+        state.tables().orders_layers = generation.is_some();
+        let Some(generation) = generation else { continue };
         check_pending_loads(&state);
         send_orders(&state, generation, due_orders(&state));
     }
--- a/crates/banyan-forward/src/decisions/tables.rs
+++ b/crates/banyan-forward/src/decisions/tables.rs
@@ -88,6 +88,8 @@
     /// The highest generation for which an engine rejected this instance's order because it had
     /// seen a higher fencing token.
     pub fenced_generation: u64,
+    /// Whether this instance orders layers, as the leader or as its deputy.
+    pub orders_layers: bool,
     /// When a peer last reported that it is the leader.
     pub leader_seen_at: Option<Moment>,
     /// The highest generation of the group that a peer reported.
--- a/crates/banyan-forward/src/engines.rs
+++ b/crates/banyan-forward/src/engines.rs
@@ -4,6 +4,7 @@
 
 pub mod call;
 pub mod chain_attempt;
+pub mod checks;
 pub mod events;
 pub mod exchange;
 pub mod leases;
--- a/crates/banyan-forward/src/engines/probes.rs
+++ b/crates/banyan-forward/src/engines/probes.rs
@@ -1,5 +1,5 @@
-//! Probes suspect targets ([`probe_targets`], [`watch_unreachable`]) and measures how slow engines
-//! are ([`watch_slowdowns`]).
+//! Probes suspect targets ([`probe_targets`]) and measures how slow engines are
+//! ([`watch_slowdowns`]).
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -12,12 +12,11 @@
 use crate::state::ForwardState;
 use banyan_core::ids::TargetId;
 use banyan_core::pipeline::fleet::TargetRow;
+use banyan_core::pipeline::readers::FeedRole;
 use banyan_core::pipeline::suspicion::ProbeOutcome;
 
 /// The time limit for the answer to a probe.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(200);
-/// The interval between probes of unreachable targets.
-const PROBE_INTERVAL: Duration = Duration::from_millis(400);
 
 /// The interval between rounds of slowdown queries.
 const SLOWDOWN_QUERY_INTERVAL: Duration = Duration::from_millis(500);
@@ -29,10 +28,8 @@
 /// The time limit for the answer to a slowdown query.
 const SLOWDOWN_QUERY_TIMEOUT: Duration = Duration::from_millis(300);
 
-/// The expected number of instances that probe a target which peers report as unreachable.
-const EXPECTED_CHECKERS: u64 = 7;
-
-/// Starts probes of the given targets, except of those to which one was started recently.
+/// Starts this instance's own probes of the given targets, except of those to which one was started
+/// recently.
 pub fn probe_targets<P: Platform>(state: &Arc<ForwardState<P>>, ids: &[TargetId]) {
     let now = state.now();
     let due_probes = state.tables().suspicions.begin_probes(ids, now);
@@ -41,24 +38,13 @@
     }
 }
 
-/// Repeatedly probes unreachable targets, and those that peers report as unreachable.
-pub async fn watch_unreachable<P: Platform>(state: Arc<ForwardState<P>>) {
-    loop {
-        tokio::time::sleep(PROBE_INTERVAL).await;
-        let now = state.now();
-        let unreachable = state.tables().suspicions.unreachable(now);
-        probe_targets(&state, &unreachable);
-        probe_peer_reports(&state);
-    }
-}
-
-/// Queries the slowdown of the zone's engines in turn, while this instance reads the platform's
-/// store for the zone. Other instances learn the slow engines from digests.
+/// Queries the slowdown of the zone's engines in turn, while this instance fetches the platform's
+/// records for the zone. Other instances learn the slow engines from digests.
 pub async fn watch_slowdowns<P: Platform>(state: Arc<ForwardState<P>>) {
     let mut offset = 0;
     loop {
         tokio::time::sleep(SLOWDOWN_QUERY_INTERVAL).await;
-        if !*state.reading.borrow() {
+        if *state.feed_role.borrow() == FeedRole::Follower {
             continue;
         }
         let engines = zone_engines(&state);
@@ -85,7 +71,8 @@
     rows.map(|(id, row)| (id.clone(), row.report.address)).collect()
 }
 
-async fn probe_target<P: Platform>(state: Arc<ForwardState<P>>, id: TargetId) {
+/// Probes one target and records the outcome.
+pub(super) async fn probe_target<P: Platform>(state: Arc<ForwardState<P>>, id: TargetId) {
     let address = state.tables().fleet.rows.get(&id).map(|row| row.report.address);
     let outcome = match address {
         Some(address) => match observe_target(&state, &id, address, PROBE_TIMEOUT).await {
@@ -102,7 +89,9 @@
     };
     metrics::counter!("banyan_probes_total", "end" => outcome_label).increment(1);
     let now = state.now();
-    if state.tables().suspicions.record_probe(&id, outcome, now) {
+    let changed = state.tables().suspicions.record_probe(&id, outcome, now);
+    state.probe_ended.send_replace(());
+    if changed {
         tracing::info!(
             part = "health",
             target = %id,
@@ -136,27 +125,3 @@
     state.tables().fleet.note_slowdown(id, engine.slowdown, asked_at);
     Ok(engine)
 }
-
-/// Probes targets that peers report as unreachable, if this instance is one of their checkers.
-pub fn probe_peer_reports<P: Platform>(state: &Arc<ForwardState<P>>) {
-    let now = state.now();
-    let settings = state.settings();
-    let tables = state.tables();
-    let instances = tables.peer_loads.live_peer_count(now) as u64 + 1;
-    let reported: Vec<TargetId> = tables
-        .peer_loads
-        .unreachable(now)
-        .filter(|id| !tables.suspicions.is_unreachable(id, now))
-        .filter(|id| is_checker(settings.instance.as_str(), id, instances))
-        .cloned()
-        .collect();
-    drop(tables);
-    probe_targets(state, &reported);
-}
-
-/// Whether an instance is one of the few that check peers' reports on a target.
-fn is_checker(instance: &str, id: &TargetId, instances: u64) -> bool {
-    let seed = xxhash_rust::xxh3::xxh3_64(id.as_str().as_bytes());
-    let rank = xxhash_rust::xxh3::xxh3_64_with_seed(instance.as_bytes(), seed);
-    rank % instances < EXPECTED_CHECKERS
-}
--- a/crates/banyan-forward/src/engines/stream.rs
+++ b/crates/banyan-forward/src/engines/stream.rs
@@ -216,7 +216,7 @@
     /// Whether the stream should move to another chain: an engine of its chain does not answer
     /// probes, or the chain has sent nothing for so long that the caller is about to give up.
     fn is_stalled(&mut self) -> bool {
-        self.opener.probe_silent(&self.opened.chain, self.stall_check_after);
+        self.opener.check_silent(&self.opened.chain, self.stall_check_after);
         if self.opener.suspect_unresponsive(&self.opened.chain) {
             return true;
         }
--- a/crates/banyan-forward/src/engines/stream_opener.rs
+++ b/crates/banyan-forward/src/engines/stream_opener.rs
@@ -21,6 +21,7 @@
 use crate::engines::chain_attempt::OpenFailure;
 use crate::engines::chain_attempt::OpenedStream;
 use crate::engines::chain_attempt::open_chain;
+use crate::engines::checks::check_targets;
 use crate::engines::leases::RequestLease;
 use crate::engines::leases::lease_chain;
 use crate::engines::leases::lease_prefill;
@@ -109,12 +110,12 @@
         self.resuming = true;
     }
 
-    /// Probes the engines of a chain that have shown no progress on any stream for `silence`.
-    pub fn probe_silent(&self, chain: &TargetChain, silence: Duration) {
+    /// Has the engines of a chain checked that have shown no progress on any stream for `silence`.
+    pub fn check_silent(&self, chain: &TargetChain, silence: Duration) {
         let now = self.state.now();
         let targets = chain.parts.iter().map(|part| &part.target);
         let silent = self.state.tables().suspicions.silent(targets, silence, now);
-        probe_targets(&self.state, &silent);
+        check_targets(&self.state, &silent);
     }
 
     /// Marks the engines of a chain that do not answer probes as suspect and avoids them. Returns
@@ -159,7 +160,10 @@
 
     /// Avoids the first engine of a chain that sends no events although its engines answer probes.
     pub fn avoid_first_engine(&mut self, chain: &TargetChain) {
-        self.avoided.push(chain.parts[0].target.clone());
+        let first_engine = &chain.parts[0].target;
+        if !self.avoided.contains(first_engine) {
+            self.avoided.push(first_engine.clone());
+        }
     }
 
     /// Stops avoiding the engines that are no longer suspect.
@@ -208,7 +212,7 @@
     /// long.
     fn check_newest_attempt(&mut self, elapsed: Duration) {
         let Some(chain) = self.running_chains.last().cloned() else { return };
-        self.probe_silent(&chain, SILENCE_THRESHOLD);
+        self.check_silent(&chain, SILENCE_THRESHOLD);
         let mut failing = self.suspect_unresponsive(&chain);
         if !failing
             && elapsed >= self.request.route.latency_target.mul_f64(FIRST_EVENT_TIMEOUT_FACTOR)
--- a/crates/banyan-forward/src/metric.rs
+++ b/crates/banyan-forward/src/metric.rs
@@ -37,6 +37,11 @@
     );
     describe_counter!("banyan_orders_total", count, "Orders to hold layers, by how they ended.");
     describe_counter!("banyan_probes_total", count, "Probes of silent targets, by how they ended.");
+    describe_counter!(
+        "banyan_checks_total",
+        count,
+        "Silent targets that were left to their checker, by whether it answered."
+    );
     describe_counter!("banyan_store_answers_total", count, "Answered calls to the store, by call.");
     describe_counter!("banyan_store_failures_total", count, "Failed calls to the store, by call.");
     describe_counter!(
--- a/crates/banyan-forward/src/peers/answers.rs
+++ b/crates/banyan-forward/src/peers/answers.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use futures::StreamExt;
+use smol_str::SmolStr;
 use tarpc::context::Context;
 use tarpc::serde_transport;
 use tarpc::server::BaseChannel;
@@ -13,6 +14,7 @@
 use tokio::net::TcpStream;
 
 use crate::edges::Platform;
+use crate::engines::checks;
 use crate::engines::link::set_unacknowledged_timeout;
 use crate::peers::digests::apply_digest;
 use crate::peers::digests::own_digest;
@@ -21,6 +23,7 @@
 use crate::peers::peer_link::frame_codec;
 use crate::peers::peer_link::message_format;
 use crate::state::ForwardState;
+use banyan_wire::forward::CheckWire;
 use banyan_wire::forward::FeedPosition;
 use banyan_wire::forward::FeedUpdate;
 use banyan_wire::forward::ForwardDigest;
@@ -53,6 +56,10 @@
         own_snapshot(&self.state)
     }
 
+    async fn check(self, _: Context, targets: Vec<SmolStr>) -> Vec<CheckWire> {
+        checks::answer_check(&self.state, targets).await
+    }
+
     async fn news(self, _: Context, position: FeedPosition) -> FeedUpdate {
         news::wait_for_update(&self.state, position).await
     }
--- a/crates/banyan-forward/src/peers/digests.rs
+++ b/crates/banyan-forward/src/peers/digests.rs
@@ -15,9 +15,11 @@
 use banyan_core::ids::InstanceId;
 use banyan_core::ids::LogOffset;
 use banyan_core::ids::TargetId;
+use banyan_core::pipeline::duties::DutyCapacity;
 use banyan_core::pipeline::fleet::TargetReport;
 use banyan_core::pipeline::fleet::TargetRow;
 use banyan_core::pipeline::load::TargetLoad;
+use banyan_core::pipeline::readers::FeedRole;
 use banyan_core::pipeline::readers::ReaderStatus;
 use banyan_core::units::Moment;
 use banyan_wire::forward::ForwardDigest;
@@ -42,6 +44,8 @@
         instance: SmolStr::new(settings.instance.as_str()),
         zone: SmolStr::new(settings.zone.as_str()),
         address: settings.peer_address,
+        capacity_millicores: settings.duty_capacity.0,
+        relays: *state.feed_role.borrow() == FeedRole::Relay,
         read_age_ms: state.read_age(&tables, now).map(millis),
         configuration: tables.configuration.as_ref().map_or(0, |record| record.table.version),
         fleet_next: tables.history.next().map_or(0, |next| next.0),
@@ -49,7 +53,6 @@
         unreachable: tables
             .suspicions
             .unreachable(now)
-            .iter()
             .map(|id| SmolStr::new(id.as_str()))
             .collect(),
         observed: observed_wires(&tables, now),
@@ -117,9 +120,16 @@
     let now = state.now();
     let mut tables = state.tables();
     let read_age = digest.read_age_ms.map(Duration::from_millis);
+    let role = match read_age {
+        Some(_) if digest.relays => FeedRole::Relay,
+        Some(_) => FeedRole::Reader,
+        None => FeedRole::Follower,
+    };
     match digest.zone.parse() {
         Ok(zone) => {
-            let status = ReaderStatus { zone, address: digest.address, read_age };
+            let capacity = DutyCapacity(digest.capacity_millicores);
+            let address = digest.address;
+            let status = ReaderStatus { zone, address, capacity, role, read_age };
             tables.readers.record_status(instance.clone(), status, now);
         }
         Err(error) => {
@@ -141,7 +151,11 @@
     for slowdown in slow {
         let factor = f64::from(slowdown.factor_thousandths) / 1e3;
         match slowdown.target.parse() {
-            Ok(id) => tables.fleet.note_slowdown(&id, factor, moment_before(now, slowdown.age_ms)),
+            Ok(id) => tables.fleet.note_slowdown(
+                &id,
+                factor,
+                now.before(Duration::from_millis(slowdown.age_ms)),
+            ),
             Err(error) => tracing::warn!(part = "peers", %error, "Ignored an invalid slowdown."),
         }
     }
@@ -150,7 +164,7 @@
 /// Applies the layers that targets reported to a peer.
 fn apply_observations(tables: &mut ForwardTables, observed: Vec<ObservedWire>, now: Moment) {
     for observation in observed {
-        let at = moment_before(now, observation.age_ms);
+        let at = now.before(Duration::from_millis(observation.age_ms));
         match (observation.target.parse(), layer_ranges(observation.held)) {
             (Ok(id), Ok(held)) => tables.fleet.observe(&id, &held, at, now),
             _ => tracing::warn!(part = "peers", "Ignored an invalid observation."),
@@ -158,11 +172,6 @@
     }
 }
 
-/// The moment `age_ms` milliseconds before `now`.
-pub fn moment_before(now: Moment, age_ms: u64) -> Moment {
-    Moment(now.0.saturating_sub(age_ms * 1_000))
-}
-
 /// A duration in whole milliseconds, as in messages to peers.
 pub fn millis(time: Duration) -> u64 {
     time.as_millis() as u64
--- a/crates/banyan-forward/src/peers/news.rs
+++ b/crates/banyan-forward/src/peers/news.rs
@@ -13,7 +13,6 @@
 
 use crate::edges::Platform;
 use crate::peers::digests::millis;
-use crate::peers::digests::moment_before;
 use crate::peers::peer_link::call_context;
 use crate::peers::peer_link::connect_or_reuse;
 use crate::state::ForwardState;
@@ -23,8 +22,9 @@
 use banyan_core::ids::TargetId;
 use banyan_core::pipeline::fleet::FleetChange;
 use banyan_core::pipeline::fleet::TargetReport;
+use banyan_core::pipeline::readers::FeedRole;
 use banyan_core::pipeline::readers::FeedSource;
-use banyan_core::pipeline::readers::MAX_READ_AGE;
+use banyan_core::pipeline::readers::max_read_age;
 use banyan_wire::forward::FeedPosition;
 use banyan_wire::forward::FeedUpdate;
 use banyan_wire::forward::FleetUpdate;
@@ -57,7 +57,7 @@
     loop {
         match current_source(&state) {
             FeedSource::Store => {
-                set_reading(&state, true);
+                set_role(&state, FeedRole::Reader);
                 tokio::time::sleep(SOURCE_CHECK_INTERVAL).await;
             }
             FeedSource::Peer(peer, address) => {
@@ -65,7 +65,8 @@
                 match request_update(&state, address, existing.map(|(_, client)| client)).await {
                     Ok(client) => {
                         link = Some((address, client));
-                        set_reading(&state, false);
+                        let role = role_behind(&state, &peer);
+                        set_role(&state, role);
                     }
                     Err(error) => record_reader_failure(&state, &peer, &error),
                 }
@@ -82,19 +83,21 @@
     if !tables.configuration_known || !tables.fleet_known {
         return FeedSource::Store;
     }
-    tables.readers.source(
-        &settings.instance,
-        &settings.zone,
-        tables.own_store_failure_at,
-        state.now(),
-    )
+    let last_failure = tables.own_store_failure_at;
+    tables.readers.source(&settings.own_instance(), last_failure, state.now())
 }
 
-fn set_reading<P>(state: &ForwardState<P>, reads: bool) {
-    let changed =
-        state.reading.send_if_modified(|reading| std::mem::replace(reading, reads) != reads);
+/// The role of this instance while it asks a peer.
+fn role_behind<P>(state: &ForwardState<P>, peer: &InstanceId) -> FeedRole {
+    let settings = state.settings();
+    state.tables().readers.role_behind(&settings.own_instance(), peer)
+}
+
+fn set_role<P>(state: &ForwardState<P>, role: FeedRole) {
+    let changed = state.feed_role.send_if_modified(|known| std::mem::replace(known, role) != role);
     if changed {
-        tracing::info!(part = "store", reads, "Switched the source of the platform's data.");
+        let reads = role == FeedRole::Reader;
+        tracing::info!(part = "store", reads, ?role, "Switched the source of the platform's data.");
     }
 }
 
@@ -139,7 +142,9 @@
     let deadline = tokio::time::Instant::now() + UPDATE_WAIT;
     loop {
         let update = update_after(state, position);
-        let fresh = update.read_age_ms.is_some_and(|age| age < millis(MAX_READ_AGE));
+        let limit = max_read_age(*state.feed_role.borrow());
+        let fresh =
+            update.read_age_ms.is_some_and(|age| limit.is_some_and(|max| age < millis(max)));
         let has_changes =
             !update.configuration.is_empty() || update.fleet != FleetUpdate::Changes(Vec::new());
         if !fresh
@@ -167,6 +172,7 @@
         .as_ref()
         .filter(|record| record.table.version > position.configuration);
     FeedUpdate {
+        relayed: *state.feed_role.borrow() == FeedRole::Relay,
         read_age_ms: state.read_age(&tables, now).map(millis),
         trouble_age_ms: tables.store_failure_at.map(|at| millis(now.since(at))),
         configuration: newer.map_or(Vec::new(), |record| record.bytes.to_vec()),
@@ -182,7 +188,9 @@
 ) -> Result<(), UpdateError> {
     let now = state.now();
     let age = update.read_age_ms.map(Duration::from_millis);
-    let age = age.filter(|age| *age < MAX_READ_AGE).ok_or(UpdateError::Stale)?;
+    let sender_role = if update.relayed { FeedRole::Relay } else { FeedRole::Reader };
+    let limit = max_read_age(sender_role).unwrap_or_default();
+    let age = age.filter(|age| *age < limit).ok_or(UpdateError::Stale)?;
     if !update.configuration.is_empty() {
         match state.platform.read_configuration(update.configuration.into()) {
             Ok(record) => feeds::activate_configuration(state, record),
@@ -205,8 +213,8 @@
         }
     }
     let mut tables = state.tables();
-    tables.fleet_read_at = moment_before(now, millis(age));
-    let failed_at = update.trouble_age_ms.map(|age_ms| moment_before(now, age_ms));
+    tables.fleet_read_at = now.before(age);
+    let failed_at = update.trouble_age_ms.map(|age_ms| now.before(Duration::from_millis(age_ms)));
     tables.store_failure_at = tables.store_failure_at.max(failed_at);
     drop(tables);
     feeds::expire_fleet_entries(state);
--- a/crates/banyan-forward/src/peers/peer_link.rs
+++ b/crates/banyan-forward/src/peers/peer_link.rs
@@ -1,6 +1,11 @@
-//! A connection to one peer: [`connect_or_reuse`], with the encoding of its messages.
+//! Connections to peers: [`connect_or_reuse`] for one, [`PeerLinks`] for those that several tasks
+//! share.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
 use std::time::Duration;
 
 use bincode::DefaultOptions;
@@ -18,6 +23,31 @@
 /// The largest accepted message, in bytes.
 const FRAME_LIMIT_BYTES: usize = 32 << 20;
 
+/// Connections that several tasks share, by the peer's address.
+#[derive(Debug, Default)]
+pub struct PeerLinks {
+    links: Mutex<BTreeMap<SocketAddr, ForwardServiceClient>>,
+}
+
+impl PeerLinks {
+    /// The connection to a peer, opened if there is none. `None` if that fails.
+    pub async fn get(&self, address: SocketAddr) -> Option<ForwardServiceClient> {
+        let existing = self.lock().get(&address).cloned();
+        let link = connect_or_reuse(address, existing).await?;
+        self.lock().insert(address, link.clone());
+        Some(link)
+    }
+
+    /// Forgets a connection that may be dead.
+    pub fn remove(&self, address: SocketAddr) {
+        self.lock().remove(&address);
+    }
+
+    fn lock(&self) -> MutexGuard<'_, BTreeMap<SocketAddr, ForwardServiceClient>> {
+        self.links.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
 /// Returns the existing connection to a peer, or opens a new one. `None` if that fails.
 pub async fn connect_or_reuse(
     address: SocketAddr,
--- a/crates/banyan-forward/src/settings.rs
+++ b/crates/banyan-forward/src/settings.rs
@@ -5,6 +5,8 @@
 
 use banyan_core::ids::InstanceId;
 use banyan_core::ids::ZoneId;
+use banyan_core::pipeline::duties::DutyCapacity;
+use banyan_core::pipeline::duties::OwnInstance;
 use banyan_core::pipeline::retries::RetryBounds;
 
 /// The settings of one forwarding daemon. Only `bounds` can change while it runs.
@@ -14,6 +16,8 @@
     pub instance: InstanceId,
     /// The instance's availability zone.
     pub zone: ZoneId,
+    /// What it can spend on work for other instances.
+    pub duty_capacity: DutyCapacity,
     /// The address on which it serves callers.
     pub caller_address: SocketAddr,
     /// The address on which it answers the load balancer's readiness checks.
@@ -28,6 +32,13 @@
     pub bounds: ServiceBounds,
 }
 
+impl ForwardSettings {
+    /// The instance as decisions about its duties see it.
+    pub fn own_instance(&self) -> OwnInstance<'_> {
+        OwnInstance { name: &self.instance, zone: &self.zone, capacity: self.duty_capacity }
+    }
+}
+
 /// Time limits and ratios that the users set.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ServiceBounds {
--- a/crates/banyan-forward/src/state.rs
+++ b/crates/banyan-forward/src/state.rs
@@ -12,8 +12,10 @@
 use tokio::sync::watch;
 
 use crate::decisions::tables::ForwardTables;
+use crate::peers::peer_link::PeerLinks;
 use crate::settings::ForwardSettings;
 use crate::settings::ServiceBounds;
+use banyan_core::pipeline::readers::FeedRole;
 use banyan_core::units::Moment;
 use banyan_http::clock::RuntimeClock;
 
@@ -43,8 +45,12 @@
     pub phase: watch::Sender<DaemonPhase>,
     /// Notified when a change may require new layer orders.
     pub plan_due: Notify,
-    /// Whether this instance reads the platform's store itself. Otherwise a peer does so for it.
-    pub reading: watch::Sender<bool>,
+    /// Where this instance gets the platform's records from.
+    pub feed_role: watch::Sender<FeedRole>,
+    /// Connections to the peers that check targets for this instance.
+    pub checker_links: PeerLinks,
+    /// Notified when the outcome of a probe was recorded.
+    pub probe_ended: watch::Sender<()>,
     /// Notified when data was read that peers may not have yet, or when a read failed.
     pub feed_changed: watch::Sender<()>,
     /// Whether the configuration and the targets were read since startup.
@@ -61,7 +67,9 @@
             clock: RuntimeClock::start(),
             phase: watch::Sender::new(DaemonPhase::Serving),
             plan_due: Notify::new(),
-            reading: watch::Sender::new(true),
+            feed_role: watch::Sender::new(FeedRole::Reader),
+            checker_links: PeerLinks::default(),
+            probe_ended: watch::Sender::new(()),
             feed_changed: watch::Sender::new(()),
             initial_reads_done: watch::Sender::new(false),
             settings: Mutex::new(Arc::new(settings)),
@@ -99,20 +107,20 @@
 
     /// Waits until this instance reads the platform's store itself. Returns whether it had to wait.
     pub async fn wait_until_reading(&self) -> bool {
-        let mut reading = self.reading.subscribe();
-        if *reading.borrow_and_update() {
+        let mut role = self.feed_role.subscribe();
+        if *role.borrow_and_update() == FeedRole::Reader {
             return false;
         }
         // This cannot fail: `self` owns the sender.
-        let _ = reading.wait_for(|reading| *reading).await;
+        let _ = role.wait_for(|role| *role == FeedRole::Reader).await;
         true
     }
 
-    /// The time since this instance last read the targets from the platform's store, or `None` if
-    /// it does not read the store itself or has not listed the targets yet.
+    /// The age of the targets that this instance passes on to others, or `None` if it passes on
+    /// none or has not listed the targets yet.
     pub fn read_age(&self, tables: &ForwardTables, now: Moment) -> Option<Duration> {
-        let has_read = *self.reading.borrow() && tables.fleet_known;
-        has_read.then(|| now.since(tables.fleet_read_at))
+        let passes_on = *self.feed_role.borrow() != FeedRole::Follower && tables.fleet_known;
+        passes_on.then(|| now.since(tables.fleet_read_at))
     }
 
     /// Waits until the configuration and the targets were read, but no longer than `STARTUP_WAIT`
--- a/crates/banyan-forward/src/store/feeds.rs
+++ b/crates/banyan-forward/src/store/feeds.rs
@@ -91,7 +91,7 @@
     let settings = state.settings();
     let tables = state.tables();
     let has_data = tables.configuration_known && tables.fleet_known;
-    let other_retries = tables.readers.may_wait(&settings.instance, &settings.zone, state.now());
+    let other_retries = tables.readers.may_wait(&settings.own_instance(), state.now());
     if has_data && other_retries { STANDBY_RETRY_DELAY } else { RETRY_DELAY }
 }
 
--- a/crates/banyan-forward/src/store/membership.rs
+++ b/crates/banyan-forward/src/store/membership.rs
@@ -86,7 +86,7 @@
 fn should_be_member<P>(state: &ForwardState<P>) -> bool {
     let settings = state.settings();
     let now = state.now();
-    state.tables().readers.is_standby(&settings.instance, &settings.zone, now)
+    state.tables().readers.is_standby(&settings.own_instance(), now)
 }
 
 /// Leaves the group, if this instance is a member, because enough others of the zone are members.
--- a/crates/banyan-wire/src/forward.rs
+++ b/crates/banyan-wire/src/forward.rs
@@ -8,6 +8,7 @@
 //!   instance to read the platform's store.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use serde::Deserialize;
 use serde::Serialize;
@@ -21,6 +22,7 @@
 use banyan_core::pipeline::fleet::TargetPhase;
 use banyan_core::pipeline::fleet::TargetReport;
 use banyan_core::pipeline::load::TargetLoad;
+use banyan_core::pipeline::suspicion::CheckOutcome;
 
 /// The calls that a peer answers. tarpc generates `ForwardServiceClient` from this trait.
 #[tarpc::service]
@@ -32,6 +34,9 @@
     /// Returns the data that this peer has read from the platform after a position. Waits for a
     /// limited time if there is none.
     async fn news(behind: FeedPosition) -> FeedUpdate;
+    /// Checks targets for the caller and returns one outcome for each, in the same order. Waits
+    /// for probes for a limited time. Empty if a name is invalid.
+    async fn check(targets: Vec<SmolStr>) -> Vec<CheckWire>;
 }
 
 /// How much of the platform's data an instance has read.
@@ -46,7 +51,9 @@
 /// The platform's data that one instance passes on to another.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct FeedUpdate {
-    /// How long ago the sender read the store, in milliseconds; absent if it does not read it.
+    /// Whether the sender has the data from another instance that reads the store.
+    pub relayed: bool,
+    /// The age of the data, in milliseconds; absent if the sender passes on none.
     pub read_age_ms: Option<u64>,
     /// How long ago a call to the store last failed, as far as the sender knows, in milliseconds;
     /// absent if it knows of no failure.
@@ -86,7 +93,12 @@
     pub zone: SmolStr,
     /// The address where the sender answers its peers.
     pub address: SocketAddr,
-    /// How long ago the sender read the store, in milliseconds; absent if it does not read it.
+    /// What the sender can spend on work for others, in thousandths of a processor core.
+    pub capacity_millicores: u32,
+    /// Whether the sender passes on what an instance of another zone has read.
+    pub relays: bool,
+    /// The age of the platform's data that the sender passes on, in milliseconds; absent if it
+    /// passes on none.
     pub read_age_ms: Option<u64>,
     /// The version of the configuration in force at the sender; zero if there is none.
     pub configuration: u64,
@@ -108,6 +120,40 @@
     pub ordered: Vec<OrderedWire>,
 }
 
+/// What a checker knows about a target.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum CheckWire {
+    /// It forwarded a token or answered a probe this long ago.
+    Alive {
+        /// The time since then, in milliseconds.
+        age_ms: u64,
+    },
+    /// A recent probe failed.
+    Unreachable,
+    /// A probe has not been answered yet.
+    Unknown,
+}
+
+impl From<CheckOutcome> for CheckWire {
+    fn from(outcome: CheckOutcome) -> Self {
+        match outcome {
+            CheckOutcome::Alive(age) => Self::Alive { age_ms: age.as_millis() as u64 },
+            CheckOutcome::Unreachable => Self::Unreachable,
+            CheckOutcome::Unknown => Self::Unknown,
+        }
+    }
+}
+
+impl From<CheckWire> for CheckOutcome {
+    fn from(wire: CheckWire) -> Self {
+        match wire {
+            CheckWire::Alive { age_ms } => Self::Alive(Duration::from_millis(age_ms)),
+            CheckWire::Unreachable => Self::Unreachable,
+            CheckWire::Unknown => Self::Unknown,
+        }
+    }
+}
+
 /// The layers that an engine has been ordered to hold.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct OrderedWire {
