Targets that send bytes without end are cut off; a slow stream is not

The deadline is looked at before the data, so that a target that always has data cannot hold a stream past it.

--- a/crates/banyan-forward/src/engines.rs
+++ b/crates/banyan-forward/src/engines.rs
@@ -7,6 +7,7 @@
 pub mod checks;
 pub mod events;
 pub mod exchange;
+pub mod head_limit;
 pub mod leases;
 pub mod link;
 pub mod probes;
--- a/crates/banyan-forward/src/engines/events.rs
+++ b/crates/banyan-forward/src/engines/events.rs
@@ -20,6 +20,9 @@
     /// An event exceeds the size limit.
     #[error("an event is longer than {EVENT_LIMIT_BYTES} bytes")]
     TooLong,
+    /// An event has no id.
+    #[error("an event has no id: each event of an answer must have one")]
+    MissingId,
     /// An event's id is not the previous id plus one.
     #[error("event id {found} follows id {after}: ids must increase by one")]
     OutOfOrder {
@@ -72,17 +75,29 @@
         self.accept(complete).map(Some)
     }
 
+    /// Checks the ids of complete events. An empty line ends an event.
     fn accept(&mut self, bytes: Bytes) -> Result<EventBatch, EventStreamError> {
-        for line in bytes.split(|byte| *byte == b'\n') {
-            let Some(found) = event_id(line) else { continue };
-            if let Some(after) = self.last_id
-                && found != after + 1
-            {
-                return Err(EventStreamError::OutOfOrder { after, found });
+        let events = bytes.strip_suffix(b"\n\n").unwrap_or(&bytes);
+        let mut has_id = false;
+        for line in events.split(|byte| *byte == b'\n') {
+            if let Some(id) = event_id(line) {
+                self.accept_id(id)?;
+                has_id = true;
+            } else if line.is_empty() && !std::mem::take(&mut has_id) {
+                return Err(EventStreamError::MissingId);
             }
-            self.last_id = Some(found);
         }
-        Ok(EventBatch { bytes })
+        if has_id { Ok(EventBatch { bytes }) } else { Err(EventStreamError::MissingId) }
+    }
+
+    fn accept_id(&mut self, found: u64) -> Result<(), EventStreamError> {
+        if let Some(after) = self.last_id
+            && found != after.saturating_add(1)
+        {
+            return Err(EventStreamError::OutOfOrder { after, found });
+        }
+        self.last_id = Some(found);
+        Ok(())
     }
 }
 
--- a/crates/banyan-forward/src/engines/link.rs
+++ b/crates/banyan-forward/src/engines/link.rs
@@ -22,6 +22,8 @@
 use thiserror::Error;
 use tokio::net::TcpStream;
 
+use crate::engines::head_limit::HeadLimitedStream;
+
 /// The time limit for connecting to a target.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 /// The time after which a connection with unacknowledged data is closed.
@@ -38,7 +40,7 @@
     MaybeRun(hyper::Error),
 }
 
-type TargetConnection = Pin<Box<http1::Connection<TokioIo<TcpStream>, Full<Bytes>>>>;
+type TargetConnection = Pin<Box<http1::Connection<TokioIo<HeadLimitedStream>, Full<Bytes>>>>;
 
 /// A connection that is polled by the task that waits for its answer, without a task of its own.
 #[derive(Debug)]
@@ -92,6 +94,7 @@
     request: Request<Full<Bytes>>,
 ) -> Result<(Parts, LinkBody), LinkError> {
     let stream = connect(address).await.map_err(LinkError::NotSent)?;
+    let (stream, allowance) = HeadLimitedStream::new(stream);
     let (mut sender, connection) =
         http1::handshake(TokioIo::new(stream)).await.map_err(LinkError::MaybeRun)?;
     let mut driver = ConnectionDriver { connection: Some(Box::pin(connection)) };
@@ -108,6 +111,7 @@
     })
     .await
     .map_err(LinkError::MaybeRun)?;
+    allowance.end_head();
     let (parts, incoming) = response.into_parts();
     Ok((parts, LinkBody { driver, incoming }))
 }
--- a/crates/banyan-forward/src/engines/stream.rs
+++ b/crates/banyan-forward/src/engines/stream.rs
@@ -180,12 +180,9 @@
                 }
                 RelayInput::CheckDue => {
                     next_check = Instant::now() + STALL_CHECK_INTERVAL;
-                    if self.is_stalled()
-                        && !self.reroute().await
-                        && self.opener.may_try_another()
-                        && let Some(error) = self.resume("it stalled").await
-                    {
-                        return Some(Err(error));
+                    if self.is_stalled() && !self.reroute().await {
+                        self.leave_stalled_chain().await;
+                        next_check = Instant::now() + STALL_CHECK_INTERVAL;
                     }
                 }
                 RelayInput::DeadlinePassed => return Some(Err(self.fail("time_over"))),
@@ -200,6 +197,7 @@
         let deadline = self.state.clock.instant(self.request.deadline);
         tokio::select! {
             biased;
+            () = tokio::time::sleep_until(deadline) => RelayInput::DeadlinePassed,
             frame = self.opened.body.frame() => match frame {
                 Some(Ok(frame)) => RelayInput::Bytes(frame.into_data().unwrap_or_default()),
                 Some(Err(_)) => RelayInput::Failed("the connection was lost"),
@@ -208,7 +206,6 @@
                 }
                 None => RelayInput::End,
             },
-            () = tokio::time::sleep_until(deadline) => RelayInput::DeadlinePassed,
             () = tokio::time::sleep_until(next_check) => RelayInput::CheckDue,
         }
     }
@@ -265,6 +262,36 @@
         true
     }
 
+    /// Continues a stalled stream on another chain if one is available. Otherwise it stays on its
+    /// chain, whose engines may only be slow or silent for a while.
+    async fn leave_stalled_chain(&mut self) {
+        if !self.opener.may_try_another() || self.opened.splitter.last_id().is_none() {
+            return;
+        }
+        let last_event = self.opened.splitter.last_id();
+        self.opener.resume_after(last_event);
+        match self.opener.open().await {
+            Ok(opened) => {
+                logs::stream_interrupted(
+                    &self.request,
+                    &self.opened.chain,
+                    last_event,
+                    "it stalled",
+                );
+                self.continue_on(opened);
+            }
+            Err(_) => self.opener.readmit_recovered(),
+        }
+    }
+
+    /// Replaces the chain of the stream by the one that was opened.
+    fn continue_on(&mut self, mut opened: OpenedStream) {
+        self.first = opened.first.take();
+        self.opened = opened;
+        self.record_event();
+        self.resumed += 1;
+    }
+
     /// Continues the stream on another chain. Returns an error if that is impossible.
     async fn resume(&mut self, cause: &'static str) -> Option<AnswerInterrupted> {
         let last_event = self.opened.splitter.last_id();
@@ -276,11 +303,8 @@
         let give_up_at = self.last_event_at + RESUME_TIMEOUT;
         loop {
             match self.opener.open().await {
-                Ok(mut opened) => {
-                    self.first = opened.first.take();
-                    self.opened = opened;
-                    self.record_event();
-                    self.resumed += 1;
+                Ok(opened) => {
+                    self.continue_on(opened);
                     return None;
                 }
                 // Layers may be loading, so a chain can become usable while the caller still waits.
