A planned stop answers requests that were just accepted, and ends in time

A connection without a request yet is served its first one, and the answer closes it; connections that the operating system had accepted when the daemon stops listening are served too.

The daemon left the group after its time to stop was used up, up to 3 s late while the store was silent, so that it was killed. The call has 250 ms now, within the time.

The two wrappers that observe reads of a connection (activity of callers, length of heads) are one: observed_stream.

--- a/crates/banyan-forward/src/callers/front.rs
+++ b/crates/banyan-forward/src/callers/front.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use futures::FutureExt;
 use http::Request;
 use http::Response;
 use hyper::body::Incoming;
@@ -16,9 +17,9 @@
 use crate::callers::answer::AnswerBody;
 use crate::callers::serve::serve_request;
 use crate::callers::watched::ConnectionActivity;
-use crate::callers::watched::WatchedStream;
 use crate::edges::Platform;
 use crate::engines::link::set_unacknowledged_timeout;
+use crate::observed_stream::ObservedStream;
 use crate::state::DaemonPhase;
 use crate::state::ForwardState;
 use banyan_core::pipeline::routes::CallerLimits;
@@ -40,10 +41,16 @@
     idle_time: Duration::from_secs(60),
 };
 
-/// Accepts callers' connections until the task is dropped.
+/// Accepts callers' connections until the daemon closes. Connections that the operating system has
+/// accepted by then are served too, since their callers may have sent requests.
 pub async fn serve_callers<P: Platform>(state: Arc<ForwardState<P>>, listener: TcpListener) {
+    let mut phase = state.phase.subscribe();
     loop {
-        match listener.accept().await {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = phase.wait_for(|phase| *phase == DaemonPhase::Closing) => break,
+        };
+        match accepted {
             Ok((stream, _)) => {
                 tokio::spawn(serve_connection(state.clone(), stream));
             }
@@ -53,6 +60,9 @@
             }
         }
     }
+    while let Some(Ok((stream, _))) = listener.accept().now_or_never() {
+        tokio::spawn(serve_connection(state.clone(), stream));
+    }
 }
 
 async fn serve_connection<P: Platform>(state: Arc<ForwardState<P>>, stream: TcpStream) {
@@ -70,10 +80,11 @@
     let connection = http1::Builder::new()
         .keep_alive(true)
         .max_buf_size(head_limit)
-        .serve_connection(TokioIo::new(WatchedStream::new(stream, activity.clone())), service);
+        .serve_connection(TokioIo::new(ObservedStream::new(stream, activity.clone())), service);
     let mut connection = std::pin::pin!(connection);
     let mut phase = state.phase.subscribe();
     let mut closing = false;
+    let mut draining = false;
     loop {
         tokio::select! {
             result = connection.as_mut() => {
@@ -88,16 +99,21 @@
                     tracing::info!(part = "front", "A request's head did not arrive in time.");
                     return;
                 }
-                if is_idle(&state, &activity) {
+                if draining || is_idle(&state, &activity) {
                     closing = true;
                     connection.as_mut().graceful_shutdown();
                 }
             }
-            changed = phase.wait_for(|phase| *phase == DaemonPhase::Draining), if !closing => {
+            changed = phase.wait_for(|phase| *phase >= DaemonPhase::Draining), if !draining => {
                 // A closed channel means that the daemon has been dropped, which also ends serving.
                 drop(changed);
-                closing = true;
-                connection.as_mut().graceful_shutdown();
+                draining = true;
+                // The caller of a new connection may have sent its first request already. It is
+                // answered, and the answer closes the connection.
+                if activity.has_begun() && !closing {
+                    closing = true;
+                    connection.as_mut().graceful_shutdown();
+                }
             }
         }
     }
--- a/crates/banyan-forward/src/callers/serve.rs
+++ b/crates/banyan-forward/src/callers/serve.rs
@@ -83,7 +83,7 @@
     let routes = state.tables().route_table();
     let routes =
         routes.ok_or(Refusal::NotRun(NotRunCause::NoConfiguration, OTHER_INSTANCE_RETRY_AFTER))?;
-    if *state.phase.borrow() == DaemonPhase::Draining {
+    if *state.phase.borrow() >= DaemonPhase::Draining {
         return Err(Refusal::NotRun(NotRunCause::Stopping, OTHER_INSTANCE_RETRY_AFTER));
     }
     let host = head.headers.get(header::HOST).and_then(|value| value.to_str().ok()).unwrap_or("");
--- a/crates/banyan-forward/src/callers/watched.rs
+++ b/crates/banyan-forward/src/callers/watched.rs
@@ -1,20 +1,13 @@
-//! A caller's connection that records when the head of a request starts to arrive:
-//! [`WatchedStream`].
+//! Records when the head of a request starts to arrive on a caller's connection:
+//! [`ConnectionActivity`].
 
 use std::io;
-use std::pin::Pin;
-use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU32;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
-use std::task::Context;
-use std::task::Poll;
-
-use tokio::io::AsyncRead;
-use tokio::io::AsyncWrite;
-use tokio::io::ReadBuf;
-use tokio::net::TcpStream;
 
+use crate::observed_stream::ReadObserver;
 use banyan_core::units::Moment;
 use banyan_http::clock::RuntimeClock;
 
@@ -26,6 +19,8 @@
 pub struct ConnectionActivity {
     /// The number of requests that were read but not answered.
     in_flight: AtomicU32,
+    /// Whether a request was read.
+    has_begun: AtomicBool,
     /// When the last request ended, in microseconds of the daemon's clock.
     last_ended: AtomicU64,
     /// When the first byte of the current head arrived, in microseconds, or [`NO_HEAD`].
@@ -38,6 +33,7 @@
     pub fn new(clock: RuntimeClock) -> Self {
         Self {
             in_flight: AtomicU32::new(0),
+            has_begun: AtomicBool::new(false),
             last_ended: AtomicU64::new(clock.now().0),
             head_started: AtomicU64::new(NO_HEAD),
             clock,
@@ -47,6 +43,7 @@
     /// Records that the head of a request was read completely.
     pub fn begin_request(&self) {
         self.head_started.store(NO_HEAD, Ordering::Relaxed);
+        self.has_begun.store(true, Ordering::Relaxed);
         self.in_flight.fetch_add(1, Ordering::Relaxed);
     }
 
@@ -56,6 +53,11 @@
         self.last_ended.store(self.clock.now().0, Ordering::Relaxed);
     }
 
+    /// Whether the head of a request was read completely.
+    pub fn has_begun(&self) -> bool {
+        self.has_begun.load(Ordering::Relaxed)
+    }
+
     /// The time since which the connection is idle, or `None` while it is in use.
     pub fn idle_since(&self) -> Option<Moment> {
         let idle = self.in_flight.load(Ordering::Relaxed) == 0 && self.head_since().is_none();
@@ -76,61 +78,9 @@
     }
 }
 
-/// A connection that records the arrival of bytes in its [`ConnectionActivity`].
-#[derive(Debug)]
-pub struct WatchedStream {
-    stream: TcpStream,
-    activity: Arc<ConnectionActivity>,
-}
-
-impl WatchedStream {
-    /// Wraps `stream` so that received bytes are recorded in `activity`.
-    pub fn new(stream: TcpStream, activity: Arc<ConnectionActivity>) -> Self {
-        Self { stream, activity }
-    }
-}
-
-impl AsyncRead for WatchedStream {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buffer: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        let before = buffer.filled().len();
-        let polled = Pin::new(&mut self.stream).poll_read(cx, buffer);
-        if buffer.filled().len() > before {
-            self.activity.record_received();
-        }
-        polled
-    }
-}
-
-impl AsyncWrite for WatchedStream {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        bytes: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, bytes)
-    }
-
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        bytes: &[io::IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(cx, bytes)
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
-    }
-
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
+impl ReadObserver for ConnectionActivity {
+    fn observe_read(&self, _count: usize) -> io::Result<()> {
+        self.record_received();
+        Ok(())
     }
 }
--- a/crates/banyan-forward/src/daemon.rs
+++ b/crates/banyan-forward/src/daemon.rs
@@ -31,9 +31,13 @@
 const REFUSE_TIME: Duration = Duration::from_millis(500);
 /// The time between two checks for active requests during shutdown.
 const DRAIN_CHECK_INTERVAL: Duration = Duration::from_millis(20);
+/// The time limit for leaving the group.
+const LEAVE_TIMEOUT: Duration = Duration::from_millis(250);
+/// The time for which the requests on the last accepted connections are answered.
+const CLOSE_TIME: Duration = Duration::from_millis(150);
 /// The part at the end of the stop time that is reserved for leaving the group and ending the
-/// daemon's tasks.
-const STOP_MARGIN: Duration = Duration::from_millis(500);
+/// daemon's tasks. It exceeds [`LEAVE_TIMEOUT`] and [`CLOSE_TIME`] together.
+const STOP_MARGIN: Duration = Duration::from_millis(600);
 
 /// A running daemon.
 #[derive(Debug)]
@@ -104,9 +108,14 @@
             }
             tokio::time::sleep(DRAIN_CHECK_INTERVAL).await;
         }
-        if let Err(error) = state.platform.leave().await {
-            tracing::info!(part = "daemon", %error, "Leaving the group failed.");
+        // The group notices on its own that the instance has left, only later.
+        match tokio::time::timeout(LEAVE_TIMEOUT, state.platform.leave()).await {
+            Ok(Ok(())) => {}
+            Ok(Err(error)) => tracing::info!(part = "daemon", %error, "Leaving the group failed."),
+            Err(_) => tracing::info!(part = "daemon", "The group did not answer in time."),
         }
+        state.phase.send_replace(DaemonPhase::Closing);
+        tokio::time::sleep(CLOSE_TIME).await;
         drop(self.tasks);
     }
 }
--- a/crates/banyan-forward/src/engines/link.rs
+++ b/crates/banyan-forward/src/engines/link.rs
@@ -22,6 +22,7 @@
 use thiserror::Error;
 use tokio::net::TcpStream;
 
+use crate::engines::head_limit::HeadAllowance;
 use crate::engines::head_limit::HeadLimitedStream;
 
 /// The time limit for connecting to a target.
@@ -94,7 +95,7 @@
     request: Request<Full<Bytes>>,
 ) -> Result<(Parts, LinkBody), LinkError> {
     let stream = connect(address).await.map_err(LinkError::NotSent)?;
-    let (stream, allowance) = HeadLimitedStream::new(stream);
+    let (stream, allowance) = HeadAllowance::limit(stream);
     let (mut sender, connection) =
         http1::handshake(TokioIo::new(stream)).await.map_err(LinkError::MaybeRun)?;
     let mut driver = ConnectionDriver { connection: Some(Box::pin(connection)) };
--- /dev/null
+++ b/crates/banyan-forward/src/observed_stream.rs
@@ -0,0 +1,80 @@
+//! A connection whose reads are observed: [`ObservedStream`].
+
+use std::io;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::Context;
+use std::task::Poll;
+
+use tokio::io::AsyncRead;
+use tokio::io::AsyncWrite;
+use tokio::io::ReadBuf;
+use tokio::net::TcpStream;
+
+/// Learns of the bytes that arrive on a connection, and may end it.
+pub trait ReadObserver {
+    /// Called after `count` bytes arrived. An error ends the connection.
+    fn observe_read(&self, count: usize) -> io::Result<()>;
+}
+
+/// A connection whose reads are observed.
+#[derive(Debug)]
+pub struct ObservedStream<O> {
+    stream: TcpStream,
+    observer: Arc<O>,
+}
+
+impl<O> ObservedStream<O> {
+    /// Wraps `stream`, whose reads are passed to `observer`.
+    pub fn new(stream: TcpStream, observer: Arc<O>) -> Self {
+        Self { stream, observer }
+    }
+}
+
+impl<O: ReadObserver> AsyncRead for ObservedStream<O> {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buffer.filled().len();
+        let polled = Pin::new(&mut self.stream).poll_read(cx, buffer);
+        let count = buffer.filled().len() - before;
+        if count > 0
+            && let Err(error) = self.observer.observe_read(count)
+        {
+            return Poll::Ready(Err(error));
+        }
+        polled
+    }
+}
+
+impl<O> AsyncWrite for ObservedStream<O> {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(cx, bytes)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bytes: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(cx, bytes)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
--- a/crates/banyan-forward/src/state.rs
+++ b/crates/banyan-forward/src/state.rs
@@ -32,6 +32,8 @@
     Leaving,
     /// It refuses new requests and finishes the active ones.
     Draining,
+    /// It no longer accepts connections, and answers the requests on those that it has.
+    Closing,
 }
 
 /// The state that all tasks of the daemon share.
