--- a/crates/banyan-core/src/pipeline/duties.rs
+++ b/crates/banyan-core/src/pipeline/duties.rs
@@ -1,4 +1,5 @@
-//! What an instance can spend on work for others: [`DutyCapacity`].
+//! What an instance can spend on work for others ([`DutyCapacity`]), and for how long it may lead
+//! ([`LeadershipLease`]).
 //!
 //! Machines differ. Reading the store for a zone, leading and checking engines go to those that can
 //! carry it, by what each says of itself.
@@ -7,9 +8,11 @@
 use std::fmt;
 use std::num::ParseIntError;
 use std::str::FromStr;
+use std::time::Duration;
 
 use crate::ids::InstanceId;
 use crate::ids::ZoneId;
+use crate::units::Moment;
 
 /// What an instance can spend on work for others, in thousandths of a processor core.
 #[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
@@ -49,3 +52,23 @@
         (Reverse(self.capacity), self.name)
     }
 }
+
+/// The right to order layers, which the group of instances grants for a limited time.
+#[derive(Clone, Copy, Debug)]
+pub struct LeadershipLease {
+    /// When the last call that the group answered was sent.
+    pub confirmed: Moment,
+    /// How long the group waits for the next call before it chooses another leader.
+    pub ttl: Duration,
+    /// Whether engines reject orders of a former leader. The leader may then go on while the group
+    /// does not answer.
+    pub engines_check_fences: bool,
+}
+
+impl LeadershipLease {
+    /// Whether orders may be sent at `now`. This is asked before each order, since the process may
+    /// have been paused since the last one.
+    pub fn is_valid(&self, now: Moment) -> bool {
+        self.engines_check_fences || now.since(self.confirmed) < self.ttl
+    }
+}
--- a/crates/banyan-core/src/pipeline/readers.rs
+++ b/crates/banyan-core/src/pipeline/readers.rs
@@ -1,12 +1,11 @@
 //! Chooses which instances read the platform's store for others: [`ReaderTable`].
 //!
 //! Each call to the store has a cost, and most records are heartbeats. In each availability zone
-//! one live instance fetches the records, and the others fetch the changes from it. Among these
-//! zone readers, the first [`MAX_STORE_READERS`] read the store, and the others are relays: they
-//! fetch the changes from one of these. Instances with more capacity come first, then those with
-//! lower names ([`DutyRank`]). This needs no agreement between instances: an instance that knows no
-//! better source reads the store itself, announces that, and stops once it learns of a reader that
-//! comes before it.
+//! one live instance reads the store, and the others fetch the changes from it. Instances with more
+//! capacity come first, then those with lower names ([`DutyRank`]). This needs no agreement between
+//! instances: an instance that knows no better source reads the store itself, announces that, and
+//! stops once it learns of a reader of its zone that comes before it. An instance that the store
+//! turns away asks any reader, and relays the changes to its zone.
 
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
@@ -29,15 +28,15 @@
 /// How much older than [`MAX_READ_AGE`] the data of a relay may be. A relay whose reader fails needs
 /// this long to find another source, and its followers need not look for one meanwhile.
 const RELAY_GRACE: Duration = Duration::from_millis(400);
-/// Largest number of instances that read the store when all is well. With two, relays need not
-/// read the store themselves when one of them fails.
-const MAX_STORE_READERS: usize = 2;
 /// How long a peer's status is valid.
 const STATUS_VALIDITY: Duration = Duration::from_secs(6);
 /// How long a peer is not asked after it failed to deliver changes.
 const FAILURE_PAUSE: Duration = Duration::from_secs(2);
 /// How long after a failed call to the store any reader is preferred to the store.
 const STORE_FAILURE_PAUSE: Duration = Duration::from_secs(3);
+/// Number of instances in a zone from which on they share checks of targets. With fewer, asking
+/// another instance saves few checks, and finds a dead target later.
+const MIN_SHARED_CHECKS: usize = 6;
 /// Number of instances per zone that are standbys for tasks that a single instance performs at a
 /// time.
 const STANDBYS_PER_ZONE: usize = 3;
@@ -154,12 +153,17 @@
         self.rows.values().map(|row| row.status.address)
     }
 
+    /// The addresses of the known peers of a zone.
+    pub fn addresses_in(&self, zone: &ZoneId) -> impl Iterator<Item = SocketAddr> {
+        let rows = self.rows.values().filter(move |row| row.status.zone == *zone);
+        rows.map(|row| row.status.address)
+    }
+
     /// Chooses the source for an instance. `last_failure` is when its own call to the store last
     /// failed.
     ///
-    /// A relay asks only readers that come before it, and a follower asks only instances of its
-    /// zone that come before it, so that no two instances ask each other. An instance that the
-    /// store turns away asks any reader.
+    /// A follower asks only instances of its zone that come before it, so that no two instances ask
+    /// each other. An instance that the store turns away asks any reader.
     pub fn source(
         &self,
         own: &OwnInstance<'_>,
@@ -175,16 +179,11 @@
             .filter(|(peer, row)| in_zone(row) && row.delivers(now) && comes_before(peer, row))
             .min_by_key(|(peer, row)| row.rank(peer));
         let readers = || self.rows.iter().filter(|(_, row)| row.reads_store(now));
-        let earlier = || readers().filter(|(peer, row)| comes_before(peer, row));
-        let relayed = || {
-            let enough = earlier().count() >= MAX_STORE_READERS;
-            earlier().min_by_key(|(peer, _)| spread_key(own.name, peer)).filter(|_| enough)
-        };
         let fallback = || {
             let key = |peer, row: &ReaderRow| (!in_zone(row), spread_key(own.name, peer));
             readers().min_by_key(|(peer, row)| key(peer, row)).filter(|_| store_failed)
         };
-        match local.or_else(relayed).or_else(fallback) {
+        match local.or_else(fallback) {
             Some((peer, row)) => FeedSource::Peer(peer.clone(), row.status.address),
             None => FeedSource::Store,
         }
@@ -219,7 +218,8 @@
     }
 
     /// The instance of a zone that checks a target for the others, out of the live ones and the
-    /// asking instance itself. Returns `None` if that is the asking instance.
+    /// asking instance itself. Returns `None` if that is the asking instance, or if the zone has so
+    /// few instances that each checks for itself.
     pub fn checker(
         &self,
         own: &OwnInstance<'_>,
@@ -235,7 +235,11 @@
                 CheckerCandidate { instance, capacity: row.status.capacity }
             });
         let this = CheckerCandidate { instance: own.name, capacity: own.capacity };
-        let chosen = choose_checker(target, peers.chain(std::iter::once(this)))?;
+        let candidates: Vec<_> = peers.chain(std::iter::once(this)).collect();
+        if candidates.len() < MIN_SHARED_CHECKS {
+            return None;
+        }
+        let chosen = choose_checker(target, candidates.into_iter())?;
         self.rows.get(chosen).map(|row| row.status.address)
     }
 }
--- a/crates/banyan-core/src/pipeline/suspicion.rs
+++ b/crates/banyan-core/src/pipeline/suspicion.rs
@@ -29,7 +29,7 @@
 /// How long a probe may stay unanswered before the target counts as unresponsive.
 pub const PROBE_TIMEOUT: Duration = Duration::from_millis(25);
 /// How long an instance waits for the checker of a target before it probes the target itself.
-pub const CHECKER_TIMEOUT: Duration = Duration::from_millis(30);
+pub const CHECKER_TIMEOUT: Duration = Duration::from_millis(15);
 /// The time within which a token that a target forwarded proves to others that it is alive.
 const PROGRESS_VALIDITY: Duration = Duration::from_millis(70);
 
--- a/crates/banyan-forward/src/decisions.rs
+++ b/crates/banyan-forward/src/decisions.rs
@@ -1,6 +1,8 @@
-//! Decisions of the daemon: [`tables`] holds what they are based on, [`placement`] plans which
-//! engine holds which layers while this instance leads, and [`orders`] sends those orders.
+//! Decisions of the daemon: [`tables`] holds what they are based on, [`leading`] tells whether this
+//! instance leads, [`placement`] plans which engine holds which layers, and [`orders`] sends the
+//! orders for that.
 
+pub mod leading;
 pub mod orders;
 pub mod placement;
 pub mod tables;
--- a/crates/banyan-forward/src/decisions/placement.rs
+++ b/crates/banyan-forward/src/decisions/placement.rs
@@ -9,6 +9,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::decisions::leading::leading_generation;
 use crate::decisions::orders::STATE_TIMEOUT;
 use crate::decisions::orders::send_orders;
 use crate::decisions::tables::ForwardTables;
@@ -37,9 +38,9 @@
 /// The time after which one unchanged engine is enough to plan the first layout, although others
 /// still change.
 const SETTLE_LIMIT: Duration = Duration::from_secs(4);
-/// The time without a response of the group or a digest of the leader after which a deputy takes
-/// over.
-const DEPUTY_DELAY: Duration = Duration::from_millis(2_500);
+/// The largest number of loading engines that are asked in one planning round. The records of the
+/// others in the store tell when their loads are complete.
+const MAX_LOAD_CHECKS: usize = 64;
 /// The time between two state requests to an engine that is loading layers.
 const LOAD_CHECK_INTERVAL: Duration = Duration::from_millis(300);
 
@@ -63,38 +64,6 @@
     }
 }
 
-/// The fencing token for this instance's orders, or `None` if it must not send any.
-fn leading_generation<P>(state: &ForwardState<P>) -> Option<u64> {
-    let tables = state.tables();
-    let generation = match tables.membership {
-        Some(membership) if membership.leads => Some(membership.generation),
-        _ => deputy_generation(state, &tables),
-    };
-    generation.filter(|generation| *generation > tables.fenced_generation)
-}
-
-/// The generation that this instance uses as a deputy, or `None` if it is not the deputy.
-///
-/// While neither the group nor a leader responds, the live instance with the lowest name sends
-/// orders with the highest generation that it has seen. There is a deputy only if engines check
-/// fencing tokens. Two deputies at the same time do no harm: each order states the number of orders
-/// that the engine has accepted so far, so only one of two concurrent orders is accepted, and no
-/// order exceeds the engine's memory.
-fn deputy_generation<P>(state: &ForwardState<P>, tables: &ForwardTables) -> Option<u64> {
-    let now = state.now();
-    let settings = state.settings();
-    let group_silent = now.since(tables.membership_confirmed_at) >= DEPUTY_DELAY;
-    let leader_silent = tables.leader_seen_at.is_none_or(|at| now.since(at) >= DEPUTY_DELAY);
-    if !settings.bounds.engines_check_fences || !group_silent || !leader_silent {
-        return None;
-    }
-    let is_lowest =
-        tables.peer_loads.lowest_live_peer(now).is_none_or(|peer| settings.instance < *peer);
-    let own_generation = tables.membership.map_or(0, |membership| membership.generation);
-    let generation = own_generation.max(tables.highest_seen_generation);
-    (is_lowest && generation > 0).then_some(generation)
-}
-
 /// Asks engines whose loads should be complete which layers they hold.
 fn check_pending_loads<P: Platform>(state: &Arc<ForwardState<P>>) {
     for (id, address) in due_load_checks(state) {
@@ -113,6 +82,9 @@
     let tables = &mut *guard;
     let mut due = Vec::new();
     for (id, order) in &mut tables.pending_orders {
+        if due.len() == MAX_LOAD_CHECKS {
+            break;
+        }
         if order.range.is_none() || now < order.next_check_at {
             continue;
         }
@@ -174,8 +146,8 @@
     tables: &mut ForwardTables,
     now: Moment,
 ) -> Vec<PlacementTarget> {
-    let peer_scale = tables.peer_scale(now);
-    let loads = LoadView { own: &tables.loads, peers: &tables.peer_loads, peer_scale };
+    let scale = tables.peer_scale(now);
+    let loads = LoadView { own: &tables.loads, peers: &tables.peer_loads, scale };
     let pending = &mut tables.pending_orders;
     let mut targets = Vec::new();
     for (id, row) in &tables.fleet.rows {
--- a/crates/banyan-forward/src/peers/rounds.rs
+++ b/crates/banyan-forward/src/peers/rounds.rs
@@ -30,6 +30,9 @@
 const ROUND_INTERVAL: Duration = Duration::from_millis(400);
 /// The largest number of peers that are called in one round.
 const PEERS_PER_ROUND: usize = 8;
+/// The number of peers outside the own zone that are called in one round if there are enough peers
+/// in the zone.
+const OTHER_PEERS_PER_ROUND: usize = 2;
 /// The timeout of one exchange, including connecting to the peer.
 const EXCHANGE_TIMEOUT: Duration = Duration::from_millis(350);
 /// The timeout of a request for a snapshot.
@@ -51,8 +54,12 @@
     links: BTreeMap<SocketAddr, ForwardServiceClient>,
     /// Peers that did not answer, with the time until which they are not called.
     paused_until: BTreeMap<SocketAddr, Moment>,
-    /// The index among the peers at which the next round starts.
-    next_index: usize,
+    /// The known peers of the own zone.
+    local: BTreeSet<SocketAddr>,
+    /// Where the next round starts among the peers of the own zone.
+    next_local: RoundRobin,
+    /// Where the next round starts among the other peers.
+    next_other: RoundRobin,
     /// When the list of peers is read next.
     next_listing: Moment,
     /// Whether the platform knows this instance's address.
@@ -61,6 +68,21 @@
     lagging_since: Option<Moment>,
 }
 
+/// A position in a changing list that is visited in turn.
+#[derive(Debug, Default)]
+struct RoundRobin {
+    next: usize,
+}
+
+impl RoundRobin {
+    /// The next `count` addresses. Invariant: `count` is at most the length of the list.
+    fn take(&mut self, addresses: &[SocketAddr], count: usize) -> Vec<SocketAddr> {
+        let start = self.next;
+        self.next = start.wrapping_add(count);
+        (0..count).map(|step| addresses[start.wrapping_add(step) % addresses.len()]).collect()
+    }
+}
+
 /// Exchanges digests with peers until the daemon stops.
 pub async fn run_peers<P: Platform>(state: Arc<ForwardState<P>>) {
     let mut peers = PeerSet::default();
@@ -109,15 +131,10 @@
     let now = state.now();
     peers.paused_until.retain(|_, until| now < *until);
     add_digest_addresses(state, peers);
-    let available: Vec<SocketAddr> =
-        peers.addresses.iter().filter(|at| !peers.paused_until.contains_key(at)).copied().collect();
-    if available.is_empty() {
+    let chosen = choose_peers(peers);
+    if chosen.is_empty() {
         return;
     }
-    let count = available.len().min(PEERS_PER_ROUND);
-    let chosen: Vec<SocketAddr> =
-        (0..count).map(|step| available[(peers.next_index + step) % available.len()]).collect();
-    peers.next_index = (peers.next_index + count) % available.len();
     let digest = own_digest(state);
     let exchanges: FuturesUnordered<_> = chosen
         .into_iter()
@@ -132,9 +149,12 @@
     for (address, answer) in answers {
         match answer {
             Some((link, digest)) => {
-                peers.links.insert(address, link);
+                // Peers of other zones are called too rarely to keep connections to all of them.
+                if peers.local.contains(&address) {
+                    peers.links.insert(address, link.clone());
+                }
                 if is_ahead(state, &digest) {
-                    peer_ahead = Some(address);
+                    peer_ahead = Some((address, link));
                 }
                 apply_digest(state, digest);
             }
@@ -144,25 +164,42 @@
         }
     }
     state.tables().loads.set_baseline();
-    let Some(address) = peer_ahead else {
+    let Some((address, link)) = peer_ahead else {
         peers.lagging_since = None;
         return;
     };
     let since = *peers.lagging_since.get_or_insert(now);
     let has_no_data = state.tables().configuration.is_none() || !state.tables().fleet_known;
     if (has_no_data || now.since(since) >= MAX_LAG)
-        && let Some(link) = peers.links.get(&address)
-        && let Some(snapshot) = request_snapshot(link).await
+        && let Some(snapshot) = request_snapshot(&link).await
     {
         apply_snapshot(state, address, snapshot);
     }
 }
 
+/// The peers to call in this round: most of them in the own zone, whose loads matter most, and a
+/// few others. While few peers of the zone are known, more of the others are called.
+fn choose_peers(peers: &mut PeerSet) -> Vec<SocketAddr> {
+    let available = peers.addresses.iter().filter(|at| !peers.paused_until.contains_key(at));
+    let (local, other): (Vec<SocketAddr>, Vec<SocketAddr>) =
+        available.partition(|at| peers.local.contains(at));
+    let other_count = other.len().min(OTHER_PEERS_PER_ROUND);
+    let local_count = local.len().min(PEERS_PER_ROUND - other_count);
+    let other_count = other.len().min(PEERS_PER_ROUND - local_count);
+    let mut chosen = peers.next_local.take(&local, local_count);
+    chosen.extend(peers.next_other.take(&other, other_count));
+    chosen
+}
+
 /// Adds the addresses of peers that sent digests. An instance that started earlier learns in this
 /// way of those that started later and called it.
 fn add_digest_addresses<P>(state: &ForwardState<P>, peers: &mut PeerSet) {
-    let own_address = state.settings().peer_address;
+    let settings = state.settings();
+    let own_address = settings.peer_address;
     let mut tables = state.tables();
+    peers.local.extend(tables.readers.addresses_in(&settings.zone));
+    peers.local.remove(&own_address);
+    tables.local_peers = peers.local.len();
     peers.addresses.extend(tables.readers.addresses().filter(|address| *address != own_address));
     // Before the first listing the number of instances is unknown, since there may be many more.
     if tables.peers_listed.is_some() {
