--- a/crates/banyan-forward/src/engines/checks.rs
+++ b/crates/banyan-forward/src/engines/checks.rs
@@ -50,7 +50,9 @@
     }
     drop(tables);
     for (address, ids) in asked {
-        tokio::spawn(ask_checker(state.clone(), address, ids));
+        for part in ids.chunks(MAX_CHECKED_TARGETS) {
+            tokio::spawn(ask_checker(state.clone(), address, part.to_vec()));
+        }
     }
 }
 
