--- a/crates/banyan-forward/src/engines/stream.rs
+++ b/crates/banyan-forward/src/engines/stream.rs
@@ -46,6 +46,8 @@
 const REROUTE_SPREAD: Duration = Duration::from_millis(300);
 /// The number of steps into which [`REROUTE_SPREAD`] is divided.
 const REROUTE_STEPS: u64 = 64;
+/// The cause of an interruption after which the stream still runs on its chain.
+const STALLED: &str = "it stalled";
 /// The interval between checks of a stream that remains stalled.
 const STALL_CHECK_INTERVAL: Duration = Duration::from_millis(27);
 
@@ -268,7 +270,7 @@
     /// keeps its chain, whose engines may only be slow or silent for a while.
     async fn leave_stalled_chain(&mut self) {
         if self.opener.may_try_another() {
-            self.keeps_chain = self.resume("it stalled").await.is_err();
+            self.keeps_chain = self.resume(STALLED).await.is_err();
         }
     }
 
@@ -304,6 +306,10 @@
                 Err(_) if self.opener.may_try_another() && Instant::now() < give_up_at => {
                     tokio::time::sleep(RESUME_RETRY_INTERVAL).await;
                     self.opener.readmit_recovered();
+                    if cause == STALLED {
+                        // The stream still runs there, and must not run twice on one chain.
+                        self.opener.avoid_chain(&self.opened.chain);
+                    }
                 }
                 Err(refusal) => return Err(refusal.as_str()),
             }
--- a/crates/banyan-forward/src/engines/stream_opener.rs
+++ b/crates/banyan-forward/src/engines/stream_opener.rs
@@ -166,6 +166,13 @@
         }
     }
 
+    /// Avoids a chain as a whole: its first engine, unless another engine of it is avoided already.
+    pub fn avoid_chain(&mut self, chain: &TargetChain) {
+        if !chain.uses_any(&self.avoided) {
+            self.avoid_first_engine(chain);
+        }
+    }
+
     /// Stops avoiding the engines that are no longer suspect.
     pub fn readmit_recovered(&mut self) {
         let now = self.state.now();
