--- a/crates/banyan-core/src/pipeline/preference.rs
+++ b/crates/banyan-core/src/pipeline/preference.rs
@@ -1,4 +1,4 @@
-//! Limits the engines that one instance considers in a large fleet: [`EnginePreference`].
+//! Limits the engines that one instance considers in a large fleet.
 //!
 //! A search over all engines of a large zone costs more than a small instance can spend at each
 //! change of the fleet. Each instance considers a part of them, drawn by its name: of each range of
