--- a/crates/banyan-forward/src/peers/rounds.rs
+++ b/crates/banyan-forward/src/peers/rounds.rs
@@ -43,6 +43,10 @@
 const LISTING_INTERVAL: Duration = Duration::from_secs(20);
 /// The delay before the list of peers is read again after a failure.
 const LISTING_RETRY_DELAY: Duration = Duration::from_millis(1_500);
+/// The age of the targets from which on a peer's newer ones count as ahead. A follower's are up to
+/// one interval of its reader and one request for an update old, and in every round some peer has
+/// asked more recently.
+const MAX_FLEET_AGE: Duration = Duration::from_millis(2_200);
 /// The time for which an instance may lag behind a peer before it requests the peer's snapshot.
 const MAX_LAG: Duration = Duration::from_millis(900);
 
@@ -235,11 +239,11 @@
 }
 
 /// Whether a peer has read newer data from the platform's store. Newer targets count only if this
-/// instance has not read the targets for `MAX_LAG`.
+/// instance's own are older than `MAX_FLEET_AGE`.
 fn is_ahead<P>(state: &ForwardState<P>, digest: &ForwardDigest) -> bool {
     let tables = state.tables();
     let version = tables.configuration.as_ref().map_or(0, |record| record.table.version);
     let next = tables.history.next().map_or(0, |next| next.0);
-    let stale = state.now().since(tables.fleet_read_at) >= MAX_LAG;
+    let stale = state.now().since(tables.fleet_read_at) >= MAX_FLEET_AGE;
     digest.configuration > version || (stale && digest.fleet_next > next)
 }
