Digests to all zones alike again; only the leader checks what peers report

Supposed cause: the orders of the leader come only in its own digests, which reached other zones every 13 s. Second supposition: each report of an unreachable engine made all instances probe it.

--- a/crates/banyan-forward/src/engines/checks.rs
+++ b/crates/banyan-forward/src/engines/checks.rs
@@ -56,27 +56,26 @@
     }
 }
 
-/// Has unreachable targets checked repeatedly, and those that peers report as unreachable, so that
-/// streams avoid them before they stall and return when they recover. The instance that orders
-/// layers probes them itself: it moves the layers of a target that both it and another instance
-/// cannot reach.
+/// Has unreachable targets checked repeatedly, so that their recovery is noticed. The instance that
+/// orders layers probes them itself, and those that peers report as unreachable: it moves the
+/// layers of a target that both it and another instance cannot reach. If all instances checked what
+/// one of them reports, a probe that was answered late would make hundreds more.
 pub async fn watch_unreachable<P: Platform>(state: Arc<ForwardState<P>>) {
     loop {
         tokio::time::sleep(UNREACHABLE_CHECK_INTERVAL).await;
         let now = state.now();
         let tables = state.tables();
-        let own = tables.suspicions.unreachable(now);
-        let mut ids: Vec<TargetId> =
-            own.chain(tables.peer_loads.unreachable(now)).cloned().collect();
-        let orders_layers = tables.orders_layers;
+        let mut ids: Vec<TargetId> = tables.suspicions.unreachable(now).cloned().collect();
+        if !tables.orders_layers {
+            drop(tables);
+            check_targets(&state, &ids);
+            continue;
+        }
+        ids.extend(tables.peer_loads.unreachable(now).cloned());
         drop(tables);
         ids.sort();
         ids.dedup();
-        if orders_layers {
-            probe_targets(&state, &ids);
-        } else {
-            check_targets(&state, &ids);
-        }
+        probe_targets(&state, &ids);
     }
 }
 
--- a/crates/banyan-forward/src/peers/rounds.rs
+++ b/crates/banyan-forward/src/peers/rounds.rs
@@ -30,9 +30,6 @@
 const ROUND_INTERVAL: Duration = Duration::from_millis(400);
 /// The largest number of peers that are called in one round.
 const PEERS_PER_ROUND: usize = 8;
-/// The number of peers outside the own zone that are called in one round if there are enough peers
-/// in the zone.
-const OTHER_PEERS_PER_ROUND: usize = 2;
 /// The timeout of one exchange, including connecting to the peer.
 const EXCHANGE_TIMEOUT: Duration = Duration::from_millis(350);
 /// The timeout of a request for a snapshot.
@@ -60,10 +57,8 @@
     paused_until: BTreeMap<SocketAddr, Moment>,
     /// The known peers of the own zone.
     local: BTreeSet<SocketAddr>,
-    /// Where the next round starts among the peers of the own zone.
-    next_local: RoundRobin,
-    /// Where the next round starts among the other peers.
-    next_other: RoundRobin,
+    /// The index among the peers at which the next round starts.
+    next_index: usize,
     /// When the list of peers is read next.
     next_listing: Moment,
     /// Whether the platform knows this instance's address.
@@ -72,21 +67,6 @@
     lagging_since: Option<Moment>,
 }
 
-/// A position in a changing list that is visited in turn.
-#[derive(Debug, Default)]
-struct RoundRobin {
-    next: usize,
-}
-
-impl RoundRobin {
-    /// The next `count` addresses. Invariant: `count` is at most the length of the list.
-    fn take(&mut self, addresses: &[SocketAddr], count: usize) -> Vec<SocketAddr> {
-        let start = self.next;
-        self.next = start.wrapping_add(count);
-        (0..count).map(|step| addresses[start.wrapping_add(step) % addresses.len()]).collect()
-    }
-}
-
 /// Exchanges digests with peers until the daemon stops.
 pub async fn run_peers<P: Platform>(state: Arc<ForwardState<P>>) {
     let mut peers = PeerSet::default();
@@ -153,10 +133,7 @@
     for (address, answer) in answers {
         match answer {
             Some((link, digest)) => {
-                // Peers of other zones are called too rarely to keep connections to all of them.
-                if peers.local.contains(&address) {
-                    peers.links.insert(address, link.clone());
-                }
+                peers.links.insert(address, link.clone());
                 if is_ahead(state, &digest) {
                     peer_ahead = Some((address, link));
                 }
@@ -181,17 +158,18 @@
     }
 }
 
-/// The peers to call in this round: most of them in the own zone, whose loads matter most, and a
-/// few others. While few peers of the zone are known, more of the others are called.
+/// The peers to call in this round: the next few of those that are not paused. All zones are called
+/// alike, since the orders of the leader reach other instances only in its own digests.
 fn choose_peers(peers: &mut PeerSet) -> Vec<SocketAddr> {
-    let available = peers.addresses.iter().filter(|at| !peers.paused_until.contains_key(at));
-    let (local, other): (Vec<SocketAddr>, Vec<SocketAddr>) =
-        available.partition(|at| peers.local.contains(at));
-    let other_count = other.len().min(OTHER_PEERS_PER_ROUND);
-    let local_count = local.len().min(PEERS_PER_ROUND - other_count);
-    let other_count = other.len().min(PEERS_PER_ROUND - local_count);
-    let mut chosen = peers.next_local.take(&local, local_count);
-    chosen.extend(peers.next_other.take(&other, other_count));
+    let available: Vec<SocketAddr> =
+        peers.addresses.iter().filter(|at| !peers.paused_until.contains_key(at)).copied().collect();
+    if available.is_empty() {
+        return available;
+    }
+    let count = available.len().min(PEERS_PER_ROUND);
+    let chosen =
+        (0..count).map(|step| available[(peers.next_index + step) % available.len()]).collect();
+    peers.next_index = (peers.next_index + count) % available.len();
     chosen
 }
 
