--- a/crates/banyan-core/src/pipeline.rs
+++ b/crates/banyan-core/src/pipeline.rs
@@ -11,7 +11,6 @@
 //! - [`placement`]: which layers each engine should hold.
 //! - [`target_chain`]: engines that together run all layers.
 //! - [`chain`]: which chain serves a request.
-//! - [`preference`]: which engines an instance considers in a large fleet.
 //! - [`reroute`]: how a running request moves off some of its engines.
 //! - [`duties`]: which instances take on work for others.
 //! - [`checkers`]: which instance checks a target for the others of its zone.
@@ -32,7 +31,6 @@
 mod path;
 pub mod placement;
 pub mod placement_target;
-pub mod preference;
 pub mod readers;
 pub mod replica;
 pub mod reroute;
--- a/crates/banyan-core/src/pipeline/chain.rs
+++ b/crates/banyan-core/src/pipeline/chain.rs
@@ -16,7 +16,6 @@
 use crate::pipeline::fleet::FleetTable;
 use crate::pipeline::load::LoadView;
 use crate::pipeline::model::PipelineModel;
-use crate::pipeline::preference::EnginePreference;
 use crate::pipeline::search;
 use crate::pipeline::suspicion::SuspicionTable;
 use crate::pipeline::target_chain::MAX_FULLNESS;
@@ -66,8 +65,6 @@
 pub struct ChainPool {
     chains: Vec<Arc<TargetChain>>,
     inputs: PoolInputs,
-    /// The instance's zone, whose engines matter most to it.
-    zone: Option<ZoneId>,
     /// Makes instances prefer different engines where a zone has many.
     seed: u64,
     /// Start of the window of chains to score. It moves with each choice, so that consecutive
@@ -76,11 +73,10 @@
 }
 
 impl ChainPool {
-    /// Creates an empty pool for an instance of a zone. Its preference among engines is seeded by
-    /// the instance's name.
-    pub fn for_instance(instance: &InstanceId, zone: &ZoneId) -> Self {
+    /// Creates an empty pool whose preference among engines is seeded by the instance's name.
+    pub fn for_instance(instance: &InstanceId) -> Self {
         let seed = xxhash_rust::xxh3::xxh3_64(instance.as_str().as_bytes());
-        Self { seed, zone: Some(zone.clone()), ..Self::default() }
+        Self { seed, ..Self::default() }
     }
 
     /// The current chains, grouped by zone.
@@ -111,18 +107,19 @@
             version,
             valid_until: suspicions.next_expiry(now),
         };
-        let preference = EnginePreference { seed: self.seed, zone: self.zone.as_ref() };
-        self.chains = search::find_chains(model, service, fleet, suspicions, &preference, now);
+        self.chains = search::find_chains(model, service, fleet, suspicions, self.seed, now);
         true
     }
 
     /// Chooses the chain with the earliest expected first event, weighted by distance and fullness.
-    /// Chains that use a target in `avoided` or that lack capacity are skipped.
+    /// Chains that use a target in `avoided` or that lack capacity are skipped. `peer_count` is the
+    /// number of peers whose load is known.
     pub fn choose(
         &mut self,
         loads: &LoadView<'_>,
         zone: &ZoneId,
         size: RequestSize,
+        peer_count: usize,
         avoided: &[TargetId],
     ) -> Option<ChainChoice> {
         self.rotation = self.rotation.wrapping_add(MAX_SCORED_CHAINS / 2);
@@ -138,7 +135,7 @@
             let is_local = chain.zone.as_ref() == Some(zone);
             let zone_factor = if is_local { 1.0 } else { REMOTE_ZONE_FACTOR };
             let fullness_factor = 1.0 + FULLNESS_WEIGHT * fullness * fullness;
-            let first_event = chain.first_event_time(loads, size.prompt);
+            let first_event = chain.first_event_time(loads, size.prompt, peer_count);
             let score = first_event * zone_factor * fullness_factor;
             if best.as_ref().is_none_or(|(least, _)| score < *least) {
                 let first_event = Duration::from_secs_f64(first_event);
--- a/crates/banyan-core/src/pipeline/fleet.rs
+++ b/crates/banyan-core/src/pipeline/fleet.rs
@@ -200,11 +200,6 @@
         self.rows.iter().filter(move |(_, row)| row.report.service == *service)
     }
 
-    /// The number of known targets of a zone.
-    pub fn count_in(&self, zone: &ZoneId) -> usize {
-        self.rows.values().filter(|row| row.report.zone == *zone).count()
-    }
-
     /// The target at an address.
     pub fn at_address(&self, address: SocketAddr) -> Option<&TargetId> {
         self.rows.iter().find(|(_, row)| row.report.address == address).map(|(id, _)| id)
@@ -258,15 +253,6 @@
         }
     }
 
-    /// Sets which layers one target has been ordered to hold.
-    pub fn set_order(&mut self, id: &TargetId, range: Option<LayerRange>) {
-        let Some(row) = self.rows.get_mut(id) else { return };
-        if row.ordered != range {
-            row.ordered = range;
-            self.revision += 1;
-        }
-    }
-
     fn report(&mut self, id: TargetId, mut report: TargetReport, now: Moment) {
         let Some(row) = self.rows.get_mut(&id) else {
             let row = TargetRow {
--- a/crates/banyan-core/src/pipeline/load.rs
+++ b/crates/banyan-core/src/pipeline/load.rs
@@ -101,125 +101,62 @@
     }
 }
 
-/// What a peer reports.
-#[derive(Clone, Debug, Default)]
-pub struct PeerReport {
-    /// Whether the peer is in the zone of this instance.
-    pub is_local: bool,
-    /// The load that the peer puts on each target.
-    pub loads: BTreeMap<TargetId, TargetLoad>,
-    /// The targets that the peer cannot reach.
-    pub unreachable: Vec<TargetId>,
-}
-
+/// The latest report of one peer.
 #[derive(Debug)]
-struct PeerRow {
+struct PeerReport {
     received: Moment,
-    report: PeerReport,
-}
-
-/// The summed load of the peers of the own zone and of the other zones at one target.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
-struct SummedLoad {
-    local: u64,
-    remote: u64,
-}
-
-impl SummedLoad {
-    fn part(&mut self, is_local: bool) -> &mut u64 {
-        if is_local { &mut self.local } else { &mut self.remote }
-    }
+    loads: BTreeMap<TargetId, TargetLoad>,
+    unreachable: Vec<TargetId>,
 }
 
 /// The loads that other instances report.
 #[derive(Debug, Default)]
 pub struct PeerLoadTable {
-    peers: BTreeMap<InstanceId, PeerRow>,
-    /// Invariant: for each target, the token layers of all rows of `peers`.
-    sums: BTreeMap<TargetId, SummedLoad>,
+    peers: BTreeMap<InstanceId, PeerReport>,
+    /// The token layers of all peers by target, as of the latest report from any peer.
+    sums: BTreeMap<TargetId, u64>,
 }
 
 impl PeerLoadTable {
     /// Records a peer's report, and drops peers whose reports have expired.
-    pub fn record_peer(&mut self, peer: InstanceId, report: PeerReport, now: Moment) {
-        let expired = |row: &PeerRow| now.since(row.received) >= REPORT_VALIDITY;
-        let mut dropped: Vec<InstanceId> =
-            self.peers.iter().filter(|(_, row)| expired(row)).map(|(id, _)| id.clone()).collect();
-        dropped.push(peer.clone());
-        for id in &dropped {
-            self.remove_peer(id);
-        }
-        for (target, load) in &report.loads {
-            let sum = self.sums.entry(target.clone()).or_default();
-            *sum.part(report.is_local) += load.token_layers;
-        }
-        self.peers.insert(peer, PeerRow { received: now, report });
-    }
-
-    fn remove_peer(&mut self, peer: &InstanceId) {
-        let Some(row) = self.peers.remove(peer) else { return };
-        for (target, load) in &row.report.loads {
-            let Some(sum) = self.sums.get_mut(target) else { continue };
-            *sum.part(row.report.is_local) -= load.token_layers;
-            if *sum == SummedLoad::default() {
-                self.sums.remove(target);
+    pub fn record_peer(
+        &mut self,
+        peer: InstanceId,
+        loads: BTreeMap<TargetId, TargetLoad>,
+        unreachable: Vec<TargetId>,
+        now: Moment,
+    ) {
+        self.peers.insert(peer, PeerReport { received: now, loads, unreachable });
+        self.peers.retain(|_, row| now.since(row.received) < REPORT_VALIDITY);
+        self.sums.clear();
+        for row in self.peers.values() {
+            for (target, load) in &row.loads {
+                *self.sums.entry(target.clone()).or_default() += load.token_layers;
             }
         }
     }
 
     /// The number of peers with a valid report.
     pub fn live_peer_count(&self, now: Moment) -> usize {
-        self.live_rows(now).count()
-    }
-
-    /// The number of peers of the own zone with a valid report.
-    pub fn live_local_count(&self, now: Moment) -> usize {
-        self.live_rows(now).filter(|(_, row)| row.report.is_local).count()
-    }
-
-    fn live_rows(&self, now: Moment) -> impl Iterator<Item = (&InstanceId, &PeerRow)> {
-        self.peers.iter().filter(move |(_, row)| now.since(row.received) < REPORT_VALIDITY)
+        self.peers.values().filter(|row| now.since(row.received) < REPORT_VALIDITY).count()
     }
 
     /// The lowest name among the peers with a valid report.
     pub fn lowest_live_peer(&self, now: Moment) -> Option<&InstanceId> {
-        self.live_rows(now).next().map(|(instance, _)| instance)
+        let fresh =
+            |(_, row): &(&InstanceId, &PeerReport)| now.since(row.received) < REPORT_VALIDITY;
+        self.peers.iter().find(fresh).map(|(instance, _)| instance)
     }
 
     /// The targets that some peer reports as unreachable. A target may appear more than once.
     pub fn unreachable(&self, now: Moment) -> impl Iterator<Item = &TargetId> {
-        self.live_rows(now).flat_map(|(_, row)| &row.report.unreachable)
+        let fresh = move |row: &&PeerReport| now.since(row.received) < REPORT_VALIDITY;
+        self.peers.values().filter(fresh).flat_map(|row| &row.unreachable)
     }
 
-    fn summed(&self, id: &TargetId) -> SummedLoad {
+    fn token_layers(&self, id: &TargetId) -> u64 {
         self.sums.get(id).copied().unwrap_or_default()
     }
-
-    /// The number of peers of the own zone and of other zones.
-    fn counts(&self) -> (usize, usize) {
-        let local = self.peers.values().filter(|row| row.report.is_local).count();
-        (local, self.peers.len() - local)
-    }
-}
-
-/// How the reports of peers are extended to all instances. Instances hear more often from peers of
-/// their own zone, and use its engines more.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct PeerScale {
-    /// How many instances each reporting peer of the own zone stands for.
-    pub local: f64,
-    /// How many instances each reporting peer of another zone stands for.
-    pub remote: f64,
-    /// The share of the instances of the own zone that consider the same engines.
-    pub local_overlap: f64,
-    /// The share of the instances of other zones that consider the same engines.
-    pub remote_overlap: f64,
-}
-
-impl Default for PeerScale {
-    fn default() -> Self {
-        Self { local: 1.0, remote: 1.0, local_overlap: 1.0, remote_overlap: 1.0 }
-    }
 }
 
 /// An estimate of the load that all instances together put on targets.
@@ -229,43 +166,29 @@
     pub own: &'a LoadTable,
     /// The loads that peers report.
     pub peers: &'a PeerLoadTable,
-    /// How many instances each reporting peer stands for.
-    pub scale: PeerScale,
+    /// The number of instances that each reporting peer represents.
+    pub peer_scale: f64,
 }
 
 impl LoadView<'_> {
-    /// Estimates the prompt tokens waiting for prefill at a target. Each of the other instances
-    /// that consider it is assumed to send as many as this one, since their reports are older than
-    /// the prefill of a prompt.
-    pub fn pending_prefill(&self, id: &TargetId) -> f64 {
-        self.own.get(id).pending_prefill as f64 * (1.0 + self.others_at_target())
+    /// Estimates the prompt tokens waiting for prefill at a target. Each of the other instances is
+    /// assumed to send as many as this one, since their reports are older than the prefill of a
+    /// prompt. `peer_count` is the number of peers with a valid report.
+    pub fn pending_prefill(&self, id: &TargetId, peer_count: usize) -> f64 {
+        self.own.get(id).pending_prefill as f64 * (1.0 + peer_count as f64 * self.peer_scale)
     }
 
-    /// Estimates the seconds until all prompts in transfer between zones have arrived. Each of the
-    /// other instances is assumed to send as many as this one.
-    pub fn cross_zone_wait(&self) -> f64 {
-        let (local, remote) = self.peers.counts();
-        let others = local as f64 * self.scale.local + remote as f64 * self.scale.remote;
-        self.own.cross_zone_time.as_secs_f64() * (1.0 + others)
+    /// Estimates the seconds until all prompts in transfer between zones have arrived, under the
+    /// same assumption about other instances.
+    pub fn cross_zone_wait(&self, peer_count: usize) -> f64 {
+        self.own.cross_zone_time.as_secs_f64() * (1.0 + peer_count as f64 * self.peer_scale)
     }
 
-    /// Estimates the tokens of requests at a target, times the layers that each runs there. Each of
-    /// the other instances that consider it is assumed to have added as much as this one since the
-    /// last exchange.
+    /// Estimates the tokens of requests at a target, times the layers that each runs there. Each
+    /// peer is assumed to have added as much as this instance since the last exchange.
     pub fn token_layers(&self, id: &TargetId) -> f64 {
-        let own = self.own.get(id).token_layers as f64;
-        let added = self.own.added_since_baseline(id) as f64 * self.others_at_target();
-        let reported = self.peers.summed(id);
-        let local = reported.local as f64 * self.scale.local;
-        let remote = reported.remote as f64 * self.scale.remote;
-        own + added + local + remote
-    }
-
-    /// The number of other instances that consider a target which this one considers.
-    fn others_at_target(&self) -> f64 {
-        let (local, remote) = self.peers.counts();
-        let scale = &self.scale;
-        let local = local as f64 * scale.local * scale.local_overlap;
-        local + remote as f64 * scale.remote * scale.remote_overlap
+        let unreported = self.own.added_since_baseline(id) * self.peers.peers.len() as u64;
+        let peers = (self.peers.token_layers(id) + unreported) as f64;
+        self.own.get(id).token_layers as f64 + peers * self.peer_scale
     }
 }
--- a/crates/banyan-core/src/pipeline/path.rs
+++ b/crates/banyan-core/src/pipeline/path.rs
@@ -31,7 +31,7 @@
     /// Its prefill time as a multiple of the model's.
     pub(super) prefill_factor: f64,
     /// The engine's cost factor in the search: its step factor, raised for each chain that already
-    /// uses it and for engines outside the zone.
+    /// uses it, for engines outside the zone, and by a per-instance offset in large zones.
     pub(super) search_factor: f64,
     /// Its capacity for requests, in tokens times layers.
     pub(super) token_layers: u64,
--- a/crates/banyan-core/src/pipeline/readers.rs
+++ b/crates/banyan-core/src/pipeline/readers.rs
@@ -153,12 +153,6 @@
         self.rows.values().map(|row| row.status.address)
     }
 
-    /// The addresses of the known peers of a zone.
-    pub fn addresses_in(&self, zone: &ZoneId) -> impl Iterator<Item = SocketAddr> {
-        let rows = self.rows.values().filter(move |row| row.status.zone == *zone);
-        rows.map(|row| row.status.address)
-    }
-
     /// Chooses the source for an instance. `last_failure` is when its own call to the store last
     /// failed.
     ///
--- a/crates/banyan-core/src/pipeline/search.rs
+++ b/crates/banyan-core/src/pipeline/search.rs
@@ -12,7 +12,6 @@
 use crate::pipeline::path::PartChoice;
 use crate::pipeline::path::StageCandidate;
 use crate::pipeline::path::find_path;
-use crate::pipeline::preference::EnginePreference;
 use crate::pipeline::suspicion::SuspicionTable;
 use crate::pipeline::target_chain::ChainPart;
 use crate::pipeline::target_chain::TargetChain;
@@ -22,6 +21,11 @@
 const MIN_SEARCHES: usize = 4;
 /// Largest number of chains kept for one zone.
 const MAX_CHAINS: usize = 16;
+/// Largest number of engines in a zone that one instance's chains can use. In larger zones,
+/// instances prefer different engines.
+const MAX_COVERED_ENGINES: usize = 128;
+/// Number of distinct cost offsets that an instance assigns to equal engines.
+const COST_OFFSETS: u64 = 1_024;
 /// [`capacity_paths`] stops using an engine once at most this fraction of its capacity is free.
 const MIN_FREE_FRACTION: f64 = 0.1;
 /// Factor on the cost of an engine for each chain that already uses it.
@@ -40,29 +44,28 @@
     service: &ServiceId,
     fleet: &FleetTable,
     suspicions: &SuspicionTable,
-    preference: &EnginePreference<'_>,
+    seed: u64,
     now: Moment,
 ) -> Vec<Arc<TargetChain>> {
     let candidates = candidates(model, service, fleet);
     let select = |keep: &dyn Fn(&TargetId) -> bool| -> Vec<StageCandidate> {
-        let kept = candidates.iter().filter(|candidate| keep(&candidate.target));
-        preference.select(kept.cloned().collect())
+        candidates.iter().filter(|candidate| keep(&candidate.target)).cloned().collect()
     };
     let trusted = select(&|id| !suspicions.is_suspect(id, now));
-    let mut chains = chains_by_zone(model, &trusted);
+    let mut chains = chains_by_zone(model, &trusted, seed);
     if !chains.is_empty() {
         chains.extend(bridged_chains(model, &trusted, &chains));
         return chains;
     }
     // Crossing zones costs so much that suspected but reachable engines are preferred over it.
     let reachable = select(&|id| !suspicions.is_unreachable(id, now));
-    let chains = chains_by_zone(model, &reachable);
+    let chains = chains_by_zone(model, &reachable, seed);
     if !chains.is_empty() {
         return chains;
     }
     let cross_zone_chains = diverse_chains(model, reachable);
     if cross_zone_chains.is_empty() {
-        chains_by_zone(model, &select(&|_| true))
+        chains_by_zone(model, &candidates, seed)
     } else {
         cross_zone_chains
     }
@@ -98,13 +101,18 @@
     candidates
 }
 
-fn chains_by_zone(model: &PipelineModel, candidates: &[StageCandidate]) -> Vec<Arc<TargetChain>> {
+fn chains_by_zone(
+    model: &PipelineModel,
+    candidates: &[StageCandidate],
+    seed: u64,
+) -> Vec<Arc<TargetChain>> {
     let mut zones: BTreeMap<&ZoneId, Vec<StageCandidate>> = BTreeMap::new();
     for candidate in candidates {
         zones.entry(&candidate.zone).or_default().push(candidate.clone());
     }
     let mut chains = Vec::new();
-    for zone_candidates in zones.into_values() {
+    for mut zone_candidates in zones.into_values() {
+        diversify_costs(&mut zone_candidates, seed);
         chains.extend(diverse_chains(model, zone_candidates));
     }
     chains
@@ -202,6 +210,19 @@
     paths
 }
 
+/// In zones with more engines than one instance's chains can use, gives equal engines different
+/// costs per instance, so that the instances together use all of them.
+fn diversify_costs(candidates: &mut [StageCandidate], seed: u64) {
+    if candidates.len() <= MAX_COVERED_ENGINES {
+        return;
+    }
+    for candidate in candidates {
+        let draw = xxhash_rust::xxh3::xxh3_64_with_seed(candidate.target.as_str().as_bytes(), seed);
+        let offset = (draw % COST_OFFSETS) as f64 / COST_OFFSETS as f64;
+        candidate.search_factor *= 1.0 + offset;
+    }
+}
+
 /// The path of least cost through all layers.
 fn best_chain(model: &PipelineModel, candidates: &[StageCandidate]) -> Option<Vec<PartChoice>> {
     find_path(model, candidates, model.all_layers())
--- a/crates/banyan-core/src/pipeline/target_chain.rs
+++ b/crates/banyan-core/src/pipeline/target_chain.rs
@@ -53,19 +53,25 @@
     }
 
     /// Estimates the seconds until the first event of a request, given the prompts that are
-    /// waiting.
-    pub fn first_event_time(&self, loads: &LoadView<'_>, prompt: TokenCount) -> f64 {
+    /// waiting. `peer_count` is the number of peers whose load is known.
+    pub fn first_event_time(
+        &self,
+        loads: &LoadView<'_>,
+        prompt: TokenCount,
+        peer_count: usize,
+    ) -> f64 {
         let mut prefill = 0.0;
         let mut queue_wait: f64 = 0.0;
         for part in &self.parts {
             let token_time = part.prefill_time.as_secs_f64();
             prefill += token_time * prompt.0 as f64;
-            queue_wait = queue_wait.max(token_time * loads.pending_prefill(&part.target));
+            queue_wait =
+                queue_wait.max(token_time * loads.pending_prefill(&part.target, peer_count));
         }
         let crossing = self.prompt_cross_zone_time(prompt).as_secs_f64();
         if crossing > 0.0 {
             prefill += crossing;
-            queue_wait = queue_wait.max(loads.cross_zone_wait());
+            queue_wait = queue_wait.max(loads.cross_zone_wait(peer_count));
         }
         prefill + queue_wait + STEPS_BEFORE_FIRST_EVENT * self.step_time.as_secs_f64()
     }
--- a/crates/banyan-forward/src/decisions/orders.rs
+++ b/crates/banyan-forward/src/decisions/orders.rs
@@ -6,8 +6,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use futures::StreamExt;
-
 use crate::decisions::leading::leading_generation;
 use crate::decisions::tables::PendingOrder;
 use crate::edges::LayerOrder;
@@ -19,8 +17,6 @@
 use banyan_core::pipeline::model::PipelineModel;
 use banyan_core::pipeline::placement::PlacementOrder;
 
-/// The largest number of orders that are sent at the same time.
-const MAX_ORDERS_IN_FLIGHT: usize = 48;
 /// The time after which an order that is being sent expires. It covers the request for the engine's
 /// state that precedes the order.
 const ORDER_SEND_TIMEOUT: Duration = Duration::from_secs(2);
@@ -32,49 +28,37 @@
 /// again.
 const LOAD_MARGIN: Duration = Duration::from_secs(3);
 
-/// Sends orders, several at the same time so that an unresponsive engine does not delay the others,
-/// but not all: the first layout of a large fleet orders layers onto thousands of engines.
+/// Sends each order in a separate task, so that an unresponsive engine does not delay the others.
 pub(super) fn send_orders<P: Platform>(
     state: &Arc<ForwardState<P>>,
     generation: u64,
     orders: Vec<(Arc<PipelineModel>, PlacementOrder)>,
 ) {
-    if orders.is_empty() {
-        return;
-    }
     // The orders of all models are counted, as if all loads slowed each other down.
     let order_count = orders.len() as u32;
-    for (index, (_, order)) in orders.iter().enumerate() {
-        let earlier_batches = (index / MAX_ORDERS_IN_FLIGHT) as u32;
-        record_sent_order(state, order, ORDER_SEND_TIMEOUT * (earlier_batches + 1));
+    for (model, order) in orders {
+        record_sent_order(state, &order);
+        let state = state.clone();
+        tokio::spawn(async move {
+            let attempt = send_order(&state, generation, &order).await;
+            let batches = order_count.div_ceil(model.loads_at_once.max(1)).max(1);
+            let load_time = model.load_time_of(order.range.count());
+            record_order_attempt(
+                &state,
+                generation,
+                order,
+                attempt,
+                load_time,
+                load_time * batches + LOAD_MARGIN,
+            );
+        });
     }
-    let state = state.clone();
-    tokio::spawn(async move {
-        let sending = futures::stream::iter(orders)
-            .for_each_concurrent(MAX_ORDERS_IN_FLIGHT, |(model, order)| {
-                send_and_record(&state, generation, model, order, order_count)
-            });
-        sending.await;
-    });
 }
 
-async fn send_and_record<P: Platform>(
-    state: &ForwardState<P>,
-    generation: u64,
-    model: Arc<PipelineModel>,
-    order: PlacementOrder,
-    order_count: u32,
-) {
-    let attempt = send_order(state, generation, &order).await;
-    let batches = order_count.div_ceil(model.loads_at_once.max(1)).max(1);
-    let load_time = model.load_time_of(order.range.count());
-    let order_timeout = load_time * batches + LOAD_MARGIN;
-    record_order_attempt(state, generation, order, attempt, load_time, order_timeout);
-}
-
-/// Records that an order is being sent to an engine, or will be within `timeout`.
-fn record_sent_order<P>(state: &ForwardState<P>, order: &PlacementOrder, timeout: Duration) {
-    let expires_at = state.now() + timeout;
+/// Records that an order is being sent to an engine.
+fn record_sent_order<P>(state: &ForwardState<P>, order: &PlacementOrder) {
+    let now = state.now();
+    let expires_at = now + ORDER_SEND_TIMEOUT;
     let pending = PendingOrder { range: Some(order.range), next_check_at: expires_at, expires_at };
     state.tables().set_pending_order(order.target.clone(), Some(pending));
 }
@@ -122,7 +106,7 @@
     if engine.held == [order.range] {
         return OrderAttempt::Outcome(OrderOutcome::Taken);
     }
-    // Earlier orders may have taken long, or the process may have been paused.
+    // Earlier steps may have taken long, or the process may have been paused.
     if leading_generation(state) != Some(generation) {
         return OrderAttempt::Busy;
     }
--- a/crates/banyan-forward/src/decisions/placement.rs
+++ b/crates/banyan-forward/src/decisions/placement.rs
@@ -38,9 +38,6 @@
 /// The time after which one unchanged engine is enough to plan the first layout, although others
 /// still change.
 const SETTLE_LIMIT: Duration = Duration::from_secs(4);
-/// The largest number of loading engines that are asked in one planning round. The records of the
-/// others in the store tell when their loads are complete.
-const MAX_LOAD_CHECKS: usize = 64;
 /// The time between two state requests to an engine that is loading layers.
 const LOAD_CHECK_INTERVAL: Duration = Duration::from_millis(300);
 
@@ -82,9 +79,6 @@
     let tables = &mut *guard;
     let mut due = Vec::new();
     for (id, order) in &mut tables.pending_orders {
-        if due.len() == MAX_LOAD_CHECKS {
-            break;
-        }
         if order.range.is_none() || now < order.next_check_at {
             continue;
         }
@@ -146,8 +140,8 @@
     tables: &mut ForwardTables,
     now: Moment,
 ) -> Vec<PlacementTarget> {
-    let scale = tables.peer_scale(now);
-    let loads = LoadView { own: &tables.loads, peers: &tables.peer_loads, scale };
+    let peer_scale = tables.peer_scale(now);
+    let loads = LoadView { own: &tables.loads, peers: &tables.peer_loads, peer_scale };
     let pending = &mut tables.pending_orders;
     let mut targets = Vec::new();
     for (id, row) in &tables.fleet.rows {
--- a/crates/banyan-forward/src/decisions/tables.rs
+++ b/crates/banyan-forward/src/decisions/tables.rs
@@ -21,8 +21,6 @@
 use banyan_core::pipeline::load::LoadTable;
 use banyan_core::pipeline::load::LoadView;
 use banyan_core::pipeline::load::PeerLoadTable;
-use banyan_core::pipeline::load::PeerScale;
-use banyan_core::pipeline::preference::considered_shares;
 use banyan_core::pipeline::readers::ReaderTable;
 use banyan_core::pipeline::reroute::RerouteQuery;
 use banyan_core::pipeline::reroute::reroute_chain;
@@ -34,7 +32,6 @@
 use banyan_core::pipeline::target_chain::TargetChain;
 use banyan_core::units::Moment;
 use banyan_core::units::TokenCount;
-use banyan_wire::forward::ForwardDigest;
 
 /// The largest number of other instances with which digest rounds reach every live peer before its
 /// previous digest expires.
@@ -77,10 +74,6 @@
     pub peer_loads: PeerLoadTable,
     /// The number of other instances that announced themselves, or `None` until they were listed.
     pub peers_listed: Option<usize>,
-    /// The number of other instances that are known to be in this instance's zone.
-    pub local_peers: usize,
-    /// The number of targets in this instance's zone when the chains were last computed.
-    pub zone_targets: usize,
     /// The available chains for each service that serves a model.
     pub pools: BTreeMap<ServiceId, ChainPool>,
     /// This instance's share of the retry budget.
@@ -110,8 +103,6 @@
     pub own_store_failure_at: Option<Moment>,
     /// The kinds of calls to the store whose last attempt failed, with the time of that failure.
     pub failing_calls: BTreeMap<&'static str, Moment>,
-    /// The last digest for peers, with the time when it was built.
-    pub digest: Option<(Moment, ForwardDigest)>,
     /// The number of requests that were read but not completely answered.
     pub active: u64,
     random_count: u64,
@@ -124,24 +115,12 @@
         xxhash_rust::xxh3::xxh3_64(&self.random_count.to_le_bytes())
     }
 
-    /// How the reports of live peers are extended to all instances. Each peer stands for itself while
-    /// there are so few instances that digests of every live peer arrive in time.
-    pub fn peer_scale(&self, now: Moment) -> PeerScale {
-        let (local_overlap, remote_overlap) = considered_shares(self.zone_targets);
+    /// The factor by which the loads of live peers are scaled up to account for the other
+    /// instances. 1.0 while there are so few that digests of every live peer arrive in time.
+    pub fn peer_scale(&self, now: Moment) -> f64 {
+        let live_peers = self.peer_loads.live_peer_count(now).max(1);
         let listed = self.peers_listed.unwrap_or_default();
-        if listed <= MAX_FULLY_COVERED_PEERS {
-            return PeerScale { local: 1.0, remote: 1.0, local_overlap, remote_overlap };
-        }
-        let live = self.peer_loads.live_peer_count(now);
-        let live_local = self.peer_loads.live_local_count(now);
-        let known_local = self.local_peers.min(listed).max(live_local);
-        let scale = |known: usize, live: usize| known as f64 / live.max(1) as f64;
-        PeerScale {
-            local: scale(known_local, live_local),
-            remote: scale(listed.saturating_sub(known_local), live - live_local),
-            local_overlap,
-            remote_overlap,
-        }
+        if listed <= MAX_FULLY_COVERED_PEERS { 1.0 } else { listed as f64 / live_peers as f64 }
     }
 
     /// Removes expired orders, including those of a leader that is gone. Otherwise their engines
@@ -156,11 +135,11 @@
 
     /// Sets the pending order of an engine, or removes it.
     pub fn set_pending_order(&mut self, target: TargetId, order: Option<PendingOrder>) {
-        self.fleet.set_order(&target, order.and_then(|order| order.range));
         match order {
             Some(order) => self.pending_orders.insert(target, order),
             None => self.pending_orders.remove(&target),
         };
+        self.sync_orders();
     }
 
     /// The refusal of a request that has not run. The caller is told to retry no earlier than after
@@ -197,17 +176,16 @@
     ) -> Option<ChainChoice> {
         let routes = self.route_table()?;
         let model = routes.services.get(service)?.model.clone()?;
-        let scale = self.peer_scale(now);
+        let peer_scale = self.peer_scale(now);
         let pool = self.pools.entry(service.clone());
-        let pool =
-            pool.or_insert_with(|| ChainPool::for_instance(&settings.instance, &settings.zone));
+        let pool = pool.or_insert_with(|| ChainPool::for_instance(&settings.instance));
         let version = routes.version;
         if pool.refresh(&model, service, version, &self.fleet, &self.suspicions, now) {
             logs::chains_changed(service, pool.chains(), self.fleet.revision);
-            self.zone_targets = self.fleet.count_in(&settings.zone);
         }
-        let loads = LoadView { own: &self.loads, peers: &self.peer_loads, scale };
-        pool.choose(&loads, &settings.zone, size, avoided)
+        let loads = LoadView { own: &self.loads, peers: &self.peer_loads, peer_scale };
+        let live_peers = self.peer_loads.live_peer_count(now);
+        pool.choose(&loads, &settings.zone, size, live_peers, avoided)
     }
 
     /// Whether an engine of the chain was ordered to unload layers that the chain uses. The first
@@ -231,13 +209,13 @@
         now: Moment,
     ) -> Option<Arc<TargetChain>> {
         let routes = self.route_table()?;
-        let scale = self.peer_scale(now);
+        let peer_scale = self.peer_scale(now);
         let query = RerouteQuery {
             model: routes.services.get(service)?.model.as_ref()?,
             service,
             fleet: &self.fleet,
             suspicions: &self.suspicions,
-            loads: LoadView { own: &self.loads, peers: &self.peer_loads, scale },
+            loads: LoadView { own: &self.loads, peers: &self.peer_loads, peer_scale },
             avoided,
             total,
             now,
--- a/crates/banyan-forward/src/peers/digests.rs
+++ b/crates/banyan-forward/src/peers/digests.rs
@@ -18,7 +18,6 @@
 use banyan_core::pipeline::duties::DutyCapacity;
 use banyan_core::pipeline::fleet::TargetReport;
 use banyan_core::pipeline::fleet::TargetRow;
-use banyan_core::pipeline::load::PeerReport;
 use banyan_core::pipeline::load::TargetLoad;
 use banyan_core::pipeline::readers::FeedRole;
 use banyan_core::pipeline::readers::ReaderStatus;
@@ -33,35 +32,21 @@
 use banyan_wire::forward::layer_range;
 use banyan_wire::forward::layer_ranges;
 
-/// The age up to which a digest is sent again.
-const DIGEST_VALIDITY: Duration = Duration::from_millis(100);
 /// The age up to which a target's report of its layers is passed on to peers.
 const OBSERVED_TIME: Duration = Duration::from_secs(3);
 
-/// The digest that this instance sends to its peers. It is built anew only when the last one is
-/// older than `DIGEST_VALIDITY`, since it is requested several times in a round and building it
-/// visits all targets.
+/// The digest that this instance sends to its peers.
 pub fn own_digest<P>(state: &ForwardState<P>) -> ForwardDigest {
-    let now = state.now();
-    let mut tables = state.tables();
-    let recent = |(built, _): &&(Moment, ForwardDigest)| now.since(*built) < DIGEST_VALIDITY;
-    if let Some((_, digest)) = tables.digest.as_ref().filter(recent) {
-        return digest.clone();
-    }
-    let digest = build_digest(state, &tables, now);
-    tables.digest = Some((now, digest.clone()));
-    digest
-}
-
-fn build_digest<P>(state: &ForwardState<P>, tables: &ForwardTables, now: Moment) -> ForwardDigest {
     let settings = state.settings();
+    let now = state.now();
+    let tables = state.tables();
     ForwardDigest {
         instance: SmolStr::new(settings.instance.as_str()),
         zone: SmolStr::new(settings.zone.as_str()),
         address: settings.peer_address,
         capacity_millicores: settings.duty_capacity.0,
         relays: *state.feed_role.borrow() == FeedRole::Relay,
-        read_age_ms: state.read_age(tables, now).map(millis),
+        read_age_ms: state.read_age(&tables, now).map(millis),
         configuration: tables.configuration.as_ref().map_or(0, |record| record.table.version),
         fleet_next: tables.history.next().map_or(0, |next| next.0),
         loads: tables.loads.rows().map(LoadWire::from).collect(),
@@ -70,7 +55,7 @@
             .unreachable(now)
             .map(|id| SmolStr::new(id.as_str()))
             .collect(),
-        observed: observed_wires(tables, now),
+        observed: observed_wires(&tables, now),
         slow: tables.fleet.rows.iter().filter_map(|row| slow_wire(row, now)).collect(),
         generation: tables.membership.map_or(0, |membership| membership.generation),
         leads: tables.membership.is_some_and(|membership| membership.leads),
@@ -133,7 +118,6 @@
         return;
     };
     let now = state.now();
-    let is_local = digest.zone == state.settings().zone.as_str();
     let mut tables = state.tables();
     let read_age = digest.read_age_ms.map(Duration::from_millis);
     let role = match read_age {
@@ -152,8 +136,7 @@
             tracing::warn!(part = "peers", %instance, %error, "Ignored an invalid zone.")
         }
     }
-    let report = PeerReport { is_local, loads, unreachable };
-    tables.peer_loads.record_peer(instance, report, now);
+    tables.peer_loads.record_peer(instance, loads, unreachable, now);
     tables.highest_seen_generation = tables.highest_seen_generation.max(digest.generation);
     if digest.leads {
         tables.leader_seen_at = Some(now);
--- a/crates/banyan-forward/src/peers/rounds.rs
+++ b/crates/banyan-forward/src/peers/rounds.rs
@@ -55,8 +55,6 @@
     links: BTreeMap<SocketAddr, ForwardServiceClient>,
     /// Peers that did not answer, with the time until which they are not called.
     paused_until: BTreeMap<SocketAddr, Moment>,
-    /// The known peers of the own zone.
-    local: BTreeSet<SocketAddr>,
     /// The index among the peers at which the next round starts.
     next_index: usize,
     /// When the list of peers is read next.
@@ -115,10 +113,15 @@
     let now = state.now();
     peers.paused_until.retain(|_, until| now < *until);
     add_digest_addresses(state, peers);
-    let chosen = choose_peers(peers);
-    if chosen.is_empty() {
+    let available: Vec<SocketAddr> =
+        peers.addresses.iter().filter(|at| !peers.paused_until.contains_key(at)).copied().collect();
+    if available.is_empty() {
         return;
     }
+    let count = available.len().min(PEERS_PER_ROUND);
+    let chosen: Vec<SocketAddr> =
+        (0..count).map(|step| available[(peers.next_index + step) % available.len()]).collect();
+    peers.next_index = (peers.next_index + count) % available.len();
     let digest = own_digest(state);
     let exchanges: FuturesUnordered<_> = chosen
         .into_iter()
@@ -133,9 +136,9 @@
     for (address, answer) in answers {
         match answer {
             Some((link, digest)) => {
-                peers.links.insert(address, link.clone());
+                peers.links.insert(address, link);
                 if is_ahead(state, &digest) {
-                    peer_ahead = Some((address, link));
+                    peer_ahead = Some(address);
                 }
                 apply_digest(state, digest);
             }
@@ -145,43 +148,25 @@
         }
     }
     state.tables().loads.set_baseline();
-    let Some((address, link)) = peer_ahead else {
+    let Some(address) = peer_ahead else {
         peers.lagging_since = None;
         return;
     };
     let since = *peers.lagging_since.get_or_insert(now);
     let has_no_data = state.tables().configuration.is_none() || !state.tables().fleet_known;
     if (has_no_data || now.since(since) >= MAX_LAG)
-        && let Some(snapshot) = request_snapshot(&link).await
+        && let Some(link) = peers.links.get(&address)
+        && let Some(snapshot) = request_snapshot(link).await
     {
         apply_snapshot(state, address, snapshot);
     }
 }
 
-/// The peers to call in this round: the next few of those that are not paused. All zones are called
-/// alike, since the orders of the leader reach other instances only in its own digests.
-fn choose_peers(peers: &mut PeerSet) -> Vec<SocketAddr> {
-    let available: Vec<SocketAddr> =
-        peers.addresses.iter().filter(|at| !peers.paused_until.contains_key(at)).copied().collect();
-    if available.is_empty() {
-        return available;
-    }
-    let count = available.len().min(PEERS_PER_ROUND);
-    let chosen =
-        (0..count).map(|step| available[(peers.next_index + step) % available.len()]).collect();
-    peers.next_index = (peers.next_index + count) % available.len();
-    chosen
-}
-
 /// Adds the addresses of peers that sent digests. An instance that started earlier learns in this
 /// way of those that started later and called it.
 fn add_digest_addresses<P>(state: &ForwardState<P>, peers: &mut PeerSet) {
-    let settings = state.settings();
-    let own_address = settings.peer_address;
+    let own_address = state.settings().peer_address;
     let mut tables = state.tables();
-    peers.local.extend(tables.readers.addresses_in(&settings.zone));
-    peers.local.remove(&own_address);
-    tables.local_peers = peers.local.len();
     peers.addresses.extend(tables.readers.addresses().filter(|address| *address != own_address));
     // Before the first listing the number of instances is unknown, since there may be many more.
     if tables.peers_listed.is_some() {
--- a/crates/banyan-load/src/emulate/decisions.rs
+++ b/crates/banyan-load/src/emulate/decisions.rs
@@ -20,7 +20,6 @@
 use banyan_core::pipeline::load::LoadTable;
 use banyan_core::pipeline::load::LoadView;
 use banyan_core::pipeline::load::PeerLoadTable;
-use banyan_core::pipeline::load::PeerScale;
 use banyan_core::pipeline::placement::plan_placement;
 use banyan_core::pipeline::placement_target::PlacementTarget;
 use banyan_core::pipeline::suspicion::SuspicionTable;
@@ -109,11 +108,11 @@
 fn choose_time(pool: &mut ChainPool, near: &PlacementTarget) -> Duration {
     let own = LoadTable::default();
     let peers = PeerLoadTable::default();
-    let view = LoadView { own: &own, peers: &peers, scale: PeerScale::default() };
+    let view = LoadView { own: &own, peers: &peers, peer_scale: 1.0 };
     let size = RequestSize { prompt: TokenCount(800), total: TokenCount(950) };
     let begun = Instant::now();
     for _ in 0..REPEATS {
-        std::hint::black_box(pool.choose(&view, &near.zone, size, &[]));
+        std::hint::black_box(pool.choose(&view, &near.zone, size, 0, &[]));
     }
     begun.elapsed() / REPEATS
 }
--- a/crates/banyan-load/src/emulate/instances.rs
+++ b/crates/banyan-load/src/emulate/instances.rs
@@ -13,7 +13,6 @@
 use banyan_core::pipeline::load::LoadTable;
 use banyan_core::pipeline::load::LoadView;
 use banyan_core::pipeline::load::PeerLoadTable;
-use banyan_core::pipeline::load::PeerScale;
 use banyan_core::pipeline::load::TargetLoad;
 use banyan_core::pipeline::model::PipelineModel;
 use banyan_core::pipeline::suspicion::SuspicionTable;
@@ -64,7 +63,7 @@
     /// An instance that knows nothing yet.
     pub fn new(id: InstanceId, zone: ZoneId) -> Self {
         Self {
-            pool: ChainPool::for_instance(&id, &zone),
+            pool: ChainPool::for_instance(&id),
             id,
             zone,
             loads: LoadTable::default(),
@@ -86,8 +85,8 @@
         if *kind == DecisionKind::Naive {
             return self.choose_quickest();
         }
-        let view = LoadView { own: &self.loads, peers: &self.peers, scale: PeerScale::default() };
-        self.pool.choose(&view, &self.zone, size, avoided)
+        let view = LoadView { own: &self.loads, peers: &self.peers, peer_scale: 1.0 };
+        self.pool.choose(&view, &self.zone, size, self.peers.live_peer_count(now), avoided)
     }
 
     /// What it tells its peers.
