--- a/crates/banyan-forward/src/edges.rs
+++ b/crates/banyan-forward/src/edges.rs
@@ -50,6 +50,16 @@
     pub answer_hint: Option<TokenCount>,
 }
 
+/// The id of one part of a prompt, as the caller sent it. Requests with equal parts have equal ids.
+#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub struct PromptPart(pub SmolStr);
+
+impl fmt::Display for PromptPart {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
 /// What the headers of a caller's request say.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct CallerRequest {
@@ -63,6 +73,15 @@
     pub demand: Option<TokenDemand>,
     /// The last event that the caller received of an interrupted stream that it wants to resume.
     pub last_event: Option<u64>,
+    /// The parts of the prompt in order, on requests to a model.
+    pub prompt_parts: Vec<PromptPart>,
+}
+
+impl CallerRequest {
+    /// The parts that other requests may have too. The last part belongs to this request alone.
+    pub fn shared_parts(&self) -> &[PromptPart] {
+        self.prompt_parts.split_last().map_or(&[], |(_, shared)| shared)
+    }
 }
 
 /// Why a caller's headers cannot be used.
--- a/crates/banyan-forward/src/engines/call.rs
+++ b/crates/banyan-forward/src/engines/call.rs
@@ -241,7 +241,7 @@
             None
         }
         AttemptOutcome::MaybeRun(cause) => {
-            logs::attempt_failed(&request.token, &target, cause);
+            logs::attempt_failed(request, &target, cause);
             progress.maybe_run = true;
             None
         }
--- a/crates/banyan-forward/src/engines/chain_attempt.rs
+++ b/crates/banyan-forward/src/engines/chain_attempt.rs
@@ -7,6 +7,7 @@
 use http::response::Parts;
 use http_body_util::BodyExt;
 use http_body_util::Limited;
+use tokio::time::Instant;
 
 use crate::callers::routed_request::RoutedRequest;
 use crate::edges::AnswerFacts;
@@ -29,6 +30,8 @@
 pub struct OpenedStream {
     /// The chain that serves it.
     pub chain: Arc<TargetChain>,
+    /// When its first event arrived.
+    pub opened_at: Instant,
     /// The head of the first engine's answer.
     pub head: Parts,
     /// The rest of its body.
@@ -88,7 +91,8 @@
     }
     let mut splitter = EventSplitter::resuming_after(last_event);
     let first = read_first_events(&mut body, &mut splitter).await?;
-    Ok(OpenedStream { chain, head, body, splitter, first, lease })
+    let opened_at = Instant::now();
+    Ok(OpenedStream { chain, opened_at, head, body, splitter, first, lease })
 }
 
 async fn read_first_events(
--- a/crates/banyan-forward/src/engines/stream.rs
+++ b/crates/banyan-forward/src/engines/stream.rs
@@ -164,7 +164,7 @@
                     Ok(None) => {}
                     Err(fault) => {
                         logs::attempt_failed(
-                            &self.request.token,
+                            &self.request,
                             &self.opened.chain.parts[0].target,
                             &fault.to_string(),
                         );
@@ -290,7 +290,8 @@
     /// Continues the stream on another chain. Returns the reason if that is impossible.
     async fn resume(&mut self, cause: &'static str) -> Result<(), &'static str> {
         let last_event = self.opened.splitter.last_id();
-        logs::stream_interrupted(&self.request, &self.opened.chain, last_event, cause);
+        let written = self.opened.opened_at.elapsed();
+        logs::stream_interrupted(&self.request, &self.opened.chain, written, last_event, cause);
         if !self.opener.may_try_another() || last_event.is_none() {
             return Err(cause);
         }
--- a/crates/banyan-forward/src/engines/stream_opener.rs
+++ b/crates/banyan-forward/src/engines/stream_opener.rs
@@ -342,7 +342,7 @@
                 (first_engine, cause)
             }
         };
-        logs::attempt_failed(&self.request.token, &at_fault, cause);
+        logs::attempt_failed(&self.request, &at_fault, cause);
         if refused {
             self.state.tables().suspicions.note_refusal(&at_fault, now);
             // The probe reads which layers it holds now, or finds that it no longer runs.
--- a/crates/banyan-forward/src/logs.rs
+++ b/crates/banyan-forward/src/logs.rs
@@ -182,9 +182,16 @@
 }
 
 /// Logs that one attempt of a request failed.
-pub fn attempt_failed(token: &RequestToken, target: &TargetId, cause: &str) {
+pub fn attempt_failed(request: &RoutedRequest, target: &TargetId, cause: &str) {
     metrics::counter!("banyan_attempt_failures_total").increment(1);
-    tracing::info!(part = "request", request = %token, %target, cause, "An attempt failed.");
+    tracing::info!(
+        part = "request",
+        request = %request.token,
+        %target,
+        prompt_parts = prompt_text(request),
+        cause,
+        "An attempt failed."
+    );
 }
 
 /// Logs that a target is suspected to have failed and is avoided for a while.
@@ -217,10 +224,11 @@
     tracing::info!(part = "health", %service, fleet, zones, "The chains changed.");
 }
 
-/// Logs that a stream ended early or stalled.
+/// Logs that a stream ended early or stalled, `written` after its first event on this chain.
 pub fn stream_interrupted(
     request: &RoutedRequest,
     chain: &TargetChain,
+    written: Duration,
     last_event: Option<u64>,
     cause: &str,
 ) {
@@ -229,6 +237,8 @@
         part = "request",
         request = %request.token,
         chain = %chain_text(chain),
+        prompt_parts = prompt_text(request),
+        written_ms = written.as_millis() as u64,
         last_event,
         cause,
         "The stream was interrupted."
@@ -286,6 +296,13 @@
     }
 }
 
+/// The parts of a request's prompt that other requests may have too, for log lines.
+fn prompt_text(request: &RoutedRequest) -> String {
+    let parts: Vec<&str> =
+        request.caller.shared_parts().iter().map(|part| part.0.as_str()).collect();
+    parts.join(" ")
+}
+
 /// The engines of a chain with their layers, in order, for log lines.
 fn chain_text(chain: &TargetChain) -> String {
     let parts: Vec<String> =
