Requests whose like crashed engines are recognised and refused on all instances

Callers saw nine in ten requests refused or cut for as long as requests with one prompt part came: 15 to 51 engines crashed one after the other, and with them went the only first engines of all zones.

Cause: nothing remembered what a target ran as it crashed. Each such request was sent to a second engine, and each new one to a first. The class: a request that harms whoever runs it is taken for a target's failure, and retried. The same holds for whole requests that repeat, streams and plain calls alike; the detection of the other daemon (serving::poison) was never wired here.

Now a request has traits (each prompt part that others may share; its whole content). A target whose connection is lost as an answer begins, and whose host refuses a probe, adds a crash to those traits that have not served well within 10 s. Two separate crashes that no other trait explains block a trait for ten minutes; one crash for a second, in which the request that was there is the only one that is tried again. Alerts spread what one instance learns at once, peers answer with what they know to be sound, digests repeat it.

Ruled out: overload by the streams that move (no preemption nor rejection before a crash).

Tests, red before (6 engines crashed, then the test stopped): crashes:: a_prompt_part_that_crashes_engines_stops_reaching_them and all_instances_refuse_what_crashed_engines_under_one.

--- a/crates/banyan-core/src/pipeline.rs
+++ b/crates/banyan-core/src/pipeline.rs
@@ -15,6 +15,7 @@
 //! - [`duties`]: which instances take on work for others.
 //! - [`checkers`]: which instance checks a target for the others of its zone.
 //! - [`suspicion`]: which targets are suspected of having failed.
+//! - [`crashes`]: which requests crash targets.
 //! - [`load`]: the load of each target.
 //! - [`replica`]: which replica of an unpartitioned service is called.
 //! - [`retries`]: whether a request may be retried.
@@ -22,6 +23,7 @@
 
 pub mod chain;
 pub mod checkers;
+pub mod crashes;
 pub mod duties;
 pub mod fleet;
 pub mod history;
--- a/crates/banyan-core/tests/pipeline/main.rs
+++ b/crates/banyan-core/tests/pipeline/main.rs
@@ -2,6 +2,7 @@
 
 mod chains;
 mod checkers;
+mod crashes;
 mod duties;
 mod fleets;
 mod histories;
--- a/crates/banyan-forward/src/callers/answer.rs
+++ b/crates/banyan-forward/src/callers/answer.rs
@@ -76,6 +76,8 @@
     TargetRefused,
     /// The deadline passed before it was sent.
     NoTime,
+    /// Requests like it crashed targets.
+    CrashesTargets,
 }
 
 impl NotRunCause {
@@ -88,6 +90,7 @@
             Self::NoRoom => "no_room",
             Self::TargetRefused => "target_refused",
             Self::NoTime => "no_time",
+            Self::CrashesTargets => "crashes_targets",
         }
     }
 }
--- a/crates/banyan-forward/src/callers/routed_request.rs
+++ b/crates/banyan-forward/src/callers/routed_request.rs
@@ -9,15 +9,20 @@
 use http::header;
 use http::request::Parts;
 use http_body_util::Full;
+use xxhash_rust::xxh3::Xxh3;
 
 use crate::edges::AnswerFacts;
 use crate::edges::CallerRequest;
 use crate::edges::Dispatch;
 use crate::edges::RequestToken;
 use crate::edges::WireFormat;
+use banyan_core::ids::ServiceId;
 use banyan_core::ids::WorkspaceId;
+use banyan_core::pipeline::crashes::RequestTrait;
+use banyan_core::pipeline::crashes::TraitKind;
 use banyan_core::pipeline::routes::RouteSpec;
 use banyan_core::pipeline::routes::ServiceSpec;
+use banyan_core::record::ContentDigest;
 use banyan_core::units::Moment;
 
 /// Headers that apply to one connection only and are not forwarded.
@@ -56,6 +61,45 @@
     pub head: Parts,
     /// The complete body.
     pub body: Bytes,
+    /// The properties by which it is recognised if requests like it crash targets.
+    pub traits: Vec<RequestTrait>,
+}
+
+/// The traits of a request: its content, and the parts of its prompt that others may share.
+pub fn request_traits(
+    service: &ServiceId,
+    workspace: Option<&WorkspaceId>,
+    caller: &CallerRequest,
+    head: &Parts,
+    body: &[u8],
+) -> Vec<RequestTrait> {
+    let mut content = Xxh3::new();
+    let path = head.uri.path_and_query().map_or("/", |path| path.as_str());
+    let workspace = workspace.map_or("", WorkspaceId::as_str);
+    for text in [service.as_str(), workspace, head.method.as_str(), path] {
+        update_digest(&mut content, text);
+    }
+    let mut traits = Vec::with_capacity(caller.prompt_parts.len() + 1);
+    for part in caller.shared_parts() {
+        let mut digest = Xxh3::new();
+        update_digest(&mut digest, service.as_str());
+        update_digest(&mut digest, &part.0);
+        let digest = ContentDigest(digest.digest());
+        traits.push(RequestTrait { kind: TraitKind::PromptPart, digest });
+    }
+    for part in &caller.prompt_parts {
+        update_digest(&mut content, &part.0);
+    }
+    content.update(body);
+    let digest = ContentDigest(content.digest());
+    traits.push(RequestTrait { kind: TraitKind::Content, digest });
+    traits
+}
+
+/// Adds a text and a byte that no text contains, so that neighbouring texts stay apart.
+fn update_digest(digest: &mut Xxh3, text: &str) {
+    digest.update(text.as_bytes());
+    digest.update(&[0xff]);
 }
 
 impl RoutedRequest {
--- a/crates/banyan-forward/src/callers/serve.rs
+++ b/crates/banyan-forward/src/callers/serve.rs
@@ -19,6 +19,7 @@
 use crate::callers::answer::NotRunCause;
 use crate::callers::answer::Refusal;
 use crate::callers::routed_request::RoutedRequest;
+use crate::callers::routed_request::request_traits;
 use crate::edges::CallerRequest;
 use crate::edges::Platform;
 use crate::engines::call;
@@ -94,6 +95,7 @@
     let timeout = caller.time_left.map_or(route.timeout, |left| left.min(route.timeout));
     let deadline = received + timeout;
     let body = read_body(body, routes.limits.body_size.0 as usize, timeout).await?;
+    let traits = request_traits(&service.id, workspace.as_ref(), &caller, &head, &body);
     Ok(RoutedRequest {
         token: caller.token.clone(),
         caller,
@@ -105,6 +107,7 @@
         deadline,
         head,
         body,
+        traits,
     })
 }
 
--- a/crates/banyan-forward/src/decisions/tables.rs
+++ b/crates/banyan-forward/src/decisions/tables.rs
@@ -16,6 +16,7 @@
 use banyan_core::pipeline::chain::ChainChoice;
 use banyan_core::pipeline::chain::ChainPool;
 use banyan_core::pipeline::chain::RequestSize;
+use banyan_core::pipeline::crashes::CrashTable;
 use banyan_core::pipeline::fleet::FleetTable;
 use banyan_core::pipeline::history::FleetHistory;
 use banyan_core::pipeline::load::LoadTable;
@@ -68,6 +69,8 @@
     pub readers: ReaderTable,
     /// Which targets are suspected to have failed.
     pub suspicions: SuspicionTable,
+    /// Which requests may crash targets.
+    pub crashes: CrashTable,
     /// This instance's active requests at each target.
     pub loads: LoadTable,
     /// The active requests of peers at each target.
--- a/crates/banyan-forward/src/engines.rs
+++ b/crates/banyan-forward/src/engines.rs
@@ -1,10 +1,12 @@
 //! The targets' side: [`stream`] relays the events of a chain of engines, which [`stream_opener`]
 //! starts with a [`chain_attempt`], and [`call`] relays the answer of one replica. Both use
-//! [`exchange`] on connections from [`link`].
+//! [`exchange`] on connections from [`link`], and [`crash_watch`] to recognise requests that crash
+//! targets.
 
 pub mod call;
 pub mod chain_attempt;
 pub mod checks;
+pub mod crash_watch;
 pub mod events;
 pub mod exchange;
 pub mod head_limit;
--- a/crates/banyan-forward/src/engines/call.rs
+++ b/crates/banyan-forward/src/engines/call.rs
@@ -4,6 +4,7 @@
 //! replaced: by another replica's answer if the call may be repeated, otherwise by an error.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use futures::StreamExt;
@@ -23,6 +24,9 @@
 use crate::callers::routed_request::RoutedRequest;
 use crate::edges::Dispatch;
 use crate::edges::Platform;
+use crate::engines::crash_watch::examine_loss;
+use crate::engines::crash_watch::refuse_if_blocked;
+use crate::engines::exchange::CONNECTION_LOST;
 use crate::engines::exchange::ExchangeFailure;
 use crate::engines::exchange::implies_not_run;
 use crate::engines::exchange::send_to_target;
@@ -50,6 +54,8 @@
     NotRun,
     /// The connection could not be established.
     NotSent,
+    /// The connection ended without an answer; the call may have run.
+    ConnectionLost,
     /// Any other failure; the call may have run. Holds the cause for the log.
     MaybeRun(&'static str),
 }
@@ -80,6 +86,9 @@
     let _active = active;
     let mut progress = CallProgress::default();
     let mut running: RunningAttempts<'_> = FuturesUnordered::new();
+    if let Err(refusal) = refuse_if_blocked(&state, &request, false) {
+        return refuse(&state, &request, refusal);
+    }
     if !start_attempt(&state, &request, &mut progress, &mut running, false) {
         return refuse(
             &state,
@@ -94,11 +103,13 @@
         let may_hedge = request.route.kind.may_repeat() && !progress.hedged;
         tokio::select! {
             Some((target, outcome)) = running.next() => {
-                record_outcome(&state, &target, &outcome);
+                record_outcome(&state, &request, &target, &outcome).await;
                 if let Some(answer) = apply_outcome(&request, &mut progress, target, outcome) {
                     return relay_answer(&state, &request, answer, &progress);
                 }
-                if may_retry(&request, &progress) {
+                if may_retry(&request, &progress)
+                    && refuse_if_blocked(&state, &request, true).is_ok()
+                {
                     start_attempt(&state, &request, &mut progress, &mut running, true);
                 }
                 if running.is_empty() {
@@ -192,6 +203,7 @@
         Ok(answer) => answer,
         Err(ExchangeFailure::NotSent) => return AttemptOutcome::NotSent,
         Err(ExchangeFailure::NotRun(_)) => return AttemptOutcome::NotRun,
+        Err(ExchangeFailure::ConnectionLost) => return AttemptOutcome::ConnectionLost,
         Err(ExchangeFailure::MaybeRun(cause)) => return AttemptOutcome::MaybeRun(cause),
     };
     let result = Limited::new(body, MAX_ANSWER_BYTES).collect().await;
@@ -201,15 +213,28 @@
     }
 }
 
-fn record_outcome<P>(state: &ForwardState<P>, target: &TargetId, outcome: &AttemptOutcome) {
+async fn record_outcome<P: Platform>(
+    state: &Arc<ForwardState<P>>,
+    request: &RoutedRequest,
+    target: &TargetId,
+    outcome: &AttemptOutcome,
+) {
+    if matches!(outcome, AttemptOutcome::ConnectionLost) {
+        examine_loss(state, request, target, Duration::ZERO).await;
+    }
     let now = state.now();
     let mut tables = state.tables();
     match outcome {
-        AttemptOutcome::Answered(head, _) if !head.status.is_server_error() => {
-            tables.suspicions.note_progress(target, now);
+        AttemptOutcome::Answered(head, _) => {
+            tables.crashes.note_survival(&request.traits, now);
+            if !head.status.is_server_error() {
+                tables.suspicions.note_progress(target, now);
+            }
         }
-        AttemptOutcome::Answered(..) => {}
-        AttemptOutcome::NotRun | AttemptOutcome::NotSent | AttemptOutcome::MaybeRun(_) => {
+        AttemptOutcome::NotRun
+        | AttemptOutcome::NotSent
+        | AttemptOutcome::ConnectionLost
+        | AttemptOutcome::MaybeRun(_) => {
             tables.suspicions.note_failure(target, now);
         }
     }
@@ -240,6 +265,11 @@
             progress.sent -= 1;
             None
         }
+        AttemptOutcome::ConnectionLost => {
+            logs::attempt_failed(request, &target, CONNECTION_LOST);
+            progress.maybe_run = true;
+            None
+        }
         AttemptOutcome::MaybeRun(cause) => {
             logs::attempt_failed(request, &target, cause);
             progress.maybe_run = true;
--- a/crates/banyan-forward/src/engines/chain_attempt.rs
+++ b/crates/banyan-forward/src/engines/chain_attempt.rs
@@ -52,6 +52,9 @@
     NotSent,
     /// The engine answered with an error, which can be relayed.
     Failed(Box<Parts>, Bytes),
+    /// The connection ended before an event, as it does when the first engine crashes. The request
+    /// may have run.
+    ConnectionLost,
     /// Any other failure; the request may have run. Holds the cause for the log.
     MaybeRun(&'static str),
 }
@@ -61,6 +64,7 @@
         match failure {
             ExchangeFailure::NotSent => Self::NotSent,
             ExchangeFailure::NotRun(facts) => Self::NotRun(facts),
+            ExchangeFailure::ConnectionLost => Self::ConnectionLost,
             ExchangeFailure::MaybeRun(cause) => Self::MaybeRun(cause),
         }
     }
@@ -100,7 +104,7 @@
     splitter: &mut EventSplitter,
 ) -> Result<Option<EventBatch>, OpenFailure> {
     while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|_| OpenFailure::MaybeRun("the connection was lost"))?;
+        let frame = frame.map_err(|_| OpenFailure::ConnectionLost)?;
         let bytes = frame.into_data().unwrap_or_default();
         let batch = splitter.push(bytes);
         match batch.map_err(|_| OpenFailure::MaybeRun("its events are malformed"))? {
--- a/crates/banyan-forward/src/engines/checks.rs
+++ b/crates/banyan-forward/src/engines/checks.rs
@@ -88,7 +88,7 @@
 ) {
     let names = ids.iter().map(|id| SmolStr::new(id.as_str())).collect();
     let question = async {
-        let link = state.checker_links.get(address).await?;
+        let link = state.peer_links.get(address).await?;
         link.check(call_context(CHECKER_TIMEOUT), names).await.ok()
     };
     let answer = tokio::time::timeout(CHECKER_TIMEOUT, question).await.ok().flatten();
@@ -117,7 +117,7 @@
     ids: Vec<TargetId>,
 ) {
     tracing::debug!(part = "health", %checker, "A checker did not answer.");
-    state.checker_links.remove(checker);
+    state.peer_links.remove(checker);
     state.tables().readers.note_silent_checker(checker, state.now());
     for id in ids {
         tokio::spawn(probe_target(state.clone(), id));
--- /dev/null
+++ b/crates/banyan-forward/src/engines/crash_watch.rs
@@ -0,0 +1,66 @@
+//! Recognises requests that crash targets: [`examine_loss`] after a lost connection, and
+//! [`note_survival`] after an answer that went well.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::callers::answer::NotRunCause;
+use crate::callers::answer::Refusal;
+use crate::callers::routed_request::RoutedRequest;
+use crate::edges::Platform;
+use crate::engines::probes::probe_target;
+use crate::logs;
+use crate::peers::crash_alerts::alert_peers;
+use crate::state::ForwardState;
+use banyan_core::ids::TargetId;
+use banyan_core::pipeline::crashes::CrashVerdict;
+use banyan_core::pipeline::crashes::SURVIVAL_TIME;
+use banyan_core::pipeline::crashes::TargetCrash;
+
+/// Refuses a request if requests like it crashed targets. `retry` says that it was sent before.
+pub fn refuse_if_blocked<P>(
+    state: &ForwardState<P>,
+    request: &RoutedRequest,
+    retry: bool,
+) -> Result<(), Refusal> {
+    let now = state.now();
+    let mut tables = state.tables();
+    match tables.crashes.admit(&request.traits, retry, now) {
+        CrashVerdict::Allowed => Ok(()),
+        CrashVerdict::Blocked(wait) => {
+            Err(tables.not_run_refusal(NotRunCause::CrashesTargets, wait, now))
+        }
+    }
+}
+
+/// Finds out whether a target crashed that lost a request's connection, `written` after its answer
+/// began. If so, the request is suspected, and peers are told.
+pub async fn examine_loss<P: Platform>(
+    state: &Arc<ForwardState<P>>,
+    request: &RoutedRequest,
+    target: &TargetId,
+    written: Duration,
+) {
+    if written >= SURVIVAL_TIME || !has_crashed(state, target).await {
+        return;
+    }
+    let now = state.now();
+    let crash = TargetCrash { target: target.clone(), at: now };
+    let suspects = state.tables().crashes.note_crash(&request.traits, &crash, now);
+    logs::crash_suspected(request, target, written, suspects.len());
+    alert_peers(state, suspects);
+}
+
+/// Records that an answer to a request went well.
+pub fn note_survival<P>(state: &ForwardState<P>, request: &RoutedRequest) {
+    let now = state.now();
+    state.tables().crashes.note_survival(&request.traits, now);
+}
+
+/// Whether no process listens at the target's address any more. Only a new probe can tell: an
+/// earlier one may have been answered just before the crash.
+async fn has_crashed<P: Platform>(state: &Arc<ForwardState<P>>, target: &TargetId) -> bool {
+    probe_target(state.clone(), target.clone()).await;
+    let now = state.now();
+    state.tables().suspicions.is_absent(target, now)
+}
--- a/crates/banyan-forward/src/engines/exchange.rs
+++ b/crates/banyan-forward/src/engines/exchange.rs
@@ -20,10 +20,16 @@
     NotSent,
     /// The target stated that the request has not run.
     NotRun(AnswerFacts),
+    /// The connection ended without an answer, as it does when a target crashes. The request may
+    /// have run.
+    ConnectionLost,
     /// Any other failure; the request may have run. Holds the cause for the log.
     MaybeRun(&'static str),
 }
 
+/// The cause of [`ExchangeFailure::ConnectionLost`] for the log.
+pub const CONNECTION_LOST: &str = "the connection was lost";
+
 /// Sends a request to a target and waits for the head of its answer. A successful answer must carry
 /// the request's token and the target's signature.
 pub async fn send_to_target<P: Platform>(
@@ -36,9 +42,7 @@
     let (head, body) = match send_request(address, outgoing).await {
         Ok(answer) => answer,
         Err(LinkError::NotSent(_)) => return Err(ExchangeFailure::NotSent),
-        Err(LinkError::MaybeRun(_)) => {
-            return Err(ExchangeFailure::MaybeRun("the connection ended"));
-        }
+        Err(LinkError::MaybeRun(_)) => return Err(ExchangeFailure::ConnectionLost),
     };
     let facts = state.platform.read_answer(head.status, &head.headers);
     let success = head.status.is_success();
--- a/crates/banyan-forward/src/engines/stream.rs
+++ b/crates/banyan-forward/src/engines/stream.rs
@@ -22,12 +22,16 @@
 use crate::callers::routed_request::RoutedRequest;
 use crate::edges::Platform;
 use crate::engines::chain_attempt::OpenedStream;
+use crate::engines::crash_watch::examine_loss;
+use crate::engines::crash_watch::note_survival;
 use crate::engines::events::EventBatch;
+use crate::engines::exchange::CONNECTION_LOST;
 use crate::engines::leases::RequestLease;
 use crate::engines::stream_opener::StreamOpener;
 use crate::engines::stream_opener::record_progress;
 use crate::logs;
 use crate::state::ForwardState;
+use banyan_core::pipeline::crashes::SURVIVAL_TIME;
 
 /// The fraction of the pause target after which a stream without events is checked.
 const STALL_CHECK_FRACTION: f64 = 0.35;
@@ -95,6 +99,8 @@
     ended: bool,
     /// Whether the stream stalled and could not move, so that it waits for its chain.
     keeps_chain: bool,
+    /// Whether the request is known to crash no engine.
+    survived: bool,
     resumed: u32,
     /// The revision of the target table at the last check for engines that unload layers.
     checked_revision: u64,
@@ -107,6 +113,7 @@
 enum RelayInput {
     Bytes(Bytes),
     End,
+    ConnectionLost,
     Failed(&'static str),
     CheckDue,
     DeadlinePassed,
@@ -136,6 +143,7 @@
             longest_gap: Duration::ZERO,
             ended: false,
             keeps_chain: false,
+            survived: false,
             resumed: 0,
             checked_revision: 0,
             reroute_at: None,
@@ -158,6 +166,7 @@
                     Ok(Some(batch)) => {
                         self.record_event();
                         record_progress(&self.state, &self.opened.chain);
+                        self.check_survival();
                         self.leave_unloading_engines().await;
                         return Some(Ok(batch.bytes));
                     }
@@ -175,9 +184,18 @@
                 },
                 RelayInput::End => {
                     self.ended = true;
+                    note_survival(&self.state, &self.request);
                     self.log_end(logs::COMPLETE);
                     return None;
                 }
+                RelayInput::ConnectionLost => {
+                    let first_engine = &self.opened.chain.parts[0].target;
+                    let written = self.opened.opened_at.elapsed();
+                    examine_loss(&self.state, &self.request, first_engine, written).await;
+                    if let Some(error) = self.resume_or_fail(CONNECTION_LOST).await {
+                        return Some(Err(error));
+                    }
+                }
                 RelayInput::Failed(cause) => {
                     if let Some(error) = self.resume_or_fail(cause).await {
                         return Some(Err(error));
@@ -204,7 +222,7 @@
             () = tokio::time::sleep_until(deadline) => RelayInput::DeadlinePassed,
             frame = self.opened.body.frame() => match frame {
                 Some(Ok(frame)) => RelayInput::Bytes(frame.into_data().unwrap_or_default()),
-                Some(Err(_)) => RelayInput::Failed("the connection was lost"),
+                Some(Err(_)) => RelayInput::ConnectionLost,
                 None if self.opened.splitter.has_partial() => {
                     RelayInput::Failed("it ended in the middle of an event")
                 }
@@ -317,6 +335,14 @@
         }
     }
 
+    /// Records that the request is sound once its answer has been written for long enough.
+    fn check_survival(&mut self) {
+        if !self.survived && self.opened.opened_at.elapsed() >= SURVIVAL_TIME {
+            self.survived = true;
+            note_survival(&self.state, &self.request);
+        }
+    }
+
     fn record_event(&mut self) {
         let now = Instant::now();
         self.longest_gap = self.longest_gap.max(now - self.last_event_at);
--- a/crates/banyan-forward/src/engines/stream_opener.rs
+++ b/crates/banyan-forward/src/engines/stream_opener.rs
@@ -22,6 +22,9 @@
 use crate::engines::chain_attempt::OpenedStream;
 use crate::engines::chain_attempt::open_chain;
 use crate::engines::checks::check_targets;
+use crate::engines::crash_watch::examine_loss;
+use crate::engines::crash_watch::refuse_if_blocked;
+use crate::engines::exchange::CONNECTION_LOST;
 use crate::engines::leases::RequestLease;
 use crate::engines::leases::lease_chain;
 use crate::engines::leases::lease_prefill;
@@ -64,6 +67,8 @@
     avoided: Vec<TargetId>,
     /// The number of attempts that may have reached an engine.
     attempts: u32,
+    /// Whether the request was found to be one that may be sent to engines.
+    admitted: bool,
     /// Whether an engine may have run the request.
     maybe_run: bool,
     /// The last error answer of an engine.
@@ -82,6 +87,7 @@
             request,
             avoided: Vec::new(),
             attempts: 0,
+            admitted: false,
             maybe_run: false,
             error_answer: None,
             running: FuturesUnordered::new(),
@@ -195,7 +201,7 @@
                     self.running_chains.retain(|running| !Arc::ptr_eq(running, &chain));
                     match result {
                         Ok(opened) => return Ok(self.accept_opened(opened)),
-                        Err(failure) => self.record_failure(&chain, failure),
+                        Err(failure) => self.handle_failure(&chain, failure).await,
                     }
                     if self.running.is_empty() {
                         self.start_next()?;
@@ -243,6 +249,9 @@
 
     /// Starts an attempt on the best chain without avoided engines.
     fn start(&mut self) -> Result<(), Refusal> {
+        refuse_if_blocked(&self.state, &self.request, self.admitted)
+            .map_err(|refusal| self.refusal_for(refusal))?;
+        self.admitted = true;
         let now = self.state.now();
         let settings = self.state.settings();
         let size = self.size();
@@ -317,7 +326,17 @@
         }
     }
 
-    fn record_failure(&mut self, chain: &Arc<TargetChain>, failure: OpenFailure) {
+    /// Records a failed attempt, and whether the first engine crashed under it.
+    async fn handle_failure(&mut self, chain: &TargetChain, failure: OpenFailure) {
+        let connection_lost = matches!(failure, OpenFailure::ConnectionLost);
+        self.record_failure(chain, failure);
+        if connection_lost {
+            let first_engine = &chain.parts[0].target;
+            examine_loss(&self.state, &self.request, first_engine, Duration::ZERO).await;
+        }
+    }
+
+    fn record_failure(&mut self, chain: &TargetChain, failure: OpenFailure) {
         let now = self.state.now();
         let first_engine = chain.parts[0].target.clone();
         let refused = matches!(failure, OpenFailure::NotRun(_));
@@ -337,6 +356,10 @@
                 self.error_answer = Some((*head, body));
                 (first_engine, "it answered with an error")
             }
+            OpenFailure::ConnectionLost => {
+                self.maybe_run = true;
+                (first_engine, CONNECTION_LOST)
+            }
             OpenFailure::MaybeRun(cause) => {
                 self.maybe_run = true;
                 (first_engine, cause)
--- a/crates/banyan-forward/src/logs.rs
+++ b/crates/banyan-forward/src/logs.rs
@@ -224,6 +224,26 @@
     tracing::info!(part = "health", %service, fleet, zones, "The chains changed.");
 }
 
+/// Logs that a target crashed, `written` after it began the answer to a request. `suspects` is the
+/// number of the request's traits that are suspected of it.
+pub fn crash_suspected(
+    request: &RoutedRequest,
+    target: &TargetId,
+    written: Duration,
+    suspects: usize,
+) {
+    metrics::counter!("banyan_target_crashes_total").increment(1);
+    tracing::info!(
+        part = "health",
+        request = %request.token,
+        %target,
+        prompt_parts = prompt_text(request),
+        written_ms = written.as_millis() as u64,
+        suspects,
+        "A target crashed under a request."
+    );
+}
+
 /// Logs that a stream ended early or stalled, `written` after its first event on this chain.
 pub fn stream_interrupted(
     request: &RoutedRequest,
--- a/crates/banyan-forward/src/peers/answers.rs
+++ b/crates/banyan-forward/src/peers/answers.rs
@@ -16,6 +16,7 @@
 use crate::edges::Platform;
 use crate::engines::checks;
 use crate::engines::link::set_unacknowledged_timeout;
+use crate::peers::crash_alerts;
 use crate::peers::digests::apply_digest;
 use crate::peers::digests::own_digest;
 use crate::peers::digests::own_snapshot;
@@ -24,11 +25,13 @@
 use crate::peers::peer_link::message_format;
 use crate::state::ForwardState;
 use banyan_wire::forward::CheckWire;
+use banyan_wire::forward::ClearedWire;
 use banyan_wire::forward::FeedPosition;
 use banyan_wire::forward::FeedUpdate;
 use banyan_wire::forward::ForwardDigest;
 use banyan_wire::forward::ForwardService;
 use banyan_wire::forward::ForwardSnapshot;
+use banyan_wire::forward::SuspectWire;
 
 /// The delay before the next connection is accepted after a failure.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(400);
@@ -60,6 +63,10 @@
         checks::answer_check(&self.state, targets).await
     }
 
+    async fn report_suspects(self, _: Context, suspects: Vec<SuspectWire>) -> Vec<ClearedWire> {
+        crash_alerts::answer_alert(&self.state, suspects)
+    }
+
     async fn news(self, _: Context, position: FeedPosition) -> FeedUpdate {
         news::wait_for_update(&self.state, position).await
     }
--- /dev/null
+++ b/crates/banyan-forward/src/peers/crash_alerts.rs
@@ -0,0 +1,135 @@
+//! Tells other instances at once which requests may crash targets: [`alert_peers`].
+//!
+//! Each instance passes on what it did not know to a few others, so that all know it after a few
+//! hops. Digests repeat it for instances that an alert missed, or that started later.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use smol_str::SmolStr;
+
+use crate::decisions::tables::ForwardTables;
+use crate::edges::Platform;
+use crate::peers::digests::millis;
+use crate::peers::peer_link::call_context;
+use crate::state::ForwardState;
+use banyan_core::ids::IdError;
+use banyan_core::pipeline::crashes::CrashSuspect;
+use banyan_core::pipeline::crashes::RequestTrait;
+use banyan_core::pipeline::crashes::TargetCrash;
+use banyan_core::units::Moment;
+use banyan_wire::forward::ClearedWire;
+use banyan_wire::forward::SuspectWire;
+use banyan_wire::forward::TraitWire;
+
+/// The number of peers to which an instance passes on what it learned.
+const ALERTED_PEERS: usize = 8;
+/// The time limit of one alert, including connecting to the peer.
+const ALERT_TIMEOUT: Duration = Duration::from_millis(250);
+
+/// Tells a few peers what is known about the given traits.
+pub fn alert_peers<P: Platform>(state: &Arc<ForwardState<P>>, keys: Vec<RequestTrait>) {
+    if keys.is_empty() {
+        return;
+    }
+    let now = state.now();
+    let mut tables = state.tables();
+    let suspects = suspect_wires(tables.crashes.suspects(keys), now);
+    let addresses = choose_peers(&mut tables);
+    drop(tables);
+    for address in addresses {
+        tokio::spawn(alert_peer(state.clone(), address, suspects.clone()));
+    }
+}
+
+/// Applies a peer's alert, passes on what is new in it, and returns the traits that are known to be sound.
+pub fn answer_alert<P: Platform>(
+    state: &Arc<ForwardState<P>>,
+    suspects: Vec<SuspectWire>,
+) -> Vec<ClearedWire> {
+    let now = state.now();
+    let mut tables = state.tables();
+    let keys: Vec<TraitWire> = suspects.iter().map(|suspect| suspect.key).collect();
+    let learned = merge_suspects(&mut tables, suspects, now);
+    let cleared_wire = |key: TraitWire| {
+        let age = tables.crashes.cleared_since(&key.into(), now)?;
+        Some(ClearedWire { key, age_ms: millis(age) })
+    };
+    let cleared = keys.into_iter().filter_map(cleared_wire).collect();
+    drop(tables);
+    alert_peers(state, learned);
+    cleared
+}
+
+async fn alert_peer<P: Platform>(
+    state: Arc<ForwardState<P>>,
+    address: SocketAddr,
+    suspects: Vec<SuspectWire>,
+) {
+    let call = async {
+        let link = state.peer_links.get(address).await?;
+        link.report_suspects(call_context(ALERT_TIMEOUT), suspects).await.ok()
+    };
+    let Some(cleared) = tokio::time::timeout(ALERT_TIMEOUT, call).await.ok().flatten() else {
+        tracing::debug!(part = "peers", %address, "A peer did not take an alert.");
+        state.peer_links.remove(address);
+        return;
+    };
+    let now = state.now();
+    let mut tables = state.tables();
+    for wire in cleared {
+        let at = now.before(Duration::from_millis(wire.age_ms));
+        tables.crashes.note_survival(&[wire.key.into()], at);
+    }
+}
+
+/// A random choice of the known peers.
+fn choose_peers(tables: &mut ForwardTables) -> Vec<SocketAddr> {
+    let mut addresses: Vec<SocketAddr> = tables.readers.addresses().collect();
+    let count = addresses.len().min(ALERTED_PEERS);
+    for index in 0..count {
+        let rest = (addresses.len() - index) as u64;
+        let chosen = index + (tables.next_random() % rest) as usize;
+        addresses.swap(index, chosen);
+    }
+    addresses.truncate(count);
+    addresses
+}
+
+/// Merges the suspects that a peer reports. Returns those with a crash that was not known here.
+pub fn merge_suspects(
+    tables: &mut ForwardTables,
+    suspects: Vec<SuspectWire>,
+    now: Moment,
+) -> Vec<RequestTrait> {
+    let parsed: Result<Vec<CrashSuspect>, IdError> =
+        suspects.into_iter().map(|wire| parse_suspect(wire, now)).collect();
+    match parsed {
+        Ok(suspects) => tables.crashes.merge(&suspects, now),
+        Err(error) => {
+            tracing::warn!(part = "peers", %error, "Ignored suspects with an invalid target.");
+            Vec::new()
+        }
+    }
+}
+
+/// The messages that tell peers about suspects.
+pub fn suspect_wires(suspects: Vec<CrashSuspect>, now: Moment) -> Vec<SuspectWire> {
+    let crash =
+        |crash: TargetCrash| (SmolStr::new(crash.target.as_str()), millis(now.since(crash.at)));
+    let wire = |suspect: CrashSuspect| SuspectWire {
+        key: suspect.key.into(),
+        crashes: suspect.crashes.into_iter().map(crash).collect(),
+    };
+    suspects.into_iter().map(wire).collect()
+}
+
+fn parse_suspect(wire: SuspectWire, now: Moment) -> Result<CrashSuspect, IdError> {
+    let crash = |(target, age_ms): (SmolStr, u64)| {
+        let at = now.before(Duration::from_millis(age_ms));
+        Ok(TargetCrash { target: target.parse()?, at })
+    };
+    let crashes: Result<Vec<TargetCrash>, IdError> = wire.crashes.into_iter().map(crash).collect();
+    Ok(CrashSuspect { key: wire.key.into(), crashes: crashes? })
+}
--- a/crates/banyan-forward/src/peers/digests.rs
+++ b/crates/banyan-forward/src/peers/digests.rs
@@ -10,6 +10,8 @@
 use crate::decisions::tables::ForwardTables;
 use crate::decisions::tables::PendingOrder;
 use crate::edges::Platform;
+use crate::peers::crash_alerts::merge_suspects;
+use crate::peers::crash_alerts::suspect_wires;
 use crate::state::ForwardState;
 use crate::store::feeds;
 use banyan_core::ids::InstanceId;
@@ -34,6 +36,8 @@
 
 /// The age up to which a target's report of its layers is passed on to peers.
 const OBSERVED_TIME: Duration = Duration::from_secs(3);
+/// The largest number of suspected traits in a digest.
+const MAX_DIGEST_SUSPECTS: usize = 32;
 
 /// The digest that this instance sends to its peers.
 pub fn own_digest<P>(state: &ForwardState<P>) -> ForwardDigest {
@@ -57,6 +61,7 @@
             .collect(),
         observed: observed_wires(&tables, now),
         slow: tables.fleet.rows.iter().filter_map(|row| slow_wire(row, now)).collect(),
+        suspects: suspect_wires(tables.crashes.newest(MAX_DIGEST_SUSPECTS), now),
         generation: tables.membership.map_or(0, |membership| membership.generation),
         leads: tables.membership.is_some_and(|membership| membership.leads),
         ordered: tables.pending_orders.iter().filter_map(|row| ordered_wire(row, now)).collect(),
@@ -142,6 +147,7 @@
         tables.leader_seen_at = Some(now);
         apply_leader_orders(&mut tables, digest.ordered, now);
     }
+    merge_suspects(&mut tables, digest.suspects, now);
     apply_slowdowns(&mut tables, digest.slow, now);
     apply_observations(&mut tables, digest.observed, now);
 }
--- a/crates/banyan-forward/src/state.rs
+++ b/crates/banyan-forward/src/state.rs
@@ -49,8 +49,8 @@
     pub plan_due: Notify,
     /// Where this instance gets the platform's records from.
     pub feed_role: watch::Sender<FeedRole>,
-    /// Connections to the peers that check targets for this instance.
-    pub checker_links: PeerLinks,
+    /// Connections to peers that the checks of targets and the alerts about crashes share.
+    pub peer_links: PeerLinks,
     /// Notified when the outcome of a probe was recorded.
     pub probe_ended: watch::Sender<()>,
     /// Notified when data was read that peers may not have yet, or when a read failed.
@@ -70,7 +70,7 @@
             phase: watch::Sender::new(DaemonPhase::Serving),
             plan_due: Notify::new(),
             feed_role: watch::Sender::new(FeedRole::Reader),
-            checker_links: PeerLinks::default(),
+            peer_links: PeerLinks::default(),
             probe_ended: watch::Sender::new(()),
             feed_changed: watch::Sender::new(()),
             initial_reads_done: watch::Sender::new(false),
--- a/crates/banyan-wire/src/forward.rs
+++ b/crates/banyan-wire/src/forward.rs
@@ -18,11 +18,14 @@
 use banyan_core::ids::IdError;
 use banyan_core::ids::LayerRange;
 use banyan_core::ids::TargetId;
+use banyan_core::pipeline::crashes::RequestTrait;
+use banyan_core::pipeline::crashes::TraitKind;
 use banyan_core::pipeline::fleet::FleetChange;
 use banyan_core::pipeline::fleet::TargetPhase;
 use banyan_core::pipeline::fleet::TargetReport;
 use banyan_core::pipeline::load::TargetLoad;
 use banyan_core::pipeline::suspicion::CheckOutcome;
+use banyan_core::record::ContentDigest;
 
 /// The calls that a peer answers. tarpc generates `ForwardServiceClient` from this trait.
 #[tarpc::service]
@@ -37,6 +40,9 @@
     /// Checks targets for the caller and returns one outcome for each, in the same order. Waits
     /// for probes for a limited time. Empty if a name is invalid.
     async fn check(targets: Vec<SmolStr>) -> Vec<CheckWire>;
+    /// Tells the peer which requests may crash targets, as soon as that is suspected. Returns the
+    /// traits that the peer knows to be sound.
+    async fn report_suspects(suspects: Vec<SuspectWire>) -> Vec<ClearedWire>;
 }
 
 /// How much of the platform's data an instance has read.
@@ -112,6 +118,8 @@
     pub observed: Vec<ObservedWire>,
     /// Engines that recently reported to the sender that they are slow.
     pub slow: Vec<SlowWire>,
+    /// The requests that may crash targets, those with the newest crashes first.
+    pub suspects: Vec<SuspectWire>,
     /// The generation of the group, as the sender last received it.
     pub generation: u64,
     /// Whether the sender is the leader.
@@ -154,6 +162,52 @@
     }
 }
 
+/// A property of requests that may crash targets.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum TraitWire {
+    /// The digest of a request's whole content.
+    Content(u64),
+    /// The digest of one part of a prompt.
+    PromptPart(u64),
+}
+
+impl From<RequestTrait> for TraitWire {
+    fn from(key: RequestTrait) -> Self {
+        match key.kind {
+            TraitKind::Content => Self::Content(key.digest.0),
+            TraitKind::PromptPart => Self::PromptPart(key.digest.0),
+        }
+    }
+}
+
+impl From<TraitWire> for RequestTrait {
+    fn from(wire: TraitWire) -> Self {
+        let (kind, digest) = match wire {
+            TraitWire::Content(digest) => (TraitKind::Content, digest),
+            TraitWire::PromptPart(digest) => (TraitKind::PromptPart, digest),
+        };
+        Self { kind, digest: ContentDigest(digest) }
+    }
+}
+
+/// A suspected trait with the crashes under it.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct SuspectWire {
+    /// The trait.
+    pub key: TraitWire,
+    /// The targets that crashed, each with the time since then in milliseconds.
+    pub crashes: Vec<(SmolStr, u64)>,
+}
+
+/// A trait with which an answer went well.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ClearedWire {
+    /// The trait.
+    pub key: TraitWire,
+    /// The time since that answer, in milliseconds.
+    pub age_ms: u64,
+}
+
 /// The layers that an engine has been ordered to hold.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct OrderedWire {
