A request that crashes the next target at once counts as a second crash

Callers' repeats of one call crashed replica after replica: its second attempt came within 50 ms of the first crash, and crashes so close counted as one, since a lost host takes several targets at a time.

Cause: distance in time stood for the cause that it hints at. A target that still takes a request after the earlier crash was noticed did not crash with it, so a crash now carries when its request was sent.

--- a/crates/banyan-core/src/pipeline/crashes.rs
+++ b/crates/banyan-core/src/pipeline/crashes.rs
@@ -58,7 +58,9 @@
 pub struct TargetCrash {
     /// The target.
     pub target: TargetId,
-    /// When it was noticed.
+    /// When the suspected request was sent to it.
+    pub sent: Moment,
+    /// When the crash was noticed.
     pub at: Moment,
 }
 
@@ -67,6 +69,12 @@
         let apart = self.at.since(other.at).max(other.at.since(self.at));
         self.target == other.target && apart < SAME_CRASH_TIME
     }
+
+    /// Whether this crash and an earlier one have no common cause but a request: the target was
+    /// still there when the request was sent to it after the earlier crash, or time passed.
+    fn is_separate_from(&self, earlier: &TargetCrash) -> bool {
+        self.sent > earlier.at || self.at.since(earlier.at) >= MIN_CRASH_SPACING
+    }
 }
 
 /// A suspected trait, as instances tell each other.
@@ -99,14 +107,14 @@
         true
     }
 
-    /// The number of crashes that were far enough apart to have no common cause but a request.
+    /// The number of crashes that have no common cause but a request.
     fn separate_crashes(&self) -> usize {
-        let mut last: Option<Moment> = None;
+        let mut last: Option<&TargetCrash> = None;
         let mut count = 0;
         for crash in &self.crashes {
-            if last.is_none_or(|last| crash.at.since(last) >= MIN_CRASH_SPACING) {
+            if last.is_none_or(|last| crash.is_separate_from(last)) {
                 count += 1;
-                last = Some(crash.at);
+                last = Some(crash);
             }
         }
         count
--- a/crates/banyan-core/tests/pipeline/crashes.rs
+++ b/crates/banyan-core/tests/pipeline/crashes.rs
@@ -26,7 +26,8 @@
 }
 
 fn crash(table: &mut CrashTable, name: &str, traits: &[RequestTrait], now: Moment) {
-    table.note_crash(traits, &TargetCrash { target: target(name), at: now }, now);
+    let sent = now.before(Duration::from_millis(150));
+    table.note_crash(traits, &TargetCrash { target: target(name), sent, at: now }, now);
 }
 
 fn is_allowed(table: &CrashTable, traits: &[RequestTrait], now: Moment) -> bool {
@@ -87,6 +88,17 @@
     assert!(is_allowed(&table, &[content(2)], at(301)));
 }
 
+#[test]
+fn a_request_sent_after_a_crash_that_crashes_the_next_target_at_once_is_blocked() {
+    // Regression: two crashes within 50 ms counted as one although the second target still took
+    // the request after the first was gone.
+    let mut table = CrashTable::default();
+    crash(&mut table, "r1", &[content(1)], at(200));
+    let second = TargetCrash { target: target("r2"), sent: at(202), at: at(205) };
+    table.note_crash(&[content(1)], &second, at(205));
+    assert!(!is_allowed(&table, &[content(1)], at(LONG)));
+}
+
 #[test]
 fn after_the_first_crash_one_request_is_tried_again() {
     let mut table = CrashTable::default();
--- a/crates/banyan-forward/src/engines/call.rs
+++ b/crates/banyan-forward/src/engines/call.rs
@@ -24,6 +24,7 @@
 use crate::callers::routed_request::RoutedRequest;
 use crate::edges::Dispatch;
 use crate::edges::Platform;
+use crate::engines::crash_watch::LostConnection;
 use crate::engines::crash_watch::examine_loss;
 use crate::engines::crash_watch::refuse_if_blocked;
 use crate::engines::exchange::CONNECTION_LOST;
@@ -38,6 +39,7 @@
 use banyan_core::pipeline::replica::ReplicaChoice;
 use banyan_core::pipeline::replica::ReplicaQuery;
 use banyan_core::pipeline::replica::choose_replica;
+use banyan_core::units::Moment;
 
 /// The largest answer that is buffered before it is relayed.
 const MAX_ANSWER_BYTES: usize = 16 << 20;
@@ -74,7 +76,13 @@
     error_answer: Option<(Parts, Bytes)>,
 }
 
-type RunningAttempts<'a> = FuturesUnordered<BoxFuture<'a, (TargetId, AttemptOutcome)>>;
+/// An attempt at a replica.
+struct CallAttempt {
+    target: TargetId,
+    sent: Moment,
+}
+
+type RunningAttempts<'a> = FuturesUnordered<BoxFuture<'a, (CallAttempt, AttemptOutcome)>>;
 
 /// Serves a call from one replica. A call that may be repeated, or that has not run, is retried at
 /// other replicas.
@@ -102,9 +110,10 @@
     loop {
         let may_hedge = request.route.kind.may_repeat() && !progress.hedged;
         tokio::select! {
-            Some((target, outcome)) = running.next() => {
-                record_outcome(&state, &request, &target, &outcome).await;
-                if let Some(answer) = apply_outcome(&request, &mut progress, target, outcome) {
+            Some((attempt, outcome)) = running.next() => {
+                record_outcome(&state, &request, &attempt, &outcome).await;
+                let answer = apply_outcome(&request, &mut progress, attempt.target, outcome);
+                if let Some(answer) = answer {
                     return relay_answer(&state, &request, answer, &progress);
                 }
                 if may_retry(&request, &progress)
@@ -180,10 +189,11 @@
     state: Arc<ForwardState<P>>,
     request: &RoutedRequest,
     choice: ReplicaChoice,
-) -> (TargetId, AttemptOutcome) {
+) -> (CallAttempt, AttemptOutcome) {
     let _lease = lease_replica(&state, &choice.target);
+    let sent = state.now();
     let outcome = run_attempt(&state, request, &choice).await;
-    (choice.target, outcome)
+    (CallAttempt { target: choice.target, sent }, outcome)
 }
 
 async fn run_attempt<P: Platform>(
@@ -216,11 +226,13 @@
 async fn record_outcome<P: Platform>(
     state: &Arc<ForwardState<P>>,
     request: &RoutedRequest,
-    target: &TargetId,
+    attempt: &CallAttempt,
     outcome: &AttemptOutcome,
 ) {
+    let target = &attempt.target;
     if matches!(outcome, AttemptOutcome::ConnectionLost) {
-        examine_loss(state, request, target, Duration::ZERO).await;
+        let loss = LostConnection { target, sent: attempt.sent, written: Duration::ZERO };
+        examine_loss(state, request, &loss).await;
     }
     let now = state.now();
     let mut tables = state.tables();
--- a/crates/banyan-forward/src/engines/chain_attempt.rs
+++ b/crates/banyan-forward/src/engines/chain_attempt.rs
@@ -22,6 +22,7 @@
 use crate::engines::link::LinkBody;
 use crate::state::ForwardState;
 use banyan_core::pipeline::target_chain::TargetChain;
+use banyan_core::units::Moment;
 
 /// The largest error answer of an engine that is buffered.
 const MAX_FAILURE_BYTES: usize = 1 << 20;
@@ -30,6 +31,8 @@
 pub struct OpenedStream {
     /// The chain that serves it.
     pub chain: Arc<TargetChain>,
+    /// When the request was sent.
+    pub sent: Moment,
     /// When its first event arrived.
     pub opened_at: Instant,
     /// The head of the first engine's answer.
@@ -79,10 +82,11 @@
     resuming: bool,
     lease: RequestLease,
 ) -> Result<OpenedStream, OpenFailure> {
+    let sent = state.now();
     let first = &chain.parts[0];
     let dispatch = Dispatch {
         target: &first.target,
-        time_left: request.deadline.since(state.now()),
+        time_left: request.deadline.since(sent),
         workspace: request.workspace.as_ref(),
         chain: &chain.parts,
         last_event,
@@ -96,7 +100,7 @@
     let mut splitter = EventSplitter::resuming_after(last_event);
     let first = read_first_events(&mut body, &mut splitter).await?;
     let opened_at = Instant::now();
-    Ok(OpenedStream { chain, opened_at, head, body, splitter, first, lease })
+    Ok(OpenedStream { chain, sent, opened_at, head, body, splitter, first, lease })
 }
 
 async fn read_first_events(
--- a/crates/banyan-forward/src/engines/crash_watch.rs
+++ b/crates/banyan-forward/src/engines/crash_watch.rs
@@ -16,6 +16,7 @@
 use banyan_core::pipeline::crashes::CrashVerdict;
 use banyan_core::pipeline::crashes::SURVIVAL_TIME;
 use banyan_core::pipeline::crashes::TargetCrash;
+use banyan_core::units::Moment;
 
 /// Refuses a request if requests like it crashed targets. `retry` says that it was sent before.
 pub fn refuse_if_blocked<P>(
@@ -33,21 +34,30 @@
     }
 }
 
-/// Finds out whether a target crashed that lost a request's connection, `written` after its answer
-/// began. If so, the request is suspected, and peers are told.
+/// A connection to a target that ended before the answer was complete.
+pub struct LostConnection<'a> {
+    /// The target.
+    pub target: &'a TargetId,
+    /// When the request was sent to it.
+    pub sent: Moment,
+    /// For how long the answer was being written.
+    pub written: Duration,
+}
+
+/// Finds out whether a target crashed that lost a request's connection. If that was as the answer
+/// began, the request is suspected, and peers are told.
 pub async fn examine_loss<P: Platform>(
     state: &Arc<ForwardState<P>>,
     request: &RoutedRequest,
-    target: &TargetId,
-    written: Duration,
+    loss: &LostConnection<'_>,
 ) {
-    if written >= SURVIVAL_TIME || !has_crashed(state, target).await {
+    if loss.written >= SURVIVAL_TIME || !has_crashed(state, loss.target).await {
         return;
     }
     let now = state.now();
-    let crash = TargetCrash { target: target.clone(), at: now };
+    let crash = TargetCrash { target: loss.target.clone(), sent: loss.sent, at: now };
     let suspects = state.tables().crashes.note_crash(&request.traits, &crash, now);
-    logs::crash_suspected(request, target, written, suspects.len());
+    logs::crash_suspected(request, loss.target, loss.written, suspects.len());
     alert_peers(state, suspects);
 }
 
--- a/crates/banyan-forward/src/engines/stream.rs
+++ b/crates/banyan-forward/src/engines/stream.rs
@@ -22,6 +22,7 @@
 use crate::callers::routed_request::RoutedRequest;
 use crate::edges::Platform;
 use crate::engines::chain_attempt::OpenedStream;
+use crate::engines::crash_watch::LostConnection;
 use crate::engines::crash_watch::examine_loss;
 use crate::engines::crash_watch::note_survival;
 use crate::engines::events::EventBatch;
@@ -189,9 +190,7 @@
                     return None;
                 }
                 RelayInput::ConnectionLost => {
-                    let first_engine = &self.opened.chain.parts[0].target;
-                    let written = self.opened.opened_at.elapsed();
-                    examine_loss(&self.state, &self.request, first_engine, written).await;
+                    self.examine_loss().await;
                     if let Some(error) = self.resume_or_fail(CONNECTION_LOST).await {
                         return Some(Err(error));
                     }
@@ -335,6 +334,16 @@
         }
     }
 
+    /// Finds out whether the first engine crashed, and whether that was under this request.
+    async fn examine_loss(&mut self) {
+        let loss = LostConnection {
+            target: &self.opened.chain.parts[0].target,
+            sent: self.opened.sent,
+            written: self.opened.opened_at.elapsed(),
+        };
+        examine_loss(&self.state, &self.request, &loss).await;
+    }
+
     /// Records that the request is sound once its answer has been written for long enough.
     fn check_survival(&mut self) {
         if !self.survived && self.opened.opened_at.elapsed() >= SURVIVAL_TIME {
--- a/crates/banyan-forward/src/engines/stream_opener.rs
+++ b/crates/banyan-forward/src/engines/stream_opener.rs
@@ -22,6 +22,7 @@
 use crate::engines::chain_attempt::OpenedStream;
 use crate::engines::chain_attempt::open_chain;
 use crate::engines::checks::check_targets;
+use crate::engines::crash_watch::LostConnection;
 use crate::engines::crash_watch::examine_loss;
 use crate::engines::crash_watch::refuse_if_blocked;
 use crate::engines::exchange::CONNECTION_LOST;
@@ -34,6 +35,7 @@
 use banyan_core::ids::TargetId;
 use banyan_core::pipeline::chain::RequestSize;
 use banyan_core::pipeline::target_chain::TargetChain;
+use banyan_core::units::Moment;
 use banyan_core::units::TokenCount;
 
 /// The fraction of the latency target after which the engines of a chain without an event are first
@@ -53,8 +55,15 @@
 /// The maximum number of chains that are opened concurrently for one request.
 const MAX_CONCURRENT_ATTEMPTS: usize = 2;
 
-/// A chain and the result of the attempt to open a stream on it.
-type OpenResult = (Arc<TargetChain>, Result<OpenedStream, OpenFailure>);
+/// An attempt to open a stream on a chain.
+#[derive(Clone)]
+struct OpenAttempt {
+    chain: Arc<TargetChain>,
+    started: Moment,
+}
+
+/// An attempt and its result.
+type OpenResult = (OpenAttempt, Result<OpenedStream, OpenFailure>);
 
 /// Opens streams for one request, on one chain after another or on several concurrently.
 pub struct StreamOpener<P: Platform> {
@@ -197,11 +206,11 @@
         let may_repeat = self.request.route.kind.may_repeat();
         loop {
             tokio::select! {
-                Some((chain, result)) = self.running.next() => {
-                    self.running_chains.retain(|running| !Arc::ptr_eq(running, &chain));
+                Some((attempt, result)) = self.running.next() => {
+                    self.running_chains.retain(|running| !Arc::ptr_eq(running, &attempt.chain));
                     match result {
                         Ok(opened) => return Ok(self.accept_opened(opened)),
-                        Err(failure) => self.handle_failure(&chain, failure).await,
+                        Err(failure) => self.handle_failure(&attempt, failure).await,
                     }
                     if self.running.is_empty() {
                         self.start_next()?;
@@ -290,10 +299,11 @@
             self.resuming,
             lease,
         );
+        let attempt = OpenAttempt { chain, started: now };
         self.running.push(Box::pin(async move {
             let result = opening.await;
             drop(prefill_lease);
-            (chain, result)
+            (attempt, result)
         }));
         Ok(())
     }
@@ -327,12 +337,16 @@
     }
 
     /// Records a failed attempt, and whether the first engine crashed under it.
-    async fn handle_failure(&mut self, chain: &TargetChain, failure: OpenFailure) {
+    async fn handle_failure(&mut self, attempt: &OpenAttempt, failure: OpenFailure) {
         let connection_lost = matches!(failure, OpenFailure::ConnectionLost);
-        self.record_failure(chain, failure);
+        self.record_failure(&attempt.chain, failure);
         if connection_lost {
-            let first_engine = &chain.parts[0].target;
-            examine_loss(&self.state, &self.request, first_engine, Duration::ZERO).await;
+            let loss = LostConnection {
+                target: &attempt.chain.parts[0].target,
+                sent: attempt.started,
+                written: Duration::ZERO,
+            };
+            examine_loss(&self.state, &self.request, &loss).await;
         }
     }
 
--- a/crates/banyan-forward/src/peers/crash_alerts.rs
+++ b/crates/banyan-forward/src/peers/crash_alerts.rs
@@ -20,6 +20,7 @@
 use banyan_core::pipeline::crashes::TargetCrash;
 use banyan_core::units::Moment;
 use banyan_wire::forward::ClearedWire;
+use banyan_wire::forward::CrashWire;
 use banyan_wire::forward::SuspectWire;
 use banyan_wire::forward::TraitWire;
 
@@ -116,8 +117,11 @@
 
 /// The messages that tell peers about suspects.
 pub fn suspect_wires(suspects: Vec<CrashSuspect>, now: Moment) -> Vec<SuspectWire> {
-    let crash =
-        |crash: TargetCrash| (SmolStr::new(crash.target.as_str()), millis(now.since(crash.at)));
+    let crash = |crash: TargetCrash| CrashWire {
+        target: SmolStr::new(crash.target.as_str()),
+        sent_age_ms: millis(now.since(crash.sent)),
+        age_ms: millis(now.since(crash.at)),
+    };
     let wire = |suspect: CrashSuspect| SuspectWire {
         key: suspect.key.into(),
         crashes: suspect.crashes.into_iter().map(crash).collect(),
@@ -126,9 +130,10 @@
 }
 
 fn parse_suspect(wire: SuspectWire, now: Moment) -> Result<CrashSuspect, IdError> {
-    let crash = |(target, age_ms): (SmolStr, u64)| {
-        let at = now.before(Duration::from_millis(age_ms));
-        Ok(TargetCrash { target: target.parse()?, at })
+    let crash = |wire: CrashWire| {
+        let sent = now.before(Duration::from_millis(wire.sent_age_ms));
+        let at = now.before(Duration::from_millis(wire.age_ms));
+        Ok(TargetCrash { target: wire.target.parse()?, sent, at })
     };
     let crashes: Result<Vec<TargetCrash>, IdError> = wire.crashes.into_iter().map(crash).collect();
     Ok(CrashSuspect { key: wire.key.into(), crashes: crashes? })
--- a/crates/banyan-wire/src/forward.rs
+++ b/crates/banyan-wire/src/forward.rs
@@ -190,13 +190,24 @@
     }
 }
 
+/// A crash of a target under a suspected request.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct CrashWire {
+    /// The target.
+    pub target: SmolStr,
+    /// The time since the request was sent to it, in milliseconds.
+    pub sent_age_ms: u64,
+    /// The time since the crash, in milliseconds.
+    pub age_ms: u64,
+}
+
 /// A suspected trait with the crashes under it.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct SuspectWire {
     /// The trait.
     pub key: TraitWire,
-    /// The targets that crashed, each with the time since then in milliseconds.
-    pub crashes: Vec<(SmolStr, u64)>,
+    /// The crashes, oldest first.
+    pub crashes: Vec<CrashWire>,
 }
 
 /// A trait with which an answer went well.
