--- a/crates/banyan-forward/src/peers.rs
+++ b/crates/banyan-forward/src/peers.rs
@@ -3,6 +3,7 @@
 //! passes on what one instance has read from the platform's store, [`crash_alerts`] which
 //! requests may crash targets, and [`limit_alerts`] the limits that targets name.
 
+pub mod alerts;
 pub mod answers;
 pub mod crash_alerts;
 pub mod digests;
--- a/crates/banyan-forward/src/peers/crash_alerts.rs
+++ b/crates/banyan-forward/src/peers/crash_alerts.rs
@@ -1,7 +1,6 @@
 //! Tells other instances at once which requests may crash targets: [`alert_peers`].
 //!
-//! Each instance passes on what it did not know to a few others, so that all know it after a few
-//! hops. Digests repeat it for instances that an alert missed, or that started later.
+//! Digests repeat it for instances that an alert missed, or that started later.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -11,8 +10,9 @@
 
 use crate::decisions::tables::ForwardTables;
 use crate::edges::Platform;
+use crate::peers::alerts::call_peer;
+use crate::peers::alerts::choose_peers;
 use crate::peers::digests::millis;
-use crate::peers::peer_link::call_context;
 use crate::state::ForwardState;
 use banyan_core::ids::IdError;
 use banyan_core::pipeline::crashes::CrashSuspect;
@@ -21,25 +21,18 @@
 use banyan_core::units::Moment;
 use banyan_wire::forward::ClearedWire;
 use banyan_wire::forward::CrashWire;
+use banyan_wire::forward::ForwardServiceClient;
 use banyan_wire::forward::SuspectWire;
 use banyan_wire::forward::TraitWire;
 
-/// The number of peers to which an instance passes on what it learned.
-const ALERTED_PEERS: usize = 8;
-/// The time limit of one alert, including connecting to the peer.
-pub(super) const ALERT_TIMEOUT: Duration = Duration::from_millis(250);
-
 /// Tells a few peers what is known about the given traits.
 pub fn alert_peers<P: Platform>(state: &Arc<ForwardState<P>>, keys: Vec<RequestTrait>) {
     if keys.is_empty() {
         return;
     }
     let now = state.now();
-    let mut tables = state.tables();
-    let suspects = suspect_wires(tables.crashes.suspects(keys), now);
-    let addresses = choose_peers(&mut tables);
-    drop(tables);
-    for address in addresses {
+    let suspects = suspect_wires(state.tables().crashes.suspects(keys), now);
+    for address in choose_peers(state) {
         tokio::spawn(alert_peer(state.clone(), address, suspects.clone()));
     }
 }
@@ -68,15 +61,10 @@
     address: SocketAddr,
     suspects: Vec<SuspectWire>,
 ) {
-    let call = async {
-        let link = state.peer_links.get(address).await?;
-        link.report_suspects(call_context(ALERT_TIMEOUT), suspects).await.ok()
-    };
-    let Some(cleared) = tokio::time::timeout(ALERT_TIMEOUT, call).await.ok().flatten() else {
-        tracing::debug!(part = "peers", %address, "A peer did not take an alert.");
-        state.peer_links.remove(address);
-        return;
+    let alert = async move |link: ForwardServiceClient, context| {
+        link.report_suspects(context, suspects).await
     };
+    let Some(cleared) = call_peer(&state, address, alert).await else { return };
     let now = state.now();
     let mut tables = state.tables();
     for wire in cleared {
@@ -85,19 +73,6 @@
     }
 }
 
-/// A random choice of the known peers, to pass on something new.
-pub(super) fn choose_peers(tables: &mut ForwardTables) -> Vec<SocketAddr> {
-    let mut addresses: Vec<SocketAddr> = tables.readers.addresses().collect();
-    let count = addresses.len().min(ALERTED_PEERS);
-    for index in 0..count {
-        let rest = (addresses.len() - index) as u64;
-        let chosen = index + (tables.next_random() % rest) as usize;
-        addresses.swap(index, chosen);
-    }
-    addresses.truncate(count);
-    addresses
-}
-
 /// Merges the suspects that a peer reports. Returns those with a crash that was not known here.
 pub fn merge_suspects(
     tables: &mut ForwardTables,
--- a/crates/banyan-forward/src/peers/limit_alerts.rs
+++ b/crates/banyan-forward/src/peers/limit_alerts.rs
@@ -1,6 +1,6 @@
 //! Tells other instances at once which limits targets name: [`alert_peers`].
 //!
-//! As with [`crash_alerts`](super::crash_alerts), each instance passes on what it did not know, and digests repeat it.
+//! Digests repeat it for instances that an alert missed, or that started later.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -11,16 +11,16 @@
 use crate::decisions::tables::ForwardTables;
 use crate::edges::Platform;
 use crate::logs;
-use crate::peers::crash_alerts::ALERT_TIMEOUT;
-use crate::peers::crash_alerts::choose_peers;
+use crate::peers::alerts::call_peer;
+use crate::peers::alerts::choose_peers;
 use crate::peers::digests::millis;
-use crate::peers::peer_link::call_context;
 use crate::state::ForwardState;
 use banyan_core::ids::IdError;
 use banyan_core::ids::TargetId;
 use banyan_core::pipeline::target_limits::LimitReport;
 use banyan_core::pipeline::target_limits::TargetLimit;
 use banyan_core::units::Moment;
+use banyan_wire::forward::ForwardServiceClient;
 use banyan_wire::forward::LimitWire;
 
 /// Tells a few peers what the given targets say of their limits.
@@ -29,11 +29,8 @@
         return;
     }
     let now = state.now();
-    let mut tables = state.tables();
-    let limits = limit_wires(tables.limits.reports(targets), now);
-    let addresses = choose_peers(&mut tables);
-    drop(tables);
-    for address in addresses {
+    let limits = limit_wires(state.tables().limits.reports(targets), now);
+    for address in choose_peers(state) {
         tokio::spawn(alert_peer(state.clone(), address, limits.clone()));
     }
 }
@@ -50,14 +47,10 @@
     address: SocketAddr,
     limits: Vec<LimitWire>,
 ) {
-    let call = async {
-        let link = state.peer_links.get(address).await?;
-        link.report_limits(call_context(ALERT_TIMEOUT), limits).await.ok()
-    };
-    if tokio::time::timeout(ALERT_TIMEOUT, call).await.ok().flatten().is_none() {
-        tracing::debug!(part = "peers", %address, "A peer did not take an alert.");
-        state.peer_links.remove(address);
-    }
+    let alert =
+        async move |link: ForwardServiceClient, context| link.report_limits(context, limits).await;
+    // A peer that was not reached learns it from a digest.
+    let _ = call_peer(&state, address, alert).await;
 }
 
 /// Merges the limits that a peer reports. Returns the targets whose limit was not known.
