A replica that lost one connection is asked by a connection, not for a report

Since requests that crash targets are recognised, a lost connection is followed by a question whether the target still runs. A plain replica was asked for an engine's report; its other answer counted as none, and each later check failed the same way: the replica stayed suspect for good, so one reset took it out.

Found by reading the change before the landing. A replica is now only asked for a connection, whose refusal is the one sign of a crash.

Test: a_replica_that_lost_one_connection_gets_calls_again, red before (no call within 20 s). With it, two costs found in the same reading: a full table of sound traits is no longer searched for its oldest row at each answer, and nothing is computed for limits while no target names one.

--- a/crates/banyan-core/src/pipeline/crashes.rs
+++ b/crates/banyan-core/src/pipeline/crashes.rs
@@ -32,7 +32,7 @@
 const SAME_CRASH_TIME: Duration = Duration::from_secs(1);
 /// The largest number of suspected traits; the one whose last crash is oldest is dropped first.
 const MAX_SUSPECTS: usize = 1_024;
-/// The largest number of cleared traits; the one that was cleared first is dropped first.
+/// The largest number of cleared traits. Further ones are not remembered until some have expired.
 const MAX_CLEARED: usize = 4_096;
 
 /// What a trait of a request is about.
@@ -216,14 +216,10 @@
         let mut changed = false;
         for key in traits {
             changed |= self.rows.remove(key).is_some();
-            let seen = self.cleared.entry(*key).or_default();
-            *seen = at.max(*seen);
-        }
-        while self.cleared.len() > MAX_CLEARED {
-            let Some(oldest) = oldest_key(self.cleared.iter().map(|(key, at)| (*key, *at))) else {
-                break;
-            };
-            self.cleared.remove(&oldest);
+            if self.cleared.len() < MAX_CLEARED || self.cleared.contains_key(key) {
+                let seen = self.cleared.entry(*key).or_default();
+                *seen = at.max(*seen);
+            }
         }
         if changed {
             self.update_blocks();
@@ -261,16 +257,19 @@
     }
 
     fn add_crash(&mut self, key: RequestTrait, crash: &TargetCrash) -> bool {
-        if self.rows.len() >= MAX_SUSPECTS
-            && !self.rows.contains_key(&key)
-            && let Some(oldest) =
-                oldest_key(self.rows.iter().map(|(key, row)| (*key, row.last_crash())))
-        {
-            self.rows.remove(&oldest);
+        if self.rows.len() >= MAX_SUSPECTS && !self.rows.contains_key(&key) {
+            self.drop_oldest();
         }
         self.rows.entry(key).or_default().add(crash)
     }
 
+    fn drop_oldest(&mut self) {
+        let oldest = self.rows.iter().min_by_key(|(_, row)| row.last_crash()).map(|(key, _)| *key);
+        if let Some(oldest) = oldest {
+            self.rows.remove(&oldest);
+        }
+    }
+
     /// Extends the blocks of all traits by what their crashes say now.
     fn update_blocks(&mut self) {
         let blocks: Vec<(RequestTrait, Moment)> = self
@@ -300,7 +299,3 @@
         }
     }
 }
-
-fn oldest_key(rows: impl Iterator<Item = (RequestTrait, Moment)>) -> Option<RequestTrait> {
-    rows.min_by_key(|(_, at)| *at).map(|(key, _)| key)
-}
--- a/crates/banyan-core/src/pipeline/target_limits.rs
+++ b/crates/banyan-core/src/pipeline/target_limits.rs
@@ -156,6 +156,11 @@
         self.reports(self.rows.keys())
     }
 
+    /// Whether nothing is known about any target's limit.
+    pub fn is_empty(&self) -> bool {
+        self.rows.is_empty()
+    }
+
     /// The targets to which this instance may send no request now.
     pub fn closed(&mut self, rank: InstanceRank, now: Moment) -> BTreeSet<TargetId> {
         self.refill(rank, now);
--- a/crates/banyan-forward/src/decisions/tables.rs
+++ b/crates/banyan-forward/src/decisions/tables.rs
@@ -147,6 +147,9 @@
         settings: &ForwardSettings,
         now: Moment,
     ) -> BTreeSet<TargetId> {
+        if self.limits.is_empty() {
+            return BTreeSet::new();
+        }
         let rank = self.instance_rank(settings, now);
         self.limits.closed(rank, now)
     }
--- a/crates/banyan-forward/src/engines/crash_watch.rs
+++ b/crates/banyan-forward/src/engines/crash_watch.rs
@@ -8,6 +8,7 @@
 use crate::callers::answer::Refusal;
 use crate::callers::routed_request::RoutedRequest;
 use crate::edges::Platform;
+use crate::engines::link::is_refused;
 use crate::engines::probes::probe_target;
 use crate::logs;
 use crate::peers::crash_alerts::alert_peers;
@@ -51,7 +52,14 @@
     request: &RoutedRequest,
     loss: &LostConnection<'_>,
 ) {
-    if loss.written >= SURVIVAL_TIME || !has_crashed(state, loss.target).await {
+    if loss.written >= SURVIVAL_TIME {
+        return;
+    }
+    let has_crashed = match request.service.model {
+        Some(_) => has_engine_crashed(state, loss.target).await,
+        None => has_replica_crashed(state, loss.target).await,
+    };
+    if !has_crashed {
         return;
     }
     let now = state.now();
@@ -67,10 +75,20 @@
     state.tables().crashes.note_survival(&request.traits, now);
 }
 
-/// Whether no process listens at the target's address any more. Only a new probe can tell: an
+/// Whether no engine listens at the target's address any more. Only a new probe can tell: an
 /// earlier one may have been answered just before the crash.
-async fn has_crashed<P: Platform>(state: &Arc<ForwardState<P>>, target: &TargetId) -> bool {
+async fn has_engine_crashed<P: Platform>(state: &Arc<ForwardState<P>>, target: &TargetId) -> bool {
     probe_target(state.clone(), target.clone()).await;
     let now = state.now();
     state.tables().suspicions.is_absent(target, now)
 }
+
+/// Whether no replica listens at the target's address any more. A replica has no state that a probe
+/// could read.
+async fn has_replica_crashed<P>(state: &ForwardState<P>, target: &TargetId) -> bool {
+    let address = state.tables().fleet.rows.get(target).map(|row| row.report.address);
+    match address {
+        Some(address) => is_refused(address).await,
+        None => false,
+    }
+}
--- a/crates/banyan-forward/src/engines/link.rs
+++ b/crates/banyan-forward/src/engines/link.rs
@@ -117,6 +117,12 @@
     Ok((parts, LinkBody { driver, incoming }))
 }
 
+/// Whether the host at this address refuses connections, so that no process listens there.
+pub async fn is_refused(address: SocketAddr) -> bool {
+    let refused = |error: std::io::Error| error.kind() == std::io::ErrorKind::ConnectionRefused;
+    connect(address).await.is_err_and(refused)
+}
+
 async fn connect(address: SocketAddr) -> std::io::Result<TcpStream> {
     let connecting = TcpStream::connect(address);
     let stream = tokio::time::timeout(CONNECT_TIMEOUT, connecting)
