Instances end a doubt about a prompt part at different moments

Cause: a decision that all instances take at the same moment from the same facts, where one of them should go first. Each now adds a delay of its own, by its name and the trait, spread over four seconds: of 100 instances at most a quarter are through half a second after the first may be.

Test: instances_end_a_doubt_at_different_moments, red without the delay (100 of 100 at once).

--- a/crates/banyan-core/src/pipeline/crashes.rs
+++ b/crates/banyan-core/src/pipeline/crashes.rs
@@ -8,6 +8,10 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use xxhash_rust::xxh3::xxh3_64;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::ids::InstanceId;
 use crate::ids::TargetId;
 use crate::record::ContentDigest;
 use crate::units::Moment;
@@ -24,6 +28,9 @@
 const TRIAL_TIME: Duration = Duration::from_secs(1);
 /// How long a trait is blocked after crashes that another trait explains as well.
 const DOUBT_TIME: Duration = Duration::from_secs(2);
+/// The time over which the ends of a doubt are spread on different instances, so that the outcome
+/// of the first trial reaches most of them before their own.
+const DOUBT_SPREAD: Duration = Duration::from_secs(4);
 /// How long a trait is blocked that alone explains several crashes.
 const CONVICTION_TIME: Duration = Duration::from_secs(600);
 /// Crashes closer together may have one cause that is no request, such as a lost host.
@@ -146,9 +153,17 @@
     rows: BTreeMap<RequestTrait, SuspectRow>,
     /// When an answer to a request with the trait last went well. Invariant: at most `MAX_CLEARED`.
     cleared: BTreeMap<RequestTrait, Moment>,
+    /// Differs between instances, which end their doubts at different moments. Without one they
+    /// end at the earliest.
+    seed: Option<u64>,
 }
 
 impl CrashTable {
+    /// The empty table of an instance.
+    pub fn for_instance(instance: &InstanceId) -> Self {
+        Self { seed: Some(xxh3_64(instance.as_str().as_bytes())), ..Self::default() }
+    }
+
     /// Decides whether a request with these traits may be sent to a target. `retry` says that it
     /// was sent before: after the first crash under a trait, the request that was there is the one
     /// that is tried again.
@@ -295,7 +310,14 @@
         if key.kind == TraitKind::Content || !explained_by_other() {
             CONVICTION_TIME
         } else {
-            DOUBT_TIME
+            DOUBT_TIME + self.doubt_delay(key)
         }
     }
+
+    /// How much longer than at the earliest this instance doubts a trait.
+    fn doubt_delay(&self, key: &RequestTrait) -> Duration {
+        let Some(seed) = self.seed else { return Duration::ZERO };
+        let draw = xxh3_64_with_seed(&key.digest.0.to_le_bytes(), seed);
+        DOUBT_SPREAD.mul_f64(draw as f64 / u64::MAX as f64)
+    }
 }
--- a/crates/banyan-core/tests/pipeline/crashes.rs
+++ b/crates/banyan-core/tests/pipeline/crashes.rs
@@ -142,6 +142,29 @@
     assert!(is_allowed(&table, &[part(9), content(3)], at(2_000)));
 }
 
+#[test]
+fn instances_end_a_doubt_at_different_moments() {
+    // Regression: all instances tried a request with the part at the same moment, and each trial
+    // crashed an engine.
+    let tables: Vec<CrashTable> = (0..100)
+        .map(|index| {
+            let name = format!("front-{index}").parse().expect("a name");
+            let mut table = CrashTable::for_instance(&name);
+            crash(&mut table, "e1", &[part(9), content(1)], at(0));
+            crash(&mut table, "e2", &[part(9), content(1)], at(200));
+            table
+        })
+        .collect();
+    let allowed = |now| {
+        let traits = [part(9), content(2)];
+        tables.iter().filter(|table| is_allowed(table, &traits, at(now))).count()
+    };
+    assert_eq!(allowed(2_100), 0);
+    let early = allowed(2_600);
+    assert!((1..=25).contains(&early), "{early} of 100 half a second after the doubt");
+    assert_eq!(allowed(6_300), 100);
+}
+
 #[test]
 fn suspicions_end() {
     let mut table = CrashTable::default();
--- a/crates/banyan-forward/src/state.rs
+++ b/crates/banyan-forward/src/state.rs
@@ -15,6 +15,7 @@
 use crate::peers::peer_link::PeerLinks;
 use crate::settings::ForwardSettings;
 use crate::settings::ServiceBounds;
+use banyan_core::pipeline::crashes::CrashTable;
 use banyan_core::pipeline::readers::FeedRole;
 use banyan_core::units::Moment;
 use banyan_http::clock::RuntimeClock;
@@ -64,6 +65,8 @@
 impl<P> ForwardState<P> {
     /// The state of a daemon that starts now.
     pub fn new(settings: ForwardSettings, platform: P) -> Self {
+        let mut tables = ForwardTables::default();
+        tables.crashes = CrashTable::for_instance(&settings.instance);
         Self {
             platform,
             clock: RuntimeClock::start(),
@@ -75,7 +78,7 @@
             feed_changed: watch::Sender::new(()),
             initial_reads_done: watch::Sender::new(false),
             settings: Mutex::new(Arc::new(settings)),
-            tables: Mutex::new(ForwardTables::default()),
+            tables: Mutex::new(tables),
         }
     }
 
