--- a/crates/banyan-forward/src/peers/crash_alerts.rs
+++ b/crates/banyan-forward/src/peers/crash_alerts.rs
@@ -37,7 +37,8 @@
     }
 }
 
-/// Applies a peer's alert, passes on what is new in it, and returns the traits that are known to be sound.
+/// Applies a peer's alert, passes on what is new in it, and returns the traits that are known to be
+/// sound.
 pub fn answer_alert<P: Platform>(
     state: &Arc<ForwardState<P>>,
     suspects: Vec<SuspectWire>,
