--- a/review/lib/standin.py
+++ b/review/lib/standin.py
@@ -627,7 +627,7 @@
             await case.end()
     try:
         breaches = asyncio.run(whole())
-    except (CannotRun, asyncio.TimeoutError, OSError) as error:
+    except Exception as error:  # Whatever went wrong here says nothing about the rule.
         case.record.note("could not run:", repr(error))
         case.record.write()
         finish(2, ["could not run: " + repr(error)])
@@ -641,7 +641,10 @@
 
 def finish(code, lines):
     """Prints and ends at once, without a word about connections that are still open."""
-    print("\n".join(lines), flush=True)
+    try:
+        print("\n".join(lines), flush=True)
+    except OSError:
+        pass
     os._exit(code)
 
 
