Sound events before a damaged one in the same read reach the caller

Cause: EventSplitter checked all events of a read, moved its position past the good ones, and on a malformed one returned the error alone. The good events were dropped and the stream resumed after them elsewhere.

The splitter now returns the events before a malformed one and keeps the fault for the next step; its position is the last event that was returned. The same cause inside one event (a second, wrong id in it) is gone as well.

Conclusion: a position is only what has been passed on.

--- a/crates/banyan-forward/src/engines/events.rs
+++ b/crates/banyan-forward/src/engines/events.rs
@@ -6,6 +6,8 @@
 
 /// The largest accepted event, in bytes.
 const EVENT_LIMIT_BYTES: usize = 1 << 20;
+/// An empty line ends an event.
+const EVENT_END: &[u8] = b"\n\n";
 
 /// One or more complete events.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -39,7 +41,12 @@
     pending: BytesMut,
     /// The length of the prefix of `pending` that contains no end of an event.
     searched: usize,
+    /// The id of the last event that was returned. Invariant: each event up to it was returned, so
+    /// that a stream which resumes after it leaves none out.
     last_id: Option<u64>,
+    /// What is wrong with the event after the last one that was returned. No event is returned
+    /// after it.
+    fault: Option<EventStreamError>,
 }
 
 impl EventSplitter {
@@ -48,7 +55,7 @@
         Self { last_id, ..Self::default() }
     }
 
-    /// The id of the last complete event, or `None` before the first one.
+    /// The id of the last event that was returned, or `None` before the first one.
     pub fn last_id(&self) -> Option<u64> {
         self.last_id
     }
@@ -58,51 +65,88 @@
         !self.pending.is_empty()
     }
 
-    /// Adds bytes and returns the events that are now complete, if any.
+    /// What is wrong with the stream after the events that were returned, if anything.
+    pub fn fault(&self) -> Option<EventStreamError> {
+        self.fault
+    }
+
+    /// Adds bytes and returns the events that are now complete, if any. If a malformed event
+    /// follows other events, these are returned first, and [`Self::fault`] tells of it.
     pub fn push(&mut self, bytes: Bytes) -> Result<Option<EventBatch>, EventStreamError> {
-        if self.pending.is_empty() && bytes.ends_with(b"\n\n") {
-            return self.accept(bytes).map(Some);
+        if let Some(fault) = self.fault {
+            return Err(fault);
+        }
+        if self.pending.is_empty() && bytes.ends_with(EVENT_END) {
+            return self.accept(bytes);
         }
         self.pending.extend_from_slice(&bytes);
         let from = self.searched.saturating_sub(1);
         let Some(end) = last_event_end(&self.pending[from..]) else {
             self.searched = self.pending.len();
             let fits = self.pending.len() <= EVENT_LIMIT_BYTES;
-            return if fits { Ok(None) } else { Err(EventStreamError::TooLong) };
+            return if fits { Ok(None) } else { Err(self.set_fault(EventStreamError::TooLong)) };
         };
         let complete = self.pending.split_to(from + end).freeze();
         self.searched = 0;
-        self.accept(complete).map(Some)
+        self.accept(complete)
     }
 
-    /// Checks the ids of complete events. An empty line ends an event.
-    fn accept(&mut self, bytes: Bytes) -> Result<EventBatch, EventStreamError> {
-        let events = bytes.strip_suffix(b"\n\n").unwrap_or(&bytes);
-        let mut has_id = false;
-        for line in events.split(|byte| *byte == b'\n') {
-            if let Some(id) = event_id(line) {
-                self.accept_id(id)?;
-                has_id = true;
-            } else if line.is_empty() && !std::mem::take(&mut has_id) {
-                return Err(EventStreamError::MissingId);
+    /// Returns the events before the first malformed one.
+    fn accept(&mut self, mut bytes: Bytes) -> Result<Option<EventBatch>, EventStreamError> {
+        let mut sound = 0;
+        while sound < bytes.len() {
+            let length = first_event_end(&bytes[sound..]);
+            match last_id_of_event(&bytes[sound..sound + length], self.last_id) {
+                Ok(id) => self.last_id = Some(id),
+                Err(fault) if sound == 0 => return Err(self.set_fault(fault)),
+                Err(fault) => {
+                    self.set_fault(fault);
+                    bytes.truncate(sound);
+                    break;
+                }
             }
+            sound += length;
         }
-        if has_id { Ok(EventBatch { bytes }) } else { Err(EventStreamError::MissingId) }
+        Ok(Some(EventBatch { bytes }))
     }
 
-    fn accept_id(&mut self, found: u64) -> Result<(), EventStreamError> {
-        if let Some(after) = self.last_id
+    fn set_fault(&mut self, fault: EventStreamError) -> EventStreamError {
+        self.fault = Some(fault);
+        self.pending.clear();
+        fault
+    }
+}
+
+/// Checks the ids in an event that follows event `last_id`, and returns the last of them.
+fn last_id_of_event(event: &[u8], last_id: Option<u64>) -> Result<u64, EventStreamError> {
+    if event.starts_with(b"\n") {
+        return Err(EventStreamError::MissingId);
+    }
+    let mut last = last_id;
+    let mut has_id = false;
+    for found in event.split(|byte| *byte == b'\n').filter_map(event_id) {
+        if let Some(after) = last
             && found != after.saturating_add(1)
         {
             return Err(EventStreamError::OutOfOrder { after, found });
         }
-        self.last_id = Some(found);
-        Ok(())
+        last = Some(found);
+        has_id = true;
     }
+    last.filter(|_| has_id).ok_or(EventStreamError::MissingId)
 }
 
 fn last_event_end(bytes: &[u8]) -> Option<usize> {
-    bytes.windows(2).rposition(|pair| pair == b"\n\n").map(|at| at + 2)
+    bytes
+        .windows(EVENT_END.len())
+        .rposition(|pair| pair == EVENT_END)
+        .map(|at| at + EVENT_END.len())
+}
+
+/// The length of the first event of bytes that end with an event.
+fn first_event_end(bytes: &[u8]) -> usize {
+    let end = bytes.windows(EVENT_END.len()).position(|pair| pair == EVENT_END);
+    end.map_or(bytes.len(), |at| at + EVENT_END.len())
 }
 
 fn event_id(line: &[u8]) -> Option<u64> {
--- a/crates/banyan-forward/src/engines/stream.rs
+++ b/crates/banyan-forward/src/engines/stream.rs
@@ -26,6 +26,7 @@
 use crate::engines::crash_watch::examine_loss;
 use crate::engines::crash_watch::note_survival;
 use crate::engines::events::EventBatch;
+use crate::engines::events::EventStreamError;
 use crate::engines::exchange::CONNECTION_LOST;
 use crate::engines::leases::RequestLease;
 use crate::engines::stream_opener::StreamOpener;
@@ -110,9 +111,10 @@
     _active: RequestLease,
 }
 
-/// What the relay handles next: data, the end or failure of the stream, or a timer.
+/// What the relay handles next: data, a malformed event, the end or failure of the stream, or a timer.
 enum RelayInput {
     Bytes(Bytes),
+    Malformed(EventStreamError),
     End,
     ConnectionLost,
     Failed(&'static str),
@@ -173,16 +175,16 @@
                     }
                     Ok(None) => {}
                     Err(fault) => {
-                        logs::attempt_failed(
-                            &self.request,
-                            &self.opened.chain.parts[0].target,
-                            &fault.to_string(),
-                        );
-                        if let Some(error) = self.resume_or_fail("its events are malformed").await {
+                        if let Some(error) = self.leave_malformed_stream(fault).await {
                             return Some(Err(error));
                         }
                     }
                 },
+                RelayInput::Malformed(fault) => {
+                    if let Some(error) = self.leave_malformed_stream(fault).await {
+                        return Some(Err(error));
+                    }
+                }
                 RelayInput::End => {
                     self.ended = true;
                     note_survival(&self.state, &self.request);
@@ -215,6 +217,9 @@
     }
 
     async fn next_input(&mut self, next_check: Instant) -> RelayInput {
+        if let Some(fault) = self.opened.splitter.fault() {
+            return RelayInput::Malformed(fault);
+        }
         let deadline = self.state.clock.instant(self.request.deadline);
         tokio::select! {
             biased;
@@ -299,6 +304,18 @@
         self.resumed += 1;
     }
 
+    /// Continues a stream with a malformed event on another chain, if possible one that begins at
+    /// another engine. The events before the malformed one were passed on.
+    async fn leave_malformed_stream(
+        &mut self,
+        fault: EventStreamError,
+    ) -> Option<AnswerInterrupted> {
+        let first_engine = &self.opened.chain.parts[0].target;
+        logs::attempt_failed(&self.request, first_engine, &fault.to_string());
+        self.opener.avoid_first_engine(&self.opened.chain);
+        self.resume_or_fail("its events are malformed").await
+    }
+
     /// Continues the stream on another chain, or ends it with an error if that is impossible.
     async fn resume_or_fail(&mut self, cause: &'static str) -> Option<AnswerInterrupted> {
         self.resume(cause).await.err().map(|reason| self.fail(reason))
--- a/crates/banyan-forward/tests/events.rs
+++ b/crates/banyan-forward/tests/events.rs
@@ -63,6 +63,24 @@
     assert_eq!(repeated, Err(EventStreamError::OutOfOrder { after: 4, found: 4 }));
 }
 
+#[test]
+fn sound_events_before_a_malformed_one_are_returned_first() {
+    // They count as received, so that they have to be passed on before the stream resumes.
+    let malformed = [
+        ("data: token-4\n\n", EventStreamError::MissingId),
+        ("id: 7\n\n", EventStreamError::OutOfOrder { after: 3, found: 7 }),
+        ("id: 4\nid: 6\n\n", EventStreamError::OutOfOrder { after: 4, found: 6 }),
+    ];
+    for (bytes, fault) in malformed {
+        let mut splitter = EventSplitter::resuming_after(Some(1));
+        let pushed = push(&mut splitter, &(event(2) + &event(3) + bytes + &event(4)));
+        assert_eq!(pushed, Some(event(2) + &event(3)));
+        assert_eq!(splitter.last_id(), Some(3));
+        assert_eq!(splitter.fault(), Some(fault));
+        assert_eq!(splitter.push(Bytes::from(event(4))), Err(fault), "nothing follows a fault");
+    }
+}
+
 #[test]
 fn an_event_over_the_size_limit_is_rejected() {
     let mut splitter = EventSplitter::default();
