A report that the store wrote late does not undo a newer one of the same target

Cause: a write without an answer may be carried out seconds later. The record that arrived last won, though records carry the start of the target's run and a count within it; the adapter read only the start, and nobody compared either. Ruled out: news of a peer (each instance reads the store there), requests that were held back (callers sent them after the late write).

FleetHistory now keeps a stamp a target, also of removed ones, and ignores what is older.

Conclusion: the order of arrival is not the order of writing.

--- a/crates/banyan-core/src/pipeline.rs
+++ b/crates/banyan-core/src/pipeline.rs
@@ -36,6 +36,7 @@
 pub mod placement_target;
 pub mod readers;
 pub mod replica;
+pub mod report_stamp;
 pub mod reroute;
 pub mod retries;
 pub mod retry_after;
--- a/crates/banyan-core/src/pipeline/fleet.rs
+++ b/crates/banyan-core/src/pipeline/fleet.rs
@@ -10,6 +10,7 @@
 use crate::ids::ServiceId;
 use crate::ids::TargetId;
 use crate::ids::ZoneId;
+use crate::pipeline::report_stamp::ReportStamp;
 use crate::units::Moment;
 
 /// Whether a target accepts new requests.
@@ -38,8 +39,19 @@
     pub kind: Option<SmolStr>,
     /// The layers that it holds. Invariant: sorted, and no two ranges touch.
     pub held: Vec<LayerRange>,
-    /// Its start time in wall-clock milliseconds, which distinguishes two runs under the same id.
-    pub born: Option<u64>,
+    /// When it wrote this report.
+    pub stamp: ReportStamp,
+}
+
+impl TargetReport {
+    /// Whether another report of the same run says the same, so that it is only a heartbeat.
+    pub fn repeats(&self, other: &Self) -> bool {
+        let Self { service, address, zone, phase, slots, kind, held, stamp } = other;
+        self.stamp.born == stamp.born
+            && (self.phase, self.address, self.slots) == (*phase, *address, *slots)
+            && (&self.service, &self.zone, &self.kind) == (service, zone, kind)
+            && self.held == *held
+    }
 }
 
 /// A target as this instance knows it.
@@ -267,11 +279,12 @@
             self.revision += 1;
             return;
         };
-        let same_run = row.report.born == report.born && row.report.address == report.address;
+        let same_run =
+            row.report.stamp.born == report.stamp.born && row.report.address == report.address;
         if same_run && row.observed.is_some_and(|at| now.since(at) < OBSERVATION_VALIDITY) {
             report.held.clone_from(&row.report.held);
         }
-        if row.report == report && row.removed.is_none() {
+        if report.repeats(&row.report) && row.removed.is_none() {
             return;
         }
         let observed = row.observed.filter(|_| same_run);
--- a/crates/banyan-core/tests/pipeline/fleets.rs
+++ b/crates/banyan-core/tests/pipeline/fleets.rs
@@ -65,7 +65,7 @@
     let mut table = fleet(&[("a1", "a", "fast", layers(0, 10))]);
     table.observe(&target("a1"), &[layers(10, 20)], at(100), at(100));
     let mut restarted = report("a", "fast", 1_000, &[]);
-    restarted.born = Some(2);
+    restarted.stamp.born = Some(2);
     table.apply(FleetChange::Reported(target("a1"), restarted), at(200));
     assert!(table.rows[&target("a1")].report.held.is_empty());
 }
--- a/crates/banyan-core/tests/pipeline/support.rs
+++ b/crates/banyan-core/tests/pipeline/support.rs
@@ -18,6 +18,7 @@
 use banyan_core::pipeline::model::PassTiming;
 use banyan_core::pipeline::model::PipelineModel;
 use banyan_core::pipeline::placement_target::PlacementTarget;
+use banyan_core::pipeline::report_stamp::ReportStamp;
 use banyan_core::units::ByteCount;
 use banyan_core::units::Moment;
 use banyan_core::units::TokenCount;
@@ -128,7 +129,7 @@
         slots: 192,
         kind: Some(SmolStr::new(kind)),
         held: held.to_vec(),
-        born: Some(1),
+        stamp: ReportStamp { born: Some(1), sequence: None },
     }
 }
 
--- a/crates/banyan-forward/src/store/feeds.rs
+++ b/crates/banyan-forward/src/store/feeds.rs
@@ -124,8 +124,9 @@
     if tables.history.next().is_some_and(|known| known > next) {
         return;
     }
-    tables.fleet.replace(listing.clone(), now);
     tables.history.replace(listing, next);
+    let listed = tables.history.listed().clone();
+    tables.fleet.replace(listed, now);
     tables.fleet_known = true;
     drop(tables);
     state.check_initial_reads();
--- a/crates/banyan-forward/tests/tables.rs
+++ b/crates/banyan-forward/tests/tables.rs
@@ -5,6 +5,7 @@
 use banyan_core::pipeline::fleet::FleetChange;
 use banyan_core::pipeline::fleet::TargetPhase;
 use banyan_core::pipeline::fleet::TargetReport;
+use banyan_core::pipeline::report_stamp::ReportStamp;
 use banyan_core::units::Moment;
 use banyan_forward::decisions::tables::ForwardTables;
 use banyan_forward::decisions::tables::PendingOrder;
@@ -20,7 +21,7 @@
         slots: 1,
         kind: None,
         held: vec![held],
-        born: None,
+        stamp: ReportStamp::default(),
     };
     let id: TargetId = "e1".parse().expect("a name");
     let mut tables = ForwardTables::default();
--- a/crates/banyan-load/src/emulate/decisions.rs
+++ b/crates/banyan-load/src/emulate/decisions.rs
@@ -23,6 +23,7 @@
 use banyan_core::pipeline::load::PeerLoadTable;
 use banyan_core::pipeline::placement::plan_placement;
 use banyan_core::pipeline::placement_target::PlacementTarget;
+use banyan_core::pipeline::report_stamp::ReportStamp;
 use banyan_core::pipeline::suspicion::SuspicionTable;
 use banyan_core::units::Moment;
 use banyan_core::units::TokenCount;
@@ -102,7 +103,7 @@
         slots: u32::MAX,
         kind: Some(kind.clone()),
         held: vec![range],
-        born: None,
+        stamp: ReportStamp::default(),
     }
 }
 
--- a/crates/banyan-load/src/emulate/world.rs
+++ b/crates/banyan-load/src/emulate/world.rs
@@ -27,6 +27,7 @@
 use banyan_core::pipeline::model::PipelineModel;
 use banyan_core::pipeline::placement::plan_placement;
 use banyan_core::pipeline::placement_target::PlacementTarget;
+use banyan_core::pipeline::report_stamp::ReportStamp;
 use banyan_core::pipeline::target_chain::TargetChain;
 use banyan_core::units::Moment;
 use banyan_core::units::TokenCount;
@@ -210,7 +211,7 @@
             slots: u32::MAX,
             kind: Some(engine.kind.clone()),
             held: engine.held.into_iter().collect(),
-            born: None,
+            stamp: ReportStamp::default(),
         };
         self.silent.remove(id);
         self.fleet.apply(FleetChange::Reported(id.clone(), report), Moment(self.now_ms * 1_000));
--- a/crates/banyan-wire/src/forward.rs
+++ b/crates/banyan-wire/src/forward.rs
@@ -24,6 +24,7 @@
 use banyan_core::pipeline::fleet::TargetPhase;
 use banyan_core::pipeline::fleet::TargetReport;
 use banyan_core::pipeline::load::TargetLoad;
+use banyan_core::pipeline::report_stamp::ReportStamp;
 use banyan_core::pipeline::suspicion::CheckOutcome;
 use banyan_core::record::ContentDigest;
 
@@ -310,6 +311,8 @@
     /// When the target started, in milliseconds since the Unix epoch. It distinguishes two runs
     /// with the same id.
     pub born: Option<u64>,
+    /// The number of the report among those of the target's run.
+    pub sequence: Option<u64>,
 }
 
 /// Why a message from a peer is rejected.
@@ -334,7 +337,8 @@
             slots: report.slots,
             kind: report.kind.clone(),
             held: report.held.iter().map(|range| (range.first, range.end)).collect(),
-            born: report.born,
+            born: report.stamp.born,
+            sequence: report.stamp.sequence,
         }
     }
 }
@@ -352,7 +356,7 @@
             slots: wire.slots,
             kind: wire.kind,
             held: layer_ranges(wire.held)?,
-            born: wire.born,
+            stamp: ReportStamp { born: wire.born, sequence: wire.sequence },
         };
         Ok((wire.id.parse()?, report))
     }
