A removed target is not used longer because some instance lost a connection

Little harm, but a target that leaves without a report may end at any time.

Cause: after an outage of the store records of running targets may be missing for two seconds, so a removed target stayed usable for 2.5 s while the last failed call was recent. A call also fails when one connection is reset, and the failure was passed on to the instances that follow. Ruled out: followers that learn late (0.25 s by their log).

The time for which the targets could not be read from any source now decides: records expire after three report intervals of silence, so a shorter gap expired none. The failure's age is gone from the messages between instances. A removed target stays usable for less than the leave time in any case, and the choice of a replica asks for the exact time.

Conclusion: outages are told by gaps, not by failures.

--- a/crates/banyan-core/src/pipeline/replica.rs
+++ b/crates/banyan-core/src/pipeline/replica.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use crate::ids::ServiceId;
 use crate::ids::TargetId;
@@ -33,6 +34,8 @@
     pub tried: &'a [TargetId],
     /// Replicas that take no request of this instance now.
     pub closed: &'a BTreeSet<TargetId>,
+    /// How long a replica may still be chosen after its record was removed.
+    pub removal_grace: Duration,
     /// A random number that breaks ties, so that instances do not all choose the same replica.
     pub draw: u64,
 }
@@ -53,9 +56,11 @@
         let remote = row.report.zone != *query.zone;
         (suspect, !row.takes_work(), load, remote, tie_break(id, query.draw))
     };
+    let is_gone =
+        |row: &TargetRow| row.removed.is_some_and(|at| now.since(at) >= query.removal_grace);
     fleet
         .of_service(query.service)
-        .filter(|(_, row)| row.report.phase == TargetPhase::Ready)
+        .filter(|(_, row)| row.report.phase == TargetPhase::Ready && !is_gone(row))
         .filter(|(id, _)| !query.tried.contains(id) && !query.closed.contains(id))
         .min_by_key(|(id, row)| rank(id, row))
         .map(|(id, row)| ReplicaChoice { target: id.clone(), address: row.report.address })
--- a/crates/banyan-forward/src/decisions/tables.rs
+++ b/crates/banyan-forward/src/decisions/tables.rs
@@ -42,6 +42,18 @@
 /// previous digest expires.
 const MAX_FULLY_COVERED_PEERS: usize = 32;
 
+/// A target's record expires after this many report intervals without a report. The last report
+/// before an outage of the store may be one interval older than the outage.
+const MIN_LAPSE_INTERVALS: u32 = 2;
+/// The time after the return of the store within which running targets whose records expired are
+/// listed again. A target that is still missing has left.
+const RELISTING_TIME: Duration = Duration::from_millis(2_500);
+/// The fraction of `leave_time` for which a target stays usable after its record was removed.
+const REMOVED_GRACE_FRACTION: f64 = 0.25;
+/// The same fraction during [`RELISTING_TIME`]. It is below 1, so that requests stop going to a
+/// target in time even if it has left.
+const RELISTING_GRACE_FRACTION: f64 = 0.9;
+
 /// An order that was sent to an engine and may still be in progress.
 #[derive(Clone, Copy, Debug)]
 pub struct PendingOrder {
@@ -67,7 +79,8 @@
     pub fleet_known: bool,
     /// The records of the targets and their recent changes.
     pub history: FleetHistory,
-    /// The last time at which the targets were known to match the platform's store.
+    /// The last time at which the targets were known to match the platform's store. Set by
+    /// [`ForwardTables::note_fleet_read`].
     pub fleet_read_at: Moment,
     /// Which peers read the platform's store.
     pub readers: ReaderTable,
@@ -105,9 +118,9 @@
     pub highest_seen_generation: u64,
     /// When the last membership call that the group answered was sent.
     pub membership_confirmed_at: Moment,
-    /// When a call to the platform's store last failed, on this instance or on the peer that reads
-    /// the store for it.
-    pub store_failure_at: Option<Moment>,
+    /// When the targets could be read again after a time in which the records of running targets
+    /// may have expired.
+    pub store_returned_at: Option<Moment>,
     /// When a call of this instance to the platform's store last failed.
     pub own_store_failure_at: Option<Moment>,
     /// The kinds of calls to the store whose last attempt failed, with the time of that failure.
@@ -132,6 +145,37 @@
         if listed <= MAX_FULLY_COVERED_PEERS { 1.0 } else { listed as f64 / live_peers as f64 }
     }
 
+    /// Records that the targets matched the platform's store at a moment.
+    ///
+    /// How long they could not be read, from whichever instance, tells whether records of running
+    /// targets may have expired. A failed call does not: it may concern one connection alone.
+    pub fn note_fleet_read(&mut self, at: Moment, settings: &ForwardSettings) {
+        let lapse_time = settings.report_interval * MIN_LAPSE_INTERVALS;
+        if at.since(self.fleet_read_at) >= lapse_time {
+            self.store_returned_at = Some(at);
+        }
+        self.fleet_read_at = self.fleet_read_at.max(at);
+    }
+
+    /// How long a target may still be used after its record was removed.
+    pub fn removal_grace(&self, settings: &ForwardSettings, now: Moment) -> Duration {
+        let relisting = self.is_relisting(settings, now);
+        let fraction = if relisting { RELISTING_GRACE_FRACTION } else { REMOVED_GRACE_FRACTION };
+        settings.bounds.leave_time.mul_f64(fraction)
+    }
+
+    /// How long the row of a target is kept after its record was removed.
+    pub fn removal_retention(&self, settings: &ForwardSettings, now: Moment) -> Duration {
+        let grace = self.removal_grace(settings, now);
+        if self.is_relisting(settings, now) { grace.max(RELISTING_TIME) } else { grace }
+    }
+
+    /// Whether running targets may be missing because the store was away until recently.
+    fn is_relisting(&self, settings: &ForwardSettings, now: Moment) -> bool {
+        let relisting_time = RELISTING_TIME.min(settings.bounds.settle_time);
+        self.store_returned_at.is_some_and(|returned| now.since(returned) < relisting_time)
+    }
+
     /// The place of this instance among those that share limits. Instances of which nothing was
     /// heard yet are taken to be spread evenly among the others.
     pub fn instance_rank(&self, settings: &ForwardSettings, now: Moment) -> InstanceRank {
--- a/crates/banyan-forward/src/engines/call.rs
+++ b/crates/banyan-forward/src/engines/call.rs
@@ -176,6 +176,7 @@
         zone: &settings.zone,
         tried: &progress.tried,
         closed: &closed,
+        removal_grace: tables.removal_grace(&settings, now),
         draw: tables.next_random(),
     };
     let choice = choose_replica(&tables.fleet, &tables.loads, &tables.suspicions, &query, now);
--- a/crates/banyan-forward/src/peers/news.rs
+++ b/crates/banyan-forward/src/peers/news.rs
@@ -174,7 +174,6 @@
     FeedUpdate {
         relayed: *state.feed_role.borrow() == FeedRole::Relay,
         read_age_ms: state.read_age(&tables, now).map(millis),
-        trouble_age_ms: tables.store_failure_at.map(|at| millis(now.since(at))),
         configuration: newer.map_or(Vec::new(), |record| record.bytes.to_vec()),
         fleet,
         fleet_next: tables.history.next().map_or(0, |next| next.0),
@@ -212,11 +211,8 @@
             feeds::apply_listing(state, listing?.into_iter().collect(), next);
         }
     }
-    let mut tables = state.tables();
-    tables.fleet_read_at = now.before(age);
-    let failed_at = update.trouble_age_ms.map(|age_ms| now.before(Duration::from_millis(age_ms)));
-    tables.store_failure_at = tables.store_failure_at.max(failed_at);
-    drop(tables);
+    let settings = state.settings();
+    state.tables().note_fleet_read(now.before(age), &settings);
     feeds::expire_fleet_entries(state);
     Ok(())
 }
--- a/crates/banyan-forward/src/settings.rs
+++ b/crates/banyan-forward/src/settings.rs
@@ -28,6 +28,8 @@
     pub seeds: Vec<SocketAddr>,
     /// The address on which it serves its metrics, or `None` to not serve them.
     pub metrics_address: Option<SocketAddr>,
+    /// The time between two reports of a target to the platform.
+    pub report_interval: Duration,
     /// The time limits and ratios that the users set.
     pub bounds: ServiceBounds,
 }
@@ -48,8 +50,8 @@
     pub stop_time: Duration,
     /// The time within which new work must stop going to a target that leaves.
     pub leave_time: Duration,
-    /// The time after a failed call to the store during which removed targets get a longer grace
-    /// period.
+    /// The time that the platform needs to settle after an outage. Within it, removed targets get a
+    /// longer grace period.
     pub settle_time: Duration,
     /// Whether engines reject orders with a lower fencing token than the highest that they have
     /// seen.
--- a/crates/banyan-forward/src/store/feeds.rs
+++ b/crates/banyan-forward/src/store/feeds.rs
@@ -21,11 +21,6 @@
 /// The retry delay if another live instance of the zone also retries and will pass on what it
 /// reads.
 const STANDBY_RETRY_DELAY: Duration = Duration::from_millis(1_000);
-/// The fraction of `leave_time` for which a target stays usable after its record was removed.
-const REMOVED_GRACE_FRACTION: f64 = 0.25;
-/// The time for which a target stays usable after its record was removed, while the last failure of
-/// the store is recent. A live target is listed again within two seconds after the store recovers.
-const RELISTING_GRACE: Duration = Duration::from_millis(2_500);
 
 /// Reads new configurations and activates them, until the daemon stops.
 pub async fn follow_configuration<P: Platform>(state: Arc<ForwardState<P>>) {
@@ -73,7 +68,8 @@
             Ok(()) => {
                 record_store_success(&state, "targets");
                 relist = false;
-                state.tables().fleet_read_at = state.now();
+                let settings = state.settings();
+                state.tables().note_fleet_read(state.now(), &settings);
             }
             Err(StoreError::OffsetTrimmed) => relist = true,
             Err(error) => {
@@ -191,19 +187,13 @@
 /// about their layers and slowdown.
 pub fn expire_fleet_entries<P>(state: &ForwardState<P>) {
     let now = state.now();
-    let bounds = state.settings().bounds;
+    let settings = state.settings();
     let mut guard = state.tables();
     let tables = &mut *guard;
     tables.fleet.expire_observations(tables.history.listed(), now);
     tables.fleet.expire_slowdowns(now);
-    let recently_failed =
-        tables.store_failure_at.is_some_and(|at| now.since(at) < bounds.settle_time);
-    let grace = if recently_failed {
-        RELISTING_GRACE
-    } else {
-        bounds.leave_time.mul_f64(REMOVED_GRACE_FRACTION)
-    };
-    let dropped_targets = tables.fleet.drop_removed(grace, now);
+    let retention = tables.removal_retention(&settings, now);
+    let dropped_targets = tables.fleet.drop_removed(retention, now);
     for id in &dropped_targets {
         tables.suspicions.forget(id);
     }
@@ -214,7 +204,6 @@
 pub fn record_store_failure<P>(state: &ForwardState<P>, call: &'static str, error: &StoreError) {
     let now = state.now();
     let mut tables = state.tables();
-    tables.store_failure_at = Some(now);
     tables.own_store_failure_at = Some(now);
     let is_first = tables.failing_calls.insert(call, now).is_none();
     drop(tables);
--- a/crates/banyan-wire/src/forward.rs
+++ b/crates/banyan-wire/src/forward.rs
@@ -64,9 +64,6 @@
     pub relayed: bool,
     /// The age of the data, in milliseconds; absent if the sender passes on none.
     pub read_age_ms: Option<u64>,
-    /// How long ago a call to the store last failed, as far as the sender knows, in milliseconds;
-    /// absent if it knows of no failure.
-    pub trouble_age_ms: Option<u64>,
     /// The configuration record if it is newer than the requested position; otherwise empty.
     pub configuration: Vec<u8>,
     /// The changes of the targets since the requested position, or all targets.
