Refactor: buffered HTTP calls and observed connections move to banyan-http

Nothing that the programs do changes. The limit of an answer's head and the connection whose bytes are observed go along. banyan-entry had a wrapper of its own that counts bytes; it uses the same one now, with a counter as observer.

--- a/crates/banyan-entry/src/lib.rs
+++ b/crates/banyan-entry/src/lib.rs
@@ -15,7 +15,6 @@
 pub mod claim_route;
 pub mod claims;
 pub mod completion;
-pub mod counted;
 pub mod crashes;
 pub mod daemon;
 pub mod exchange;
--- a/crates/banyan-entry/src/tables/peer_links.rs
+++ b/crates/banyan-entry/src/tables/peer_links.rs
@@ -19,7 +19,7 @@
 use tarpc::tokio_util::codec::LengthDelimitedCodec;
 use tokio::net::TcpStream;
 
-use crate::counted::CountedStream;
+use banyan_http::observed_stream::ObservedStream;
 use banyan_wire::peer::PeerServiceClient;
 
 /// The maximum size of a message; the largest one carries the state of all folds.
@@ -78,8 +78,8 @@
     }
 
     /// Wraps a connection so that its bytes are counted.
-    pub fn count(&self, stream: TcpStream) -> CountedStream {
-        CountedStream::new(stream, self.bytes.clone())
+    pub fn count(&self, stream: TcpStream) -> ObservedStream<AtomicU64> {
+        ObservedStream::new(stream, self.bytes.clone())
     }
 
     pub(crate) fn drop_link(&self, address: SocketAddr, number: u64) {
--- a/crates/banyan-forward/src/callers/front.rs
+++ b/crates/banyan-forward/src/callers/front.rs
@@ -19,11 +19,11 @@
 use crate::callers::watched::ConnectionActivity;
 use crate::edges::Platform;
 use crate::engines::link::set_unacknowledged_timeout;
-use crate::observed_stream::ObservedStream;
 use crate::state::DaemonPhase;
 use crate::state::ForwardState;
 use banyan_core::pipeline::routes::CallerLimits;
 use banyan_core::units::ByteCount;
+use banyan_http::observed_stream::ObservedStream;
 
 /// The pause after a failed accept.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(10);
--- a/crates/banyan-forward/src/callers/watched.rs
+++ b/crates/banyan-forward/src/callers/watched.rs
@@ -7,9 +7,9 @@
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 
-use crate::observed_stream::ReadObserver;
 use banyan_core::units::Moment;
 use banyan_http::clock::RuntimeClock;
+use banyan_http::observed_stream::StreamObserver;
 
 /// The value of `head_started` while no request head is being received.
 const NO_HEAD: u64 = u64::MAX;
@@ -78,7 +78,7 @@
     }
 }
 
-impl ReadObserver for ConnectionActivity {
+impl StreamObserver for ConnectionActivity {
     fn observe_read(&self, _count: usize) -> io::Result<()> {
         self.record_received();
         Ok(())
--- a/crates/banyan-forward/src/engines.rs
+++ b/crates/banyan-forward/src/engines.rs
@@ -9,7 +9,6 @@
 pub mod crash_watch;
 pub mod events;
 pub mod exchange;
-pub mod head_limit;
 pub mod leases;
 pub mod link;
 pub mod probes;
--- a/crates/banyan-forward/src/engines/link.rs
+++ b/crates/banyan-forward/src/engines/link.rs
@@ -22,8 +22,8 @@
 use thiserror::Error;
 use tokio::net::TcpStream;
 
-use crate::engines::head_limit::HeadAllowance;
-use crate::engines::head_limit::HeadLimitedStream;
+use banyan_http::head_limit::HeadAllowance;
+use banyan_http::head_limit::HeadLimitedStream;
 
 /// The time limit for connecting to a target.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
--- a/crates/banyan-forward/src/lib.rs
+++ b/crates/banyan-forward/src/lib.rs
@@ -22,7 +22,6 @@
 pub mod log_budget;
 pub mod logs;
 pub mod metric;
-pub mod observed_stream;
 pub mod peers;
 pub mod settings;
 pub mod state;
--- a/platform/src/connection.rs
+++ b/crates/banyan-http/src/connection.rs
@@ -1,4 +1,5 @@
-//! HTTP calls with buffered bodies: [`PersistentConnection`] (store) and [`call_once`] (engines).
+//! HTTP calls with buffered bodies, on a connection that is kept ([`PersistentConnection`]) or on a
+//! new one ([`call_once`]).
 
 use std::io::ErrorKind;
 use std::net::SocketAddr;
@@ -18,14 +19,9 @@
 use tokio::net::TcpStream;
 use tokio::sync::Mutex;
 
+use crate::head_limit::HeadAllowance;
 use banyan_core::units::ByteCount;
-use banyan_forward::engines::head_limit::HeadAllowance;
 
-/// The largest accepted response body of the store. A listing has several pages, and a page is
-/// smaller than this.
-pub const MAX_STORE_RESPONSE: ByteCount = ByteCount(64 << 20);
-/// The largest accepted response body of an engine.
-const MAX_ENGINE_RESPONSE: ByteCount = ByteCount(1 << 20);
 /// The time limit for opening a TCP connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -116,13 +112,14 @@
     }
 }
 
-/// Makes one call to an engine on a new connection.
+/// Makes one call on a new connection.
 pub async fn call_once(
     address: SocketAddr,
     request: Request<Full<Bytes>>,
+    max_response: ByteCount,
     limit: Duration,
 ) -> Result<Response<Bytes>, CallError> {
-    PersistentConnection::new(address, MAX_ENGINE_RESPONSE).call(request, limit).await
+    PersistentConnection::new(address, max_response).call(request, limit).await
 }
 
 async fn connect(address: SocketAddr) -> Result<OpenConnection, CallError> {
--- a/crates/banyan-forward/src/engines/head_limit.rs
+++ b/crates/banyan-http/src/head_limit.rs
@@ -1,8 +1,8 @@
-//! Limits the bytes that a target sends before the head of its answer is complete:
+//! Limits the bytes that a server sends before the head of its answer is complete:
 //! [`HeadAllowance`].
 //!
 //! The HTTP client limits each head, but reads any number of interim answers before the final one.
-//! A target that sends them without end would otherwise be read until the deadline.
+//! A server that sends them without end would otherwise be read until the deadline.
 
 use std::io;
 use std::sync::Arc;
@@ -12,7 +12,7 @@
 use tokio::net::TcpStream;
 
 use crate::observed_stream::ObservedStream;
-use crate::observed_stream::ReadObserver;
+use crate::observed_stream::StreamObserver;
 
 /// The most bytes that are read before the head of an answer is complete. It exceeds the HTTP
 /// client's limit of a single head.
@@ -45,7 +45,7 @@
     }
 }
 
-impl ReadObserver for HeadAllowance {
+impl StreamObserver for HeadAllowance {
     fn observe_read(&self, count: usize) -> io::Result<()> {
         let left = self.0.load(Ordering::Relaxed);
         if left == UNLIMITED {
--- a/crates/banyan-forward/src/observed_stream.rs
+++ b/crates/banyan-http/src/observed_stream.rs
@@ -1,8 +1,10 @@
-//! A connection whose reads are observed: [`ObservedStream`].
+//! A connection whose bytes are observed: [`ObservedStream`].
 
 use std::io;
 use std::pin::Pin;
 use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::task::Context;
 use std::task::Poll;
 
@@ -11,13 +13,28 @@
 use tokio::io::ReadBuf;
 use tokio::net::TcpStream;
 
-/// Learns of the bytes that arrive on a connection, and may end it.
-pub trait ReadObserver {
+/// Learns of the bytes that pass on a connection, and may end it.
+pub trait StreamObserver {
     /// Called after `count` bytes arrived. An error ends the connection.
     fn observe_read(&self, count: usize) -> io::Result<()>;
+
+    /// Called after `count` bytes were written.
+    fn observe_write(&self, _count: usize) {}
+}
+
+/// Counts the bytes of both directions.
+impl StreamObserver for AtomicU64 {
+    fn observe_read(&self, count: usize) -> io::Result<()> {
+        self.fetch_add(count as u64, Ordering::Relaxed);
+        Ok(())
+    }
+
+    fn observe_write(&self, count: usize) {
+        self.fetch_add(count as u64, Ordering::Relaxed);
+    }
 }
 
-/// A connection whose reads are observed.
+/// A connection whose bytes are observed.
 #[derive(Debug)]
 pub struct ObservedStream<O> {
     stream: TcpStream,
@@ -25,13 +42,22 @@
 }
 
 impl<O> ObservedStream<O> {
-    /// Wraps `stream`, whose reads are passed to `observer`.
+    /// Wraps `stream`, of whose bytes `observer` learns.
     pub fn new(stream: TcpStream, observer: Arc<O>) -> Self {
         Self { stream, observer }
     }
 }
 
-impl<O: ReadObserver> AsyncRead for ObservedStream<O> {
+impl<O: StreamObserver> ObservedStream<O> {
+    fn note_written(&self, polled: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
+        if let Poll::Ready(Ok(count)) = &polled {
+            self.observer.observe_write(*count);
+        }
+        polled
+    }
+}
+
+impl<O: StreamObserver> AsyncRead for ObservedStream<O> {
     fn poll_read(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
@@ -49,13 +75,14 @@
     }
 }
 
-impl<O> AsyncWrite for ObservedStream<O> {
+impl<O: StreamObserver> AsyncWrite for ObservedStream<O> {
     fn poll_write(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, bytes)
+        let polled = Pin::new(&mut self.stream).poll_write(cx, bytes);
+        self.note_written(polled)
     }
 
     fn poll_write_vectored(
@@ -63,7 +90,8 @@
         cx: &mut Context<'_>,
         bytes: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(cx, bytes)
+        let polled = Pin::new(&mut self.stream).poll_write_vectored(cx, bytes);
+        self.note_written(polled)
     }
 
     fn is_write_vectored(&self) -> bool {
