A configuration is in force in time though connections to the store went silent

Reproduced first: seven daemons in three zones whose open connections to the store go silent, a trial with stand-ins, run requests with a revoked key until 3.56 s after the acknowledgement, at all machines alike. The users' record agrees: two machines of two zones switch back to reading the store within 4 ms.

Cause: only a timeout shows that a connection is silent. A waiting read had 2.0 s to wait, 1.5 s to answer and a pause; an instance that turned to a connection kept from earlier lost 1.5 s and a pause of up to 1 s.

Every call to the store may be repeated. All kinds of calls share this.

Conclusion: what waits on a connection must also bound how long it trusts it.

--- a/crates/banyan-http/src/connection.rs
+++ b/crates/banyan-http/src/connection.rs
@@ -18,10 +18,15 @@
 use thiserror::Error;
 use tokio::net::TcpStream;
 use tokio::sync::Mutex;
+use tokio::time::Instant;
 
 use crate::head_limit::HeadAllowance;
 use banyan_core::units::ByteCount;
 
+/// The shortest time for which an answer on a kept connection is awaited.
+const MIN_KEPT_ANSWER_TIME: Duration = Duration::from_millis(400);
+/// An answer on a kept connection is awaited for this many times as long as the one before took.
+const ANSWER_TIME_FACTOR: u32 = 2;
 /// The time limit for opening a TCP connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -71,13 +76,42 @@
     }
 }
 
+/// How long a call may take.
+#[derive(Clone, Copy, Debug)]
+pub struct CallTime {
+    /// The time for which the server holds its response back.
+    pub wait: Duration,
+    /// The time for everything else, on a new connection.
+    pub answer: Duration,
+}
+
+/// A connection between two calls.
+#[derive(Debug)]
+struct IdleConnection {
+    open: OpenConnection,
+    /// The time that the last response took, without the time for which the server held it back.
+    answer_time: Duration,
+}
+
+impl IdleConnection {
+    /// The time limit of the next call, after which a new connection is tried.
+    fn time_limit(&self, time: CallTime) -> Duration {
+        let answer = MIN_KEPT_ANSWER_TIME.max(self.answer_time * ANSWER_TIME_FACTOR);
+        time.wait + answer.min(time.answer)
+    }
+}
+
 /// An HTTP connection that is reused for the next call, and reopened after a failed call.
+///
+/// A kept connection may have been lost without notice. A call on one that fails or does not
+/// answer in its usual time is therefore made again on a new connection, so that calls have to be
+/// repeatable.
 #[derive(Debug)]
 pub struct PersistentConnection {
     address: SocketAddr,
     /// The largest accepted response body.
     max_response: ByteCount,
-    idle: Mutex<Option<OpenConnection>>,
+    idle: Mutex<Option<IdleConnection>>,
 }
 
 impl PersistentConnection {
@@ -86,18 +120,44 @@
         Self { address, max_response, idle: Mutex::new(None) }
     }
 
-    /// Makes a call once all earlier calls have ended. `limit` covers the connect and the response.
+    /// Makes a call once all earlier calls have ended.
     pub async fn call(
         &self,
         request: Request<Full<Bytes>>,
-        limit: Duration,
+        time: CallTime,
     ) -> Result<Response<Bytes>, CallError> {
         let mut idle = self.idle.lock().await;
         // Take the connection out: if the call fails or is cancelled, it is dropped, so that the
         // next call cannot receive this call's response.
-        let kept = idle.take().filter(|open| !open.sender.is_closed());
+        if let Some(kept) = idle.take().filter(|kept| !kept.open.sender.is_closed()) {
+            let limit = kept.time_limit(time);
+            match self.exchange(Some(kept.open), request.clone(), time, limit).await {
+                Ok((kept, response)) => {
+                    *idle = Some(kept);
+                    return Ok(response);
+                }
+                Err(error) => {
+                    tracing::debug!(part = "connection", %error, "A kept connection was replaced.");
+                }
+            }
+        }
+        let limit = time.wait + time.answer;
+        let (kept, response) = self.exchange(None, request, time, limit).await?;
+        *idle = Some(kept);
+        Ok(response)
+    }
+
+    /// Makes a call on a connection, or on a new one. Returns the connection with the response.
+    async fn exchange(
+        &self,
+        open: Option<OpenConnection>,
+        request: Request<Full<Bytes>>,
+        time: CallTime,
+        limit: Duration,
+    ) -> Result<(IdleConnection, Response<Bytes>), CallError> {
+        let started = Instant::now();
         let exchange_call = async {
-            let mut open = match kept {
+            let mut open = match open {
                 Some(open) => open,
                 None => connect(self.address).await?,
             };
@@ -107,8 +167,8 @@
         let (open, response) = tokio::time::timeout(limit, exchange_call)
             .await
             .map_err(|_| CallError::TimedOut(limit))??;
-        *idle = Some(open);
-        Ok(response)
+        let answer_time = started.elapsed().saturating_sub(time.wait);
+        Ok((IdleConnection { open, answer_time }, response))
     }
 }
 
@@ -119,7 +179,8 @@
     max_response: ByteCount,
     limit: Duration,
 ) -> Result<Response<Bytes>, CallError> {
-    PersistentConnection::new(address, max_response).call(request, limit).await
+    let time = CallTime { wait: Duration::ZERO, answer: limit };
+    PersistentConnection::new(address, max_response).call(request, time).await
 }
 
 async fn connect(address: SocketAddr) -> Result<OpenConnection, CallError> {
