A target that says in an answer that it leaves gets no more new work

New rule of the platform: an engine that leaves says so in all its answers (DRAIN: no request sent later than the leave time may reach it from an instance that has passed such an answer on).

The adapter decodes it in answers, refusals, reports and answers to orders. FleetTable notes which run of a target said so. From then on it takes no new streams, calls, layers or rerouted parts, whatever a report, a listing or a peer says afterwards; only a run that started later undoes it. A 421 may come from another engine that has the address by now: both count as leaving, the intended one is gone anyway. Digests tell peers while the target's record does not say it yet, and a started instance learns it from its first exchange.

Ruled out: rewriting the record in FleetHistory, since the next heartbeat from the store would undo it.

--- a/crates/banyan-core/src/pipeline/fleet.rs
+++ b/crates/banyan-core/src/pipeline/fleet.rs
@@ -70,6 +70,8 @@
     pub ordered: Option<LayerRange>,
     /// Its reported slowdown, if it is slow.
     pub pace: Option<ReportedSlowdown>,
+    /// Whether it said in an answer that it leaves, which its report may not say yet.
+    pub said_leaving: bool,
 }
 
 /// The slowdown that a slow engine reported.
@@ -91,6 +93,10 @@
 /// Relative change of the factor above which the chains are recomputed.
 const MIN_SLOWDOWN_CHANGE: f64 = 0.25;
 
+/// How long a target without a row is remembered as leaving: longer than a target serves on after
+/// its record was removed.
+const LEAVING_MEMORY: Duration = Duration::from_secs(600);
+
 /// How long a target's own statement of its layers overrides its record, which may have been
 /// written earlier.
 const OBSERVATION_VALIDITY: Duration = Duration::from_millis(1_500);
@@ -98,7 +104,12 @@
 impl TargetRow {
     /// Whether the target accepts new requests.
     pub fn takes_work(&self) -> bool {
-        self.removed.is_none() && self.report.phase == TargetPhase::Ready
+        self.removed.is_none() && !self.is_leaving()
+    }
+
+    /// Whether the target reported or said in an answer that it leaves.
+    pub fn is_leaving(&self) -> bool {
+        self.said_leaving || self.report.phase == TargetPhase::Draining
     }
 
     /// The duration of its work as a multiple of the usual one; 1.0 if it is not slow.
@@ -137,6 +148,28 @@
     pub rows: BTreeMap<TargetId, TargetRow>,
     /// Incremented by each change that affects the choice of targets.
     pub revision: u64,
+    /// The targets that said in an answer that they leave. Only a later run under the same id
+    /// undoes that, and not an older report that arrives afterwards.
+    leaving: BTreeMap<TargetId, LeavingNote>,
+}
+
+/// What a target said about its leaving.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct LeavingNote {
+    /// The start time of the run that leaves, if it is known.
+    pub born: Option<u64>,
+    /// When the target said so.
+    pub heard: Moment,
+}
+
+impl LeavingNote {
+    /// Whether a run of the target is the one that leaves, or an earlier one.
+    fn covers(self, born: Option<u64>) -> bool {
+        match (self.born, born) {
+            (Some(leaving), Some(born)) => born <= leaving,
+            _ => true,
+        }
+    }
 }
 
 /// How long a row is kept after its record was removed, by the state of the platform.
@@ -254,6 +287,49 @@
         }
     }
 
+    /// Records that a target said in an answer that it leaves. Returns whether that is news.
+    pub fn note_leaving(&mut self, id: &TargetId, note: LeavingNote) -> bool {
+        if let Some(known) = self.leaving.get_mut(id)
+            && known.covers(note.born)
+        {
+            known.heard = known.heard.max(note.heard);
+            return false;
+        }
+        self.leaving.insert(id.clone(), note);
+        if let Some(row) = self.rows.get_mut(id) {
+            row.said_leaving = note.covers(row.report.stamp.born);
+            self.revision += 1;
+        }
+        true
+    }
+
+    /// The targets that said that they leave while their reports do not say it yet.
+    pub fn unreported_leaving(&self) -> impl Iterator<Item = (&TargetId, LeavingNote)> {
+        let is_unreported = |id: &TargetId| {
+            let row = self.rows.get(id).filter(|row| row.said_leaving && row.removed.is_none());
+            row.is_some_and(|row| row.report.phase == TargetPhase::Ready)
+        };
+        let unreported = self.leaving.iter().filter(move |(id, _)| is_unreported(id));
+        unreported.map(|(id, note)| (id, *note))
+    }
+
+    /// Forgets targets that left long ago.
+    pub fn expire_leaving(&mut self, now: Moment) {
+        let rows = &self.rows;
+        self.leaving
+            .retain(|id, note| rows.contains_key(id) || now.since(note.heard) < LEAVING_MEMORY);
+    }
+
+    /// Whether a run of a target said that it leaves. A later run ends the leaving of its id.
+    fn said_leaving(&mut self, id: &TargetId, born: Option<u64>) -> bool {
+        let Some(note) = self.leaving.get(id) else { return false };
+        let covered = note.covers(born);
+        if !covered {
+            self.leaving.remove(id);
+        }
+        covered
+    }
+
     /// Sets which layers targets have been ordered to hold, as given by `ordered` for each target.
     pub fn set_ordered(&mut self, ordered: impl Fn(&TargetId) -> Option<LayerRange>) {
         for (id, row) in &mut self.rows {
@@ -266,6 +342,7 @@
     }
 
     fn report(&mut self, id: TargetId, mut report: TargetReport, now: Moment) {
+        let said_leaving = self.said_leaving(&id, report.stamp.born);
         let Some(row) = self.rows.get_mut(&id) else {
             let row = TargetRow {
                 report,
@@ -274,6 +351,7 @@
                 observed: None,
                 ordered: None,
                 pace: None,
+                said_leaving,
             };
             self.rows.insert(id, row);
             self.revision += 1;
@@ -290,7 +368,15 @@
         let observed = row.observed.filter(|_| same_run);
         let ordered = row.ordered.filter(|_| same_run);
         let pace = row.pace.filter(|_| same_run);
-        *row = TargetRow { report, removed: None, changed: now, observed, ordered, pace };
+        *row = TargetRow {
+            report,
+            removed: None,
+            changed: now,
+            observed,
+            ordered,
+            pace,
+            said_leaving,
+        };
         self.revision += 1;
     }
 
--- a/crates/banyan-core/src/pipeline/replica.rs
+++ b/crates/banyan-core/src/pipeline/replica.rs
@@ -8,7 +8,6 @@
 use crate::ids::TargetId;
 use crate::ids::ZoneId;
 use crate::pipeline::fleet::FleetTable;
-use crate::pipeline::fleet::TargetPhase;
 use crate::pipeline::fleet::TargetRow;
 use crate::pipeline::load::LoadTable;
 use crate::pipeline::suspicion::SuspicionTable;
@@ -60,7 +59,7 @@
         |row: &TargetRow| row.removed.is_some_and(|at| now.since(at) >= query.removal_grace);
     fleet
         .of_service(query.service)
-        .filter(|(_, row)| row.report.phase == TargetPhase::Ready && !is_gone(row))
+        .filter(|(_, row)| !row.is_leaving() && !is_gone(row))
         .filter(|(id, _)| !query.tried.contains(id) && !query.closed.contains(id))
         .min_by_key(|(id, row)| rank(id, row))
         .map(|(id, row)| ReplicaChoice { target: id.clone(), address: row.report.address })
--- a/crates/banyan-core/tests/pipeline/fleets.rs
+++ b/crates/banyan-core/tests/pipeline/fleets.rs
@@ -10,6 +10,8 @@
 use crate::support::target;
 use banyan_core::pipeline::fleet::FleetChange;
 use banyan_core::pipeline::fleet::FleetTable;
+use banyan_core::pipeline::fleet::LeavingNote;
+use banyan_core::pipeline::fleet::TargetReport;
 
 #[test]
 fn an_unchanged_record_does_not_change_the_revision() {
@@ -101,3 +103,45 @@
     table.expire_slowdowns(at(4_900));
     assert_eq!(slowdown(&table), 1.0);
 }
+
+/// A report of an engine's run that is ready.
+fn ready_report(born: u64) -> TargetReport {
+    let mut report = report("a", "fast", 1_000, &[layers(0, 10)]);
+    report.stamp.born = Some(born);
+    report
+}
+
+#[test]
+fn a_target_that_said_that_it_leaves_takes_no_work_until_a_later_run() {
+    let mut table = FleetTable::default();
+    let id = target("a1");
+    table.apply(FleetChange::Reported(id.clone(), ready_report(5)), at(0));
+    let revision = table.revision;
+    let note = LeavingNote { born: Some(5), heard: at(100) };
+    assert!(table.note_leaving(&id, note));
+    assert!(table.revision > revision, "chains are computed anew");
+    assert!(!table.note_leaving(&id, LeavingNote { born: Some(4), heard: at(110) }));
+    assert!(!table.rows[&id].takes_work());
+    assert_eq!(table.unreported_leaving().count(), 1);
+    // Its record expires and comes back, and an older run is reported late.
+    table.apply(FleetChange::Removed(id.clone()), at(200));
+    table.drop_removed(Duration::ZERO, at(200));
+    for born in [5, 4] {
+        table.apply(FleetChange::Reported(id.clone(), ready_report(born)), at(300));
+        assert!(!table.rows[&id].takes_work());
+    }
+    table.apply(FleetChange::Reported(id.clone(), ready_report(6)), at(400));
+    assert!(table.rows[&id].takes_work());
+    assert!(!table.note_leaving(&id, note) || !table.rows[&id].said_leaving);
+}
+
+#[test]
+fn a_leaving_target_is_forgotten_long_after_it_left() {
+    let mut table = FleetTable::default();
+    let id = target("a1");
+    assert!(table.note_leaving(&id, LeavingNote { born: Some(5), heard: at(0) }));
+    table.expire_leaving(at(599_999));
+    assert!(!table.note_leaving(&id, LeavingNote { born: Some(5), heard: at(0) }));
+    table.expire_leaving(at(600_000));
+    assert!(table.note_leaving(&id, LeavingNote { born: Some(5), heard: at(0) }));
+}
--- a/crates/banyan-forward/src/decisions/orders.rs
+++ b/crates/banyan-forward/src/decisions/orders.rs
@@ -11,6 +11,7 @@
 use crate::edges::LayerOrder;
 use crate::edges::OrderOutcome;
 use crate::edges::Platform;
+use crate::engines::leaving;
 use crate::engines::probes::observe_target;
 use crate::state::ForwardState;
 use banyan_core::ids::FencingToken;
@@ -118,7 +119,12 @@
         expected_orders: engine.accepted_orders,
     };
     match state.platform.place(&order).await {
-        Ok(outcome) => OrderAttempt::Outcome(outcome),
+        Ok(answer) => {
+            if answer.leaving {
+                leaving::note_answer(state, order.target);
+            }
+            OrderAttempt::Outcome(answer.outcome)
+        }
         Err(error) => {
             tracing::info!(part = "placement", target = %order.target, %error, "An order failed.");
             OrderAttempt::Unknown
--- a/crates/banyan-forward/src/edges.rs
+++ b/crates/banyan-forward/src/edges.rs
@@ -132,6 +132,10 @@
     pub at_fault: Option<SocketAddr>,
     /// The rate of requests that the target takes from all instances together, if it names one.
     pub limit: Option<TargetLimit>,
+    /// Whether the sender says that it leaves.
+    pub leaving: bool,
+    /// Whether another target than the intended one may have answered, because it has its address.
+    pub misdirected: bool,
 }
 
 /// Reads and writes the headers that callers and targets use.
@@ -264,6 +268,8 @@
     pub held: Vec<LayerRange>,
     /// The factor by which its work takes longer than usual.
     pub slowdown: f64,
+    /// Whether it says that it leaves.
+    pub leaving: bool,
 }
 
 /// An engine's response to an order.
@@ -279,6 +285,15 @@
     Refused(u16),
 }
 
+/// What an engine answered to an order.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct OrderAnswer {
+    /// Whether it carries the order out.
+    pub outcome: OrderOutcome,
+    /// Whether it says that it leaves.
+    pub leaving: bool,
+}
+
 /// Why an engine's state or its response to an order is unknown.
 #[derive(Clone, Debug, Error)]
 pub enum OrderError {
@@ -331,7 +346,7 @@
     fn place(
         &self,
         order: &LayerOrder<'_>,
-    ) -> impl Future<Output = Result<OrderOutcome, OrderError>> + Send;
+    ) -> impl Future<Output = Result<OrderAnswer, OrderError>> + Send;
 
     /// Orders the first engine of a running request to continue it on another chain, which must
     /// begin with the same part.
@@ -339,7 +354,7 @@
         &self,
         token: &RequestToken,
         chain: &[ChainPart],
-    ) -> impl Future<Output = Result<OrderOutcome, OrderError>> + Send;
+    ) -> impl Future<Output = Result<OrderAnswer, OrderError>> + Send;
 }
 
 /// All interfaces of a platform adapter.
--- a/crates/banyan-forward/src/engines.rs
+++ b/crates/banyan-forward/src/engines.rs
@@ -10,6 +10,7 @@
 pub mod events;
 pub mod exchange;
 pub mod leases;
+pub mod leaving;
 pub mod link;
 pub mod probes;
 pub mod stream;
--- a/crates/banyan-forward/src/engines/exchange.rs
+++ b/crates/banyan-forward/src/engines/exchange.rs
@@ -10,6 +10,7 @@
 use crate::edges::AnswerFacts;
 use crate::edges::Dispatch;
 use crate::edges::Platform;
+use crate::engines::leaving;
 use crate::engines::link::LinkBody;
 use crate::engines::link::LinkError;
 use crate::engines::link::send_request;
@@ -49,6 +50,9 @@
         Err(LinkError::MaybeRun(_)) => return Err(ExchangeFailure::ConnectionLost),
     };
     let facts = state.platform.read_answer(head.status, &head.headers);
+    if facts.leaving {
+        note_leaving(state, dispatch.target, facts.misdirected.then_some(address));
+    }
     let success = head.status.is_success();
     if !request.accepts(&facts, &head.headers, success) || (success && !facts.signature) {
         return Err(ExchangeFailure::MaybeRun(
@@ -81,6 +85,21 @@
     }
 }
 
+/// Records that a target answered that it leaves. If another target may have answered, because the
+/// address is its own now, that one counts as leaving as well.
+fn note_leaving<P: Platform>(
+    state: &Arc<ForwardState<P>>,
+    target: &TargetId,
+    misdirected_to: Option<SocketAddr>,
+) {
+    let holder =
+        misdirected_to.and_then(|address| state.tables().fleet.at_address(address).cloned());
+    leaving::note_answer(state, target);
+    if let Some(holder) = holder.filter(|holder| holder != target) {
+        leaving::note_answer(state, &holder);
+    }
+}
+
 /// Whether a caller would take this status as proof that its request has not run and will not run.
 /// An answer with such a status is never relayed: if the target did state that the request has not
 /// run, the daemon retries or refuses it instead.
--- /dev/null
+++ b/crates/banyan-forward/src/engines/leaving.rs
@@ -0,0 +1,66 @@
+//! Records which targets say in their answers that they leave: [`note_answer`].
+//!
+//! A target says so in answers of all kinds, often before its report has reached this instance. Peers
+//! learn of it from digests.
+
+use smol_str::SmolStr;
+
+use crate::decisions::tables::ForwardTables;
+use crate::peers::digests::millis;
+use crate::state::ForwardState;
+use banyan_core::ids::TargetId;
+use banyan_core::pipeline::fleet::LeavingNote;
+use banyan_core::units::Moment;
+use banyan_wire::forward::LeavingWire;
+
+/// Records that a target said in an answer that it leaves.
+pub fn note_answer<P>(state: &ForwardState<P>, target: &TargetId) {
+    let now = state.now();
+    let mut tables = state.tables();
+    let born = tables.fleet.rows.get(target).and_then(|row| row.report.stamp.born);
+    let is_news = tables.fleet.note_leaving(target, LeavingNote { born, heard: now });
+    drop(tables);
+    if is_news {
+        log_leaving(target, "answer");
+        state.plan_due.notify_one();
+    }
+}
+
+/// Records that a target leaves if it said so in a report about the given run of it.
+pub fn note_report<P>(state: &ForwardState<P>, target: &TargetId, born: Option<u64>) {
+    let known = state.tables().fleet.rows.get(target).map(|row| row.report.stamp.born);
+    // Another target may have the address by now.
+    if born.is_none() || known.is_some_and(|known| known.is_none() || known == born) {
+        note_answer(state, target);
+    }
+}
+
+/// Merges the targets that a peer reports as leaving.
+pub fn merge_leaving(tables: &mut ForwardTables, leaving: Vec<LeavingWire>, now: Moment) {
+    for wire in leaving {
+        match wire.note(now) {
+            Ok((target, note)) => {
+                if tables.fleet.note_leaving(&target, note) {
+                    log_leaving(&target, "peer");
+                }
+            }
+            Err(error) => {
+                tracing::warn!(part = "peers", %error, "Ignored a target with an invalid name.")
+            }
+        }
+    }
+}
+
+/// The messages that tell peers which targets leave.
+pub fn leaving_wires(tables: &ForwardTables, now: Moment) -> Vec<LeavingWire> {
+    let wire = |(target, note): (&TargetId, LeavingNote)| LeavingWire {
+        target: SmolStr::new(target.as_str()),
+        born: note.born,
+        age_ms: millis(now.since(note.heard)),
+    };
+    tables.fleet.unreported_leaving().map(wire).collect()
+}
+
+fn log_leaving(target: &TargetId, source: &'static str) {
+    tracing::info!(part = "targets", %target, source, "A target says that it leaves.");
+}
--- a/crates/banyan-forward/src/engines/probes.rs
+++ b/crates/banyan-forward/src/engines/probes.rs
@@ -9,6 +9,7 @@
 use crate::edges::OrderError;
 use crate::edges::Platform;
 use crate::edges::with_time_limit;
+use crate::engines::leaving;
 use crate::state::ForwardState;
 use banyan_core::ids::TargetId;
 use banyan_core::pipeline::fleet::TargetRow;
@@ -117,6 +118,9 @@
         tracing::debug!(part = "health", target = %id, %error, "Reading the state failed.");
     }
     let engine = answer?;
+    if engine.leaving {
+        leaving::note_report(state, id, engine.started_at);
+    }
     // While an order changes its layers, the target's record in the store is more reliable.
     if !engine.busy {
         let now = state.now();
--- a/crates/banyan-forward/src/engines/stream_opener.rs
+++ b/crates/banyan-forward/src/engines/stream_opener.rs
@@ -15,6 +15,7 @@
 use crate::callers::answer::NotRunCause;
 use crate::callers::answer::Refusal;
 use crate::callers::routed_request::RoutedRequest;
+use crate::edges::OrderAnswer;
 use crate::edges::OrderOutcome;
 use crate::edges::Platform;
 use crate::edges::with_time_limit;
@@ -29,6 +30,7 @@
 use crate::engines::leases::RequestLease;
 use crate::engines::leases::lease_chain;
 use crate::engines::leases::lease_prefill;
+use crate::engines::leaving;
 use crate::engines::probes::probe_targets;
 use crate::logs;
 use crate::state::ForwardState;
@@ -167,7 +169,11 @@
             self.state.tables().reroute_chain(service, chain, total, &self.avoided, now)?;
         let lease = lease_chain(&self.state, &rerouted, total);
         let order = self.state.platform.reroute(&self.request.token, &rerouted.parts);
-        let outcome = with_time_limit(REROUTE_TIMEOUT, order).await;
+        let answer = with_time_limit(REROUTE_TIMEOUT, order).await;
+        if matches!(answer, Ok(OrderAnswer { leaving: true, .. })) {
+            leaving::note_answer(&self.state, &chain.parts[0].target);
+        }
+        let outcome = answer.map(|answer| answer.outcome);
         let accepted = matches!(outcome, Ok(OrderOutcome::Taken));
         logs::stream_rerouted(&self.request.token, chain, &rerouted, &outcome, accepted);
         accepted.then_some((rerouted, lease))
--- a/crates/banyan-forward/src/peers/digests.rs
+++ b/crates/banyan-forward/src/peers/digests.rs
@@ -10,6 +10,8 @@
 use crate::decisions::tables::ForwardTables;
 use crate::decisions::tables::PendingOrder;
 use crate::edges::Platform;
+use crate::engines::leaving::leaving_wires;
+use crate::engines::leaving::merge_leaving;
 use crate::peers::crash_alerts::merge_suspects;
 use crate::peers::crash_alerts::suspect_wires;
 use crate::peers::limit_alerts::limit_wires;
@@ -65,6 +67,7 @@
         slow: tables.fleet.rows.iter().filter_map(|row| slow_wire(row, now)).collect(),
         suspects: suspect_wires(tables.crashes.newest(MAX_DIGEST_SUSPECTS), now),
         limits: limit_wires(tables.limits.all_reports(), now),
+        leaving: leaving_wires(&tables, now),
         generation: tables.membership.map_or(0, |membership| membership.generation),
         leads: tables.membership.is_some_and(|membership| membership.leads),
         ordered: tables.pending_orders.iter().filter_map(|row| ordered_wire(row, now)).collect(),
@@ -152,6 +155,7 @@
     }
     merge_suspects(&mut tables, digest.suspects, now);
     merge_limits(&mut tables, digest.limits, now);
+    merge_leaving(&mut tables, digest.leaving, now);
     apply_slowdowns(&mut tables, digest.slow, now);
     apply_observations(&mut tables, digest.observed, now);
 }
--- a/crates/banyan-forward/src/peers/rounds.rs
+++ b/crates/banyan-forward/src/peers/rounds.rs
@@ -150,6 +150,7 @@
     state.tables().loads.set_baseline();
     state.tables().crashes.expire(now);
     state.tables().limits.expire(now);
+    state.tables().fleet.expire_leaving(now);
     let Some(address) = peer_ahead else {
         peers.lagging_since = None;
         return;
--- a/crates/banyan-wire/src/forward.rs
+++ b/crates/banyan-wire/src/forward.rs
@@ -21,12 +21,14 @@
 use banyan_core::pipeline::crashes::RequestTrait;
 use banyan_core::pipeline::crashes::TraitKind;
 use banyan_core::pipeline::fleet::FleetChange;
+use banyan_core::pipeline::fleet::LeavingNote;
 use banyan_core::pipeline::fleet::TargetPhase;
 use banyan_core::pipeline::fleet::TargetReport;
 use banyan_core::pipeline::load::TargetLoad;
 use banyan_core::pipeline::report_stamp::ReportStamp;
 use banyan_core::pipeline::suspicion::CheckOutcome;
 use banyan_core::record::ContentDigest;
+use banyan_core::units::Moment;
 
 /// The calls that a peer answers. tarpc generates `ForwardServiceClient` from this trait.
 #[tarpc::service]
@@ -122,6 +124,8 @@
     pub suspects: Vec<SuspectWire>,
     /// The targets that named a limit recently.
     pub limits: Vec<LimitWire>,
+    /// The targets that said that they leave while their records do not say it yet.
+    pub leaving: Vec<LeavingWire>,
     /// The generation of the group, as the sender last received it.
     pub generation: u64,
     /// Whether the sender is the leader.
@@ -232,6 +236,25 @@
     pub age_ms: u64,
 }
 
+/// A target that said in an answer that it leaves.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct LeavingWire {
+    /// The target.
+    pub target: SmolStr,
+    /// When the run that leaves started, in milliseconds since the Unix epoch, if it is known.
+    pub born: Option<u64>,
+    /// The time since the target said so, in milliseconds.
+    pub age_ms: u64,
+}
+
+impl LeavingWire {
+    /// The target and what it said, for an instance that receives the message at `now`.
+    pub fn note(self, now: Moment) -> Result<(TargetId, LeavingNote), ForwardWireError> {
+        let heard = now.before(Duration::from_millis(self.age_ms));
+        Ok((self.target.parse()?, LeavingNote { born: self.born, heard }))
+    }
+}
+
 /// The layers that an engine has been ordered to hold.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct OrderedWire {
