A target that asks for a pause gets no requests of this instance until its end

Nothing read the header; a paused replica got calls again as soon as its suspicion ended, and where all replicas paused, callers were told to come back too early.

Pauses stand in the table of limits: both close a target to this instance, and the time until one is free again counts both. Paused engines are avoided as any part of a chain. If all are closed, the request is refused at once with the time of the first end, spread as all refusals are. Peers are not told, since the pause does not concern them.

--- a/crates/banyan-core/src/pipeline/target_limits.rs
+++ b/crates/banyan-core/src/pipeline/target_limits.rs
@@ -1,4 +1,5 @@
-//! Limits that targets name for all instances together: [`LimitTable`].
+//! Limits that targets name for all instances together, and pauses that they ask of a single one:
+//! [`LimitTable`].
 //!
 //! The instances share a limit without asking each other: each computes from the known instances
 //! which of them may use the target while the limit lasts, and how often. There are at most so many
@@ -26,6 +27,8 @@
 const LIFT_DELAY: Duration = Duration::from_millis(500);
 /// How long a limit holds of which nothing more is heard.
 const LIMIT_MEMORY: Duration = Duration::from_secs(30);
+/// The longest pause that is kept. A target that wants more says so again.
+const MAX_PAUSE: Duration = Duration::from_secs(60);
 /// The largest limit that is read, in requests per second.
 const MAX_LIMIT: f64 = 1e9;
 
@@ -113,6 +116,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct LimitTable {
     rows: BTreeMap<TargetId, LimitRow>,
+    /// Until when targets want no request of this instance. Other instances are not concerned.
+    pauses: BTreeMap<TargetId, Moment>,
 }
 
 impl LimitTable {
@@ -156,9 +161,23 @@
         self.reports(self.rows.keys())
     }
 
-    /// Whether nothing is known about any target's limit.
+    /// Whether no target has a limit or wants a pause.
     pub fn is_empty(&self) -> bool {
-        self.rows.is_empty()
+        self.rows.is_empty() && self.pauses.is_empty()
+    }
+
+    /// Records that a target wants no request of this instance for some time.
+    pub fn note_pause(&mut self, target: &TargetId, pause: Duration, now: Moment) {
+        if pause.is_zero() {
+            return;
+        }
+        let until = self.pauses.entry(target.clone()).or_insert(now);
+        *until = (*until).max(now + pause.min(MAX_PAUSE));
+    }
+
+    /// The targets that want no request of this instance now.
+    pub fn paused(&self, now: Moment) -> impl Iterator<Item = &TargetId> {
+        self.pauses.iter().filter(move |(_, until)| now < **until).map(|(id, _)| id)
     }
 
     /// The targets to which this instance may send no request now.
@@ -166,7 +185,8 @@
         self.refill(rank, now);
         let is_closed =
             |(_, row): &(&TargetId, &LimitRow)| row.limit.is_some() && row.available < 1.0;
-        self.rows.iter().filter(is_closed).map(|(id, _)| id.clone()).collect()
+        let limited = self.rows.iter().filter(is_closed).map(|(id, _)| id);
+        limited.chain(self.paused(now)).cloned().collect()
     }
 
     /// Records that a request is sent to a target.
@@ -182,18 +202,24 @@
         &self,
         targets: impl IntoIterator<Item = &'a TargetId>,
         rank: InstanceRank,
+        now: Moment,
     ) -> Option<Duration> {
         let shares = self.shares(rank);
         let wait = |id: &TargetId| {
-            let share = shares.get(id).filter(|share| share.rate > 0.0)?;
+            let pause = self.pauses.get(id).map_or(Duration::ZERO, |until| until.since(now));
+            let Some(share) = shares.get(id) else { return Some(pause) };
+            if share.rate <= 0.0 {
+                return None;
+            }
             let missing = (1.0 - self.rows[id].available).max(0.0);
-            Some(Duration::from_secs_f64(missing / share.rate))
+            Some(pause.max(Duration::from_secs_f64(missing / share.rate)))
         };
         targets.into_iter().filter_map(wait).min()
     }
 
-    /// Forgets limits of which nothing was heard for long.
+    /// Forgets limits of which nothing was heard for long, and pauses that are over.
     pub fn expire(&mut self, now: Moment) {
+        self.pauses.retain(|_, until| now < *until);
         self.rows.retain(|_, row| now.since(row.heard) < LIMIT_MEMORY);
     }
 
--- a/crates/banyan-core/tests/pipeline/target_limits.rs
+++ b/crates/banyan-core/tests/pipeline/target_limits.rs
@@ -125,7 +125,36 @@
     let rank = InstanceRank { index: 0, count: 1 };
     let mut table = instance(&[("t", 0.5)]);
     table.closed(rank, at(500));
-    assert_eq!(table.next_free([&target("t")], rank), Some(Duration::from_millis(1_500)));
+    assert_eq!(table.next_free([&target("t")], rank, at(0)), Some(Duration::from_millis(1_500)));
+}
+
+#[test]
+fn a_target_that_wants_a_pause_is_closed_to_this_instance_until_its_end() {
+    let rank = InstanceRank { index: 0, count: 1 };
+    let mut table = LimitTable::default();
+    table.note_pause(&target("t"), Duration::ZERO, at(0));
+    assert!(table.is_empty());
+    table.note_pause(&target("t"), Duration::from_millis(400), at(0));
+    table.note_pause(&target("t"), Duration::from_millis(300), at(50));
+    assert!(table.closed(rank, at(399)).contains(&target("t")));
+    assert_eq!(table.next_free([&target("t")], rank, at(150)), Some(Duration::from_millis(250)));
+    assert!(table.closed(rank, at(400)).is_empty());
+    assert!(table.all_reports().is_empty(), "peers are not concerned");
+    table.note_pause(&target("t"), Duration::MAX, at(500));
+    assert!(table.closed(rank, at(60_499)).contains(&target("t")));
+    table.expire(at(60_500));
+    assert!(table.is_empty());
+}
+
+#[test]
+fn a_pause_and_a_limit_hold_together() {
+    let rank = InstanceRank { index: 0, count: 1 };
+    let mut table = instance(&[("t", 0.5)]);
+    table.closed(rank, at(0));
+    table.note_pause(&target("t"), Duration::from_millis(300), at(0));
+    assert_eq!(table.next_free([&target("t")], rank, at(0)), Some(Duration::from_secs(2)));
+    table.note_pause(&target("t"), Duration::from_secs(5), at(0));
+    assert_eq!(table.next_free([&target("t")], rank, at(0)), Some(Duration::from_secs(5)));
 }
 
 #[test]
--- a/crates/banyan-forward/src/decisions/tables.rs
+++ b/crates/banyan-forward/src/decisions/tables.rs
@@ -198,7 +198,12 @@
         self.limits.closed(rank, now)
     }
 
-    /// When a request that limits keep from all targets of a service may be sent, or `None` if no
+    /// The targets that a request avoids, and those that want no request of this instance now.
+    fn with_paused(&self, avoided: &[TargetId], now: Moment) -> Vec<TargetId> {
+        avoided.iter().chain(self.limits.paused(now)).cloned().collect()
+    }
+
+    /// When a request that limits or pauses keep from all targets of a service may be sent, or `None` if no
     /// limit keeps it.
     pub fn limit_wait(
         &mut self,
@@ -215,7 +220,7 @@
             return None;
         }
         let rank = self.instance_rank(settings, now);
-        Some(self.limits.next_free(closed, rank).unwrap_or(NO_ROOM_RETRY_AFTER))
+        Some(self.limits.next_free(closed, rank, now).unwrap_or(NO_ROOM_RETRY_AFTER))
     }
 
     /// Removes expired orders, including those of a leader that is gone. Otherwise their engines
@@ -272,6 +277,7 @@
         let routes = self.route_table()?;
         let model = routes.services.get(service)?.model.clone()?;
         let closed = self.closed_targets(settings, now);
+        let avoided = self.with_paused(avoided, now);
         let peer_scale = self.peer_scale(now);
         let pool = self.pools.entry(service.clone());
         let pool = pool.or_insert_with(|| ChainPool::for_instance(&settings.instance));
@@ -281,7 +287,7 @@
         }
         let loads = LoadView { own: &self.loads, peers: &self.peer_loads, peer_scale };
         let live_peers = self.peer_loads.live_peer_count(now);
-        pool.choose(&loads, &settings.zone, size, live_peers, avoided, &closed)
+        pool.choose(&loads, &settings.zone, size, live_peers, &avoided, &closed)
     }
 
     /// Whether an engine of the chain was ordered to unload layers that the chain uses. The first
@@ -305,6 +311,7 @@
         now: Moment,
     ) -> Option<Arc<TargetChain>> {
         let routes = self.route_table()?;
+        let avoided = self.with_paused(avoided, now);
         let peer_scale = self.peer_scale(now);
         let query = RerouteQuery {
             model: routes.services.get(service)?.model.as_ref()?,
@@ -312,7 +319,7 @@
             fleet: &self.fleet,
             suspicions: &self.suspicions,
             loads: LoadView { own: &self.loads, peers: &self.peer_loads, peer_scale },
-            avoided,
+            avoided: &avoided,
             total,
             now,
         };
--- a/crates/banyan-forward/src/edges.rs
+++ b/crates/banyan-forward/src/edges.rs
@@ -132,6 +132,8 @@
     pub at_fault: Option<SocketAddr>,
     /// The rate of requests that the target takes from all instances together, if it names one.
     pub limit: Option<TargetLimit>,
+    /// How long the target wants no request of this instance, if it says so.
+    pub pause: Option<Duration>,
     /// Whether the sender says that it leaves.
     pub leaving: bool,
     /// Whether another target than the intended one may have answered, because it has its address.
--- a/crates/banyan-forward/src/engines/exchange.rs
+++ b/crates/banyan-forward/src/engines/exchange.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use http::StatusCode;
 use http::response::Parts;
@@ -53,6 +54,9 @@
     if facts.leaving {
         note_leaving(state, dispatch.target, facts.misdirected.then_some(address));
     }
+    if let Some(pause) = facts.pause {
+        note_pause(state, dispatch.target, pause);
+    }
     let success = head.status.is_success();
     if !request.accepts(&facts, &head.headers, success) || (success && !facts.signature) {
         return Err(ExchangeFailure::MaybeRun(
@@ -100,6 +104,18 @@
     }
 }
 
+/// Records that a target wants no request of this instance for some time.
+fn note_pause<P>(state: &ForwardState<P>, target: &TargetId, pause: Duration) {
+    let now = state.now();
+    state.tables().limits.note_pause(target, pause, now);
+    tracing::info!(
+        part = "limits",
+        %target,
+        pause_ms = pause.as_millis() as u64,
+        "A target wants no requests for some time."
+    );
+}
+
 /// Whether a caller would take this status as proof that its request has not run and will not run.
 /// An answer with such a status is never relayed: if the target did state that the request has not
 /// run, the daemon retries or refuses it instead.
