A planned stop waits until callers have read their answers

Cause: a whole answer counted as active only until its head was returned, and a stream until its body was dropped; the end of the process took what the HTTP library had not written yet. The kernel's buffers hid it up to some 4 MB. Ruled out: the target, the deadline and the time to stop, none of which had run out.

A connection on which a request was read now counts until it closes, which it does in a stop once its last answer is written; the daemon waits for these, at most to the end of its time.

Conclusion: an answer is given when it is written.

--- a/crates/banyan-forward/src/callers/front.rs
+++ b/crates/banyan-forward/src/callers/front.rs
@@ -18,6 +18,7 @@
 use crate::callers::serve::serve_request;
 use crate::callers::watched::ConnectionActivity;
 use crate::edges::Platform;
+use crate::engines::leases::count_used_connection;
 use crate::engines::link::set_unacknowledged_timeout;
 use crate::state::DaemonPhase;
 use crate::state::ForwardState;
@@ -124,7 +125,7 @@
     activity: Arc<ConnectionActivity>,
     request: Request<Incoming>,
 ) -> Result<Response<AnswerBody>, Infallible> {
-    activity.begin_request();
+    activity.begin_request(|| count_used_connection(&state));
     let response = serve_request(state.clone(), request).await;
     activity.end_request();
     Ok(response)
--- a/crates/banyan-forward/src/callers/watched.rs
+++ b/crates/banyan-forward/src/callers/watched.rs
@@ -2,11 +2,14 @@
 //! [`ConnectionActivity`].
 
 use std::io;
-use std::sync::atomic::AtomicBool;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
 use std::sync::atomic::AtomicU32;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 
+use crate::engines::leases::RequestLease;
 use banyan_core::units::Moment;
 use banyan_http::clock::RuntimeClock;
 use banyan_http::observed_stream::StreamObserver;
@@ -19,8 +22,8 @@
 pub struct ConnectionActivity {
     /// The number of requests that were read but not answered.
     in_flight: AtomicU32,
-    /// Whether a request was read.
-    has_begun: AtomicBool,
+    /// Held from the first request on; `None` before.
+    use_lease: Mutex<Option<RequestLease>>,
     /// When the last request ended, in microseconds of the daemon's clock.
     last_ended: AtomicU64,
     /// When the first byte of the current head arrived, in microseconds, or [`NO_HEAD`].
@@ -33,17 +36,18 @@
     pub fn new(clock: RuntimeClock) -> Self {
         Self {
             in_flight: AtomicU32::new(0),
-            has_begun: AtomicBool::new(false),
+            use_lease: Mutex::default(),
             last_ended: AtomicU64::new(clock.now().0),
             head_started: AtomicU64::new(NO_HEAD),
             clock,
         }
     }
 
-    /// Records that the head of a request was read completely.
-    pub fn begin_request(&self) {
+    /// Records that the head of a request was read completely. The first request begins the use of
+    /// the connection, for which `take_lease` gives a lease.
+    pub fn begin_request(&self, take_lease: impl FnOnce() -> RequestLease) {
         self.head_started.store(NO_HEAD, Ordering::Relaxed);
-        self.has_begun.store(true, Ordering::Relaxed);
+        self.use_lease().get_or_insert_with(take_lease);
         self.in_flight.fetch_add(1, Ordering::Relaxed);
     }
 
@@ -55,7 +59,11 @@
 
     /// Whether the head of a request was read completely.
     pub fn has_begun(&self) -> bool {
-        self.has_begun.load(Ordering::Relaxed)
+        self.use_lease().is_some()
+    }
+
+    fn use_lease(&self) -> MutexGuard<'_, Option<RequestLease>> {
+        self.use_lease.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// The time since which the connection is idle, or `None` while it is in use.
--- a/crates/banyan-forward/src/daemon.rs
+++ b/crates/banyan-forward/src/daemon.rs
@@ -88,7 +88,8 @@
 
 impl<P: Platform> RunningForwarder<P> {
     /// Stops the daemon. It reports that it is not ready, serves requests until the load balancer
-    /// has noticed, waits for the active requests to end, and leaves the group.
+    /// has noticed, waits for the active requests to end and for callers to read their answers, and
+    /// leaves the group.
     pub async fn shutdown(self) {
         let state = self.state.clone();
         let stop_started = state.now();
@@ -102,8 +103,10 @@
         loop {
             let now = state.now();
             let active = state.tables().active;
-            if (active == 0 && now >= refuse_until) || now >= deadline {
-                tracing::info!(part = "daemon", active, "Stopped.");
+            let used_connections = state.tables().used_connections;
+            let all_answered = active == 0 && used_connections == 0;
+            if (all_answered && now >= refuse_until) || now >= deadline {
+                tracing::info!(part = "daemon", active, used_connections, "Stopped.");
                 break;
             }
             tokio::time::sleep(DRAIN_CHECK_INTERVAL).await;
--- a/crates/banyan-forward/src/decisions/tables.rs
+++ b/crates/banyan-forward/src/decisions/tables.rs
@@ -125,8 +125,11 @@
     pub own_store_failure_at: Option<Moment>,
     /// The kinds of calls to the store whose last attempt failed, with the time of that failure.
     pub failing_calls: BTreeMap<&'static str, Moment>,
-    /// The number of requests that were read but not completely answered.
+    /// The number of requests that were read and whose answer is not complete in memory.
     pub active: u64,
+    /// The number of open connections of callers on which a request was read. During a stop they
+    /// close once their last answer is written.
+    pub used_connections: u64,
     random_count: u64,
 }
 
--- a/crates/banyan-forward/src/engines/leases.rs
+++ b/crates/banyan-forward/src/engines/leases.rs
@@ -1,5 +1,7 @@
-//! Resources that a request holds while it is active and releases on drop: [`RequestLease`].
+//! Resources that a request or a connection holds while it is active and releases on drop:
+//! [`RequestLease`].
 
+use std::fmt;
 use std::sync::Arc;
 
 use crate::state::ForwardState;
@@ -7,7 +9,7 @@
 use banyan_core::pipeline::target_chain::TargetChain;
 use banyan_core::units::TokenCount;
 
-/// A resource that a request holds. Dropping the lease releases it.
+/// A resource that a request or a connection holds. Dropping the lease releases it.
 pub struct RequestLease {
     release: Option<Box<dyn FnOnce() + Send>>,
 }
@@ -18,6 +20,12 @@
     }
 }
 
+impl fmt::Debug for RequestLease {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("RequestLease").finish_non_exhaustive()
+    }
+}
+
 impl Drop for RequestLease {
     fn drop(&mut self) {
         if let Some(release) = self.release.take() {
@@ -33,6 +41,15 @@
     RequestLease::new(move || state.tables().active -= 1)
 }
 
+/// Counts a caller's connection as used, so that a stop waits until its answers are written.
+pub fn count_used_connection<P: Send + Sync + 'static>(
+    state: &Arc<ForwardState<P>>,
+) -> RequestLease {
+    state.tables().used_connections += 1;
+    let state = state.clone();
+    RequestLease::new(move || state.tables().used_connections -= 1)
+}
+
 /// Reserves capacity for a request of `tokens` tokens on all engines of a chain.
 pub fn lease_chain<P: Send + Sync + 'static>(
     state: &Arc<ForwardState<P>>,
