Readers that return to the store do not ask each other instead

For three seconds after an outage of the store each instance preferred any reader to the store, since its own last failure was recent.

A failure counts only while some kind of call still fails. An instance that the store turns away goes on as before, since its reads have not succeeded.

Also read again as a newcomer would: a type that nothing used is gone, doubtful reports of removed targets are forgotten, the default report interval has a name, tests share their setup.

--- a/crates/banyan-core/src/pipeline/fleet.rs
+++ b/crates/banyan-core/src/pipeline/fleet.rs
@@ -172,15 +172,6 @@
     }
 }
 
-/// How long a row is kept after its record was removed, by the state of the platform.
-#[derive(Clone, Copy, Debug)]
-pub struct RemovalGrace {
-    /// While the platform is available: a removed target has left.
-    pub normal: Duration,
-    /// Shortly after an outage of the platform: a running target is listed again within this time.
-    pub after_outage: Duration,
-}
-
 impl FleetTable {
     /// Applies one change.
     pub fn apply(&mut self, change: FleetChange, now: Moment) {
--- a/crates/banyan-core/src/pipeline/history.rs
+++ b/crates/banyan-core/src/pipeline/history.rs
@@ -138,6 +138,7 @@
 
     fn remove(&mut self, id: &TargetId) -> bool {
         let Some(report) = self.listed.remove(id) else { return false };
+        self.doubtful.remove(id);
         self.removed.insert(id.clone(), report.stamp);
         true
     }
--- a/crates/banyan-forward/src/decisions/tables.rs
+++ b/crates/banyan-forward/src/decisions/tables.rs
@@ -42,8 +42,9 @@
 /// previous digest expires.
 const MAX_FULLY_COVERED_PEERS: usize = 32;
 
-/// A target's record expires after this many report intervals without a report. The last report
-/// before an outage of the store may be one interval older than the outage.
+/// The shortest outage of the store in which records of running targets may expire, in report
+/// intervals: one fewer than the platform waits for a report, since the last one may have been
+/// written an interval before the outage.
 const MIN_LAPSE_INTERVALS: u32 = 2;
 /// The time after the return of the store within which running targets whose records expired are
 /// listed again. A target that is still missing has left.
@@ -121,7 +122,8 @@
     /// When the targets could be read again after a time in which the records of running targets
     /// may have expired.
     pub store_returned_at: Option<Moment>,
-    /// When a call of this instance to the platform's store last failed.
+    /// When a call of this instance to the platform's store last failed, while some kind of call
+    /// still fails.
     pub own_store_failure_at: Option<Moment>,
     /// The kinds of calls to the store whose last attempt failed, with the time of that failure.
     pub failing_calls: BTreeMap<&'static str, Moment>,
@@ -206,8 +208,8 @@
         avoided.iter().chain(self.limits.paused(now)).cloned().collect()
     }
 
-    /// When a request that limits or pauses keep from all targets of a service may be sent, or `None` if no
-    /// limit keeps it.
+    /// The time until a request may be sent that limits or pauses keep from all targets of a
+    /// service, or `None` if they keep it from none.
     pub fn limit_wait(
         &mut self,
         service: &ServiceId,
--- a/crates/banyan-forward/src/engines/exchange.rs
+++ b/crates/banyan-forward/src/engines/exchange.rs
@@ -52,7 +52,10 @@
     };
     let facts = state.platform.read_answer(head.status, &head.headers);
     if facts.leaving {
-        note_leaving(state, dispatch.target, facts.misdirected.then_some(address));
+        leaving::note_answer(state, dispatch.target);
+    }
+    if facts.leaving && facts.misdirected {
+        leaving::note_holder(state, address);
     }
     if let Some(pause) = facts.pause {
         note_pause(state, dispatch.target, pause);
@@ -89,21 +92,6 @@
     }
 }
 
-/// Records that a target answered that it leaves. If another target may have answered, because the
-/// address is its own now, that one counts as leaving as well.
-fn note_leaving<P: Platform>(
-    state: &Arc<ForwardState<P>>,
-    target: &TargetId,
-    misdirected_to: Option<SocketAddr>,
-) {
-    let holder =
-        misdirected_to.and_then(|address| state.tables().fleet.at_address(address).cloned());
-    leaving::note_answer(state, target);
-    if let Some(holder) = holder.filter(|holder| holder != target) {
-        leaving::note_answer(state, &holder);
-    }
-}
-
 /// Records that a target wants no request of this instance for some time.
 fn note_pause<P>(state: &ForwardState<P>, target: &TargetId, pause: Duration) {
     let now = state.now();
--- a/crates/banyan-forward/src/engines/leaving.rs
+++ b/crates/banyan-forward/src/engines/leaving.rs
@@ -3,6 +3,8 @@
 //! A target says so in answers of all kinds, often before its report has reached this instance. Peers
 //! learn of it from digests.
 
+use std::net::SocketAddr;
+
 use smol_str::SmolStr;
 
 use crate::decisions::tables::ForwardTables;
@@ -26,15 +28,24 @@
     }
 }
 
-/// Records that a target leaves if it said so in a report about the given run of it.
+/// Records that a target said in a report that it leaves. `born` is the start of the run that
+/// reported: if it is not that of the target, another one has the address by now.
 pub fn note_report<P>(state: &ForwardState<P>, target: &TargetId, born: Option<u64>) {
-    let known = state.tables().fleet.rows.get(target).map(|row| row.report.stamp.born);
-    // Another target may have the address by now.
-    if born.is_none() || known.is_some_and(|known| known.is_none() || known == born) {
+    let known = state.tables().fleet.rows.get(target).and_then(|row| row.report.stamp.born);
+    let is_other_run = known.is_some() && born.is_some() && known != born;
+    if !is_other_run {
         note_answer(state, target);
     }
 }
 
+/// Records that the target that has an address now said in an answer that it leaves.
+pub fn note_holder<P>(state: &ForwardState<P>, address: SocketAddr) {
+    let holder = state.tables().fleet.at_address(address).cloned();
+    if let Some(holder) = holder {
+        note_answer(state, &holder);
+    }
+}
+
 /// Merges the targets that a peer reports as leaving.
 pub fn merge_leaving(tables: &mut ForwardTables, leaving: Vec<LeavingWire>, now: Moment) {
     for wire in leaving {
--- a/crates/banyan-forward/src/store/feeds.rs
+++ b/crates/banyan-forward/src/store/feeds.rs
@@ -219,7 +219,14 @@
 /// Records that a call to the platform's store was answered.
 pub fn record_store_success<P>(state: &ForwardState<P>, call: &'static str) {
     metrics::counter!("banyan_store_answers_total", "call" => call).increment(1);
-    let last_failure = state.tables().failing_calls.remove(call);
+    let mut tables = state.tables();
+    let last_failure = tables.failing_calls.remove(call);
+    if tables.failing_calls.is_empty() {
+        // The store is preferred to peers again at once. Readers that return together would
+        // otherwise ask each other.
+        tables.own_store_failure_at = None;
+    }
+    drop(tables);
     if let Some(failed_at) = last_failure {
         let since_failure_ms = state.now().since(failed_at).as_millis() as u64;
         tracing::info!(
