--- a/crates/banyan-forward/src/engines/leaving.rs
+++ b/crates/banyan-forward/src/engines/leaving.rs
@@ -1,7 +1,7 @@
 //! Records which targets say in their answers that they leave: [`note_answer`].
 //!
-//! A target says so in answers of all kinds, often before its report has reached this instance. Peers
-//! learn of it from digests.
+//! A target says so in answers of all kinds, often before its report has reached this instance.
+//! Peers learn of it from digests.
 
 use std::net::SocketAddr;
 
--- a/crates/banyan-forward/src/engines/stream.rs
+++ b/crates/banyan-forward/src/engines/stream.rs
@@ -111,7 +111,8 @@
     _active: RequestLease,
 }
 
-/// What the relay handles next: data, a malformed event, the end or failure of the stream, or a timer.
+/// What the relay handles next: data, a malformed event, the end or failure of the stream, or a
+/// timer.
 enum RelayInput {
     Bytes(Bytes),
     Malformed(EventStreamError),
