Configuration records are compressed between instances

Cause: a reader sends a new configuration to all followers of its zone at once. With 1,500 routes that is some 370 kB each, longer than the followers wait on links of 14 to 200 Mbit/s. They took the reader for silent, read the store themselves and were answered late by engines, whose probes shared the link; sound engines were suspected and streams moved.

Ruled out: decoding of the record on slow machines (the same records, compressed, are in force on all instances within 0.1 s); a longer wait for the reader, since the link stays busy meanwhile.

--- a/crates/banyan-forward/src/edges.rs
+++ b/crates/banyan-forward/src/edges.rs
@@ -8,7 +8,6 @@
 use std::fmt;
 use std::future::Future;
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -17,6 +16,7 @@
 use smol_str::SmolStr;
 use thiserror::Error;
 
+use crate::store::configuration_record::ConfigurationRecord;
 use banyan_core::ids::FencingToken;
 use banyan_core::ids::InstanceId;
 use banyan_core::ids::LayerRange;
@@ -25,7 +25,6 @@
 use banyan_core::ids::WorkspaceId;
 use banyan_core::pipeline::fleet::FleetChange;
 use banyan_core::pipeline::fleet::TargetReport;
-use banyan_core::pipeline::routes::RouteTable;
 use banyan_core::pipeline::target_chain::ChainPart;
 use banyan_core::pipeline::target_limits::TargetLimit;
 use banyan_core::units::TokenCount;
@@ -187,15 +186,6 @@
     pub next: LogOffset,
 }
 
-/// The newest configuration record.
-#[derive(Clone, Debug)]
-pub struct ConfigurationRecord {
-    /// The decoded routes and limits.
-    pub table: Arc<RouteTable>,
-    /// The record as the platform stores it, to pass on to peers that cannot reach the platform.
-    pub bytes: Bytes,
-}
-
 /// This instance's membership in the group of live instances.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Membership {
--- a/crates/banyan-forward/src/peers/digests.rs
+++ b/crates/banyan-forward/src/peers/digests.rs
@@ -16,6 +16,7 @@
 use crate::peers::crash_alerts::suspect_wires;
 use crate::peers::limit_alerts::limit_wires;
 use crate::peers::limit_alerts::merge_limits;
+use crate::peers::news::activate_peer_configuration;
 use crate::state::ForwardState;
 use crate::store::feeds;
 use banyan_core::ids::InstanceId;
@@ -217,7 +218,7 @@
         configuration: tables
             .configuration
             .as_ref()
-            .map_or(Vec::new(), |record| record.bytes.to_vec()),
+            .map_or(Vec::new(), |record| record.compressed().to_vec()),
         fleet_next: tables.history.next().map_or(0, |next| next.0),
         fleet: tables.history.listed().iter().map(TargetWire::from).collect(),
     }
@@ -229,14 +230,7 @@
     address: SocketAddr,
     snapshot: ForwardSnapshot,
 ) {
-    if !snapshot.configuration.is_empty() {
-        match state.platform.read_configuration(snapshot.configuration.into()) {
-            Ok(record) => feeds::activate_configuration(state, record),
-            Err(error) => {
-                tracing::warn!(part = "peers", %address, %error, "Ignored a peer's configuration.")
-            }
-        }
-    }
+    activate_peer_configuration(state, &snapshot.configuration);
     let listing: Result<BTreeMap<TargetId, TargetReport>, _> =
         snapshot.fleet.into_iter().map(TryInto::try_into).collect();
     match listing {
--- a/crates/banyan-forward/src/peers/news.rs
+++ b/crates/banyan-forward/src/peers/news.rs
@@ -16,6 +16,7 @@
 use crate::peers::peer_link::call_context;
 use crate::peers::peer_link::connect_or_reuse;
 use crate::state::ForwardState;
+use crate::store::configuration_record::decompress;
 use crate::store::feeds;
 use banyan_core::ids::InstanceId;
 use banyan_core::ids::LogOffset;
@@ -174,12 +175,32 @@
     FeedUpdate {
         relayed: *state.feed_role.borrow() == FeedRole::Relay,
         read_age_ms: state.read_age(&tables, now).map(millis),
-        configuration: newer.map_or(Vec::new(), |record| record.bytes.to_vec()),
+        configuration: newer.map_or(Vec::new(), |record| record.compressed().to_vec()),
         fleet,
         fleet_next: tables.history.next().map_or(0, |next| next.0),
     }
 }
 
+/// Activates the configuration in a peer's message, if it contains one.
+pub(super) fn activate_peer_configuration<P: Platform>(state: &ForwardState<P>, compressed: &[u8]) {
+    if compressed.is_empty() {
+        return;
+    }
+    let bytes = match decompress(compressed) {
+        Ok(bytes) => bytes,
+        Err(error) => {
+            tracing::warn!(part = "configuration", %error, "Ignored a peer's configuration.");
+            return;
+        }
+    };
+    match state.platform.read_configuration(bytes) {
+        Ok(record) => feeds::activate_configuration(state, record),
+        Err(error) => {
+            tracing::warn!(part = "configuration", %error, "Ignored a peer's configuration.")
+        }
+    }
+}
+
 /// Applies a reader's update, unless its own reads are outdated.
 fn apply_update<P: Platform>(
     state: &ForwardState<P>,
@@ -190,14 +211,7 @@
     let sender_role = if update.relayed { FeedRole::Relay } else { FeedRole::Reader };
     let limit = max_read_age(sender_role).unwrap_or_default();
     let age = age.filter(|age| *age < limit).ok_or(UpdateError::Stale)?;
-    if !update.configuration.is_empty() {
-        match state.platform.read_configuration(update.configuration.into()) {
-            Ok(record) => feeds::activate_configuration(state, record),
-            Err(error) => {
-                tracing::warn!(part = "configuration", %error, "Ignored a peer's configuration.")
-            }
-        }
-    }
+    activate_peer_configuration(state, &update.configuration);
     let next = LogOffset(update.fleet_next);
     match update.fleet {
         FleetUpdate::Changes(changes) => {
--- a/crates/banyan-forward/src/store.rs
+++ b/crates/banyan-forward/src/store.rs
@@ -1,5 +1,6 @@
-//! The platform's store: [`feeds`] follows its records, [`membership`] keeps the instance in the
-//! group.
+//! The platform's store: [`feeds`] follows its records, [`configuration_record`] holds the newest
+//! configuration, [`membership`] keeps the instance in the group.
 
+pub mod configuration_record;
 pub mod feeds;
 pub mod membership;
--- a/crates/banyan-forward/src/store/feeds.rs
+++ b/crates/banyan-forward/src/store/feeds.rs
@@ -5,10 +5,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use crate::edges::ConfigurationRecord;
 use crate::edges::Platform;
 use crate::edges::StoreError;
 use crate::state::ForwardState;
+use crate::store::configuration_record::ConfigurationRecord;
 use banyan_core::ids::LogOffset;
 use banyan_core::ids::TargetId;
 use banyan_core::pipeline::fleet::FleetChange;
--- a/crates/banyan-wire/src/forward.rs
+++ b/crates/banyan-wire/src/forward.rs
@@ -66,7 +66,8 @@
     pub relayed: bool,
     /// The age of the data, in milliseconds; absent if the sender passes on none.
     pub read_age_ms: Option<u64>,
-    /// The configuration record if it is newer than the requested position; otherwise empty.
+    /// The compressed configuration record if it is newer than the requested position; otherwise
+    /// empty.
     pub configuration: Vec<u8>,
     /// The changes of the targets since the requested position, or all targets.
     pub fleet: FleetUpdate,
@@ -301,7 +302,7 @@
 /// The data that a peer has read from the platform.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct ForwardSnapshot {
-    /// The newest configuration record, as the platform stores it; empty if there is none.
+    /// The newest configuration record, compressed; empty if there is none.
     pub configuration: Vec<u8>,
     /// The offset of the first change of the targets that the peer has not read.
     pub fleet_next: u64,
