Bound and queue the leader's calls to engines; known state is not requested again

In a large fleet a leader has a bounded number of calls to engines in flight, derived from its machine's capacity; the other orders wait in the sequence of the plan. One zone is completed first, then the next; orders that no zone needs to be complete come last. An engine whose state was read in the same run, or that is empty and unknown, gets its order with the expected number of accepted orders and no state request; a conflict leads to one. A load that an engine ended without the layers is noticed by its check. Planning takes at most a fifth of the leader's time. Setting one pending order no longer walks all targets (with 3,000 orders that was 9 million look-ups a round).

Cause: all state requests of a plan were in flight at once and none ended within 600 ms on 0.12 cores; send_order called that busy and the next round repeated it.

Ruled out: a longer timeout, since 3,000 calls at 0.5 ms of a core take 12.5 s at 0.12 cores; keeping the waiting orders while the planner runs, since an order started meanwhile would be planned twice.

Seen: in order_queues, 3,000 engines in 9 zones before 0.12 cores: no engine gets its order within 20 s with all calls in flight at once (the code as it stood), all of them with the bound. With fewer than 24 other announced instances there is no bound and the state is always requested, as before.

--- a/crates/banyan-core/src/pipeline.rs
+++ b/crates/banyan-core/src/pipeline.rs
@@ -9,6 +9,8 @@
 //! - [`readers`]: which instance reads those records for others.
 //! - [`model`]: the model and the accelerators.
 //! - [`placement`]: which layers each engine should hold.
+//! - [`order_queue`]: which orders are sent now, and which wait.
+//! - [`engine_states`]: which orders need no state request before them.
 //! - [`target_chain`]: engines that together run all layers.
 //! - [`chain`]: which chain serves a request.
 //! - [`reroute`]: how a running request moves off some of its engines.
@@ -26,11 +28,13 @@
 pub mod checkers;
 pub mod crashes;
 pub mod duties;
+pub mod engine_states;
 pub mod fleet;
 pub mod history;
 mod layout;
 pub mod load;
 pub mod model;
+pub mod order_queue;
 mod path;
 pub mod placement;
 pub mod placement_target;
--- a/crates/banyan-core/src/pipeline/duties.rs
+++ b/crates/banyan-core/src/pipeline/duties.rs
@@ -14,6 +14,15 @@
 use crate::ids::ZoneId;
 use crate::units::Moment;
 
+/// The number of other announced instances from which on a fleet counts as large. With fewer, an
+/// instance's first digest rounds reach all of them, and its state of the group is complete.
+const LARGE_FLEET_PEERS: usize = 24;
+
+/// Whether the number of other announced instances is known and small.
+pub fn is_small_fleet(peers: Option<usize>) -> bool {
+    peers.is_some_and(|peers| peers < LARGE_FLEET_PEERS)
+}
+
 /// What an instance can spend on work for others, in thousandths of a processor core.
 #[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
 pub struct DutyCapacity(pub u32);
--- a/crates/banyan-core/src/pipeline/fleet.rs
+++ b/crates/banyan-core/src/pipeline/fleet.rs
@@ -332,6 +332,15 @@
         }
     }
 
+    /// Sets which layers one target has been ordered to hold.
+    pub fn set_ordered_of(&mut self, id: &TargetId, range: Option<LayerRange>) {
+        let Some(row) = self.rows.get_mut(id) else { return };
+        if row.ordered != range {
+            row.ordered = range;
+            self.revision += 1;
+        }
+    }
+
     fn report(&mut self, id: TargetId, mut report: TargetReport, now: Moment) {
         let said_leaving = self.said_leaving(&id, report.stamp.born);
         let Some(row) = self.rows.get_mut(&id) else {
--- a/crates/banyan-core/src/pipeline/placement.rs
+++ b/crates/banyan-core/src/pipeline/placement.rs
@@ -9,6 +9,7 @@
 
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::collections::VecDeque;
 
 use crate::ids::LayerRange;
@@ -31,27 +32,57 @@
     pub range: LayerRange,
 }
 
+/// The orders for the engines that hold one copy of the model together.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct CopyOrders {
+    /// The orders, most important first.
+    pub orders: Vec<PlacementOrder>,
+    /// The number of orders at the start of `orders` that layers without a holder need.
+    pub completing: usize,
+}
+
 /// Plans orders that move the engines towards holding every layer in every zone, most important
 /// first.
 pub fn plan_placement(model: &PipelineModel, targets: &[PlacementTarget]) -> Vec<PlacementOrder> {
+    plan_copies(model, targets).into_iter().flat_map(|copy| copy.orders).collect()
+}
+
+/// Puts the orders of several copies into the sequence in which they are sent. Copies that lack the
+/// fewest orders are completed first, one after the other, so that some chain can serve early, and
+/// a partly sent copy is continued. Orders that no copy needs to be complete come last.
+pub fn sending_order(copies: Vec<CopyOrders>) -> Vec<PlacementOrder> {
+    let mut copies = copies;
+    copies.sort_by_key(|copy| copy.completing);
+    let mut sequence = Vec::new();
+    let mut further = Vec::new();
+    for mut copy in copies {
+        further.extend(copy.orders.split_off(copy.completing));
+        sequence.extend(copy.orders);
+    }
+    sequence.extend(further);
+    sequence
+}
+
+/// The orders of [`plan_placement`], by copy of the model.
+pub fn plan_copies(model: &PipelineModel, targets: &[PlacementTarget]) -> Vec<CopyOrders> {
     let mut zones: BTreeMap<&ZoneId, Vec<&PlacementTarget>> = BTreeMap::new();
     for target in targets {
         zones.entry(&target.zone).or_default().push(target);
     }
-    let mut orders = Vec::new();
+    let mut copies = Vec::new();
     let mut small_zones = Vec::new();
     for zone_targets in zones.into_values() {
         match capacity_for_copy(model, &zone_targets) {
             Some(capacity) => {
-                orders.extend(GroupPlan::new(model, zone_targets, capacity).into_orders())
+                copies.push(GroupPlan::new(model, zone_targets, capacity).into_orders())
             }
             None => small_zones.extend(zone_targets),
         }
     }
     // Zones that are too small for their own copy share one.
     let capacity = capacity_for_copy(model, &small_zones).unwrap_or_default();
-    orders.extend(GroupPlan::new(model, small_zones, capacity).into_orders());
-    orders
+    copies.push(GroupPlan::new(model, small_zones, capacity).into_orders());
+    copies
 }
 
 /// The largest request capacity per engine at which the engines together still hold all layers.
@@ -75,6 +106,10 @@
     layout: GroupLayout,
     /// Invariant: at most one order per engine, and none for a busy one.
     orders: Vec<PlacementOrder>,
+    /// The engines in `orders`.
+    ordered: BTreeSet<&'a TargetId>,
+    /// The number of orders after which no layer lacks a holder.
+    completing: usize,
 }
 
 impl<'a> GroupPlan<'a> {
@@ -84,10 +119,11 @@
         capacity: TokenCount,
     ) -> Self {
         let layout = GroupLayout::new(model.layers, &targets);
-        Self { model, targets, capacity, layout, orders: Vec::new() }
+        let orders = Vec::new();
+        Self { model, targets, capacity, layout, orders, ordered: BTreeSet::new(), completing: 0 }
     }
 
-    fn into_orders(mut self) -> Vec<PlacementOrder> {
+    fn into_orders(mut self) -> CopyOrders {
         self.fill_empty();
         self.move_redundant();
         self.extend_into_gaps();
@@ -96,7 +132,7 @@
             self.offload_excess();
             self.extend_ranges();
         }
-        self.orders
+        CopyOrders { orders: self.orders, completing: self.completing }
     }
 
     /// Orders layers onto engines that hold none.
@@ -233,10 +269,15 @@
         }
     }
 
-    fn order(&mut self, target: &PlacementTarget, range: LayerRange) {
+    fn order(&mut self, target: &'a PlacementTarget, range: LayerRange) {
+        let completes = self.layout.missing() > 0;
         self.layout.release(&target.id);
         self.layout.hold(&target.id, range);
         self.orders.push(PlacementOrder { target: target.id.clone(), range });
+        self.ordered.insert(&target.id);
+        if completes {
+            self.completing = self.orders.len();
+        }
     }
 
     /// Engines that hold layers and can take an order, least loaded first, since an engine drops
@@ -249,8 +290,7 @@
 
     /// The engines that satisfy `keep` and neither are busy nor have an order in this plan.
     fn free_targets(&self, keep: impl Fn(&PlacementTarget) -> bool) -> Vec<&'a PlacementTarget> {
-        let ordered =
-            |target: &PlacementTarget| self.orders.iter().any(|order| order.target == target.id);
+        let ordered = |target: &PlacementTarget| self.ordered.contains(&target.id);
         let free = |target: &PlacementTarget| !target.busy && !ordered(target) && keep(target);
         self.targets.iter().copied().filter(|target| free(target)).collect()
     }
--- a/crates/banyan-core/tests/pipeline/main.rs
+++ b/crates/banyan-core/tests/pipeline/main.rs
@@ -8,6 +8,7 @@
 mod histories;
 mod layouts;
 mod loads;
+mod order_queues;
 mod readers;
 mod replicas;
 mod reroutes;
--- a/crates/banyan-forward/src/decisions/placement.rs
+++ b/crates/banyan-forward/src/decisions/placement.rs
@@ -11,8 +11,12 @@
 
 use crate::decisions::leading::leading_generation;
 use crate::decisions::orders::STATE_TIMEOUT;
+use crate::decisions::orders::call_end;
 use crate::decisions::orders::send_orders;
 use crate::decisions::tables::ForwardTables;
+use crate::decisions::tables::PendingOrder;
+use crate::edges::EngineState;
+use crate::edges::OrderError;
 use crate::edges::Platform;
 use crate::engines::probes::observe_target;
 use crate::state::ForwardState;
@@ -22,8 +26,12 @@
 use banyan_core::pipeline::fleet::FleetTable;
 use banyan_core::pipeline::load::LoadView;
 use banyan_core::pipeline::model::PipelineModel;
+use banyan_core::pipeline::order_queue::CallPurpose;
+use banyan_core::pipeline::order_queue::QueuedOrder;
+use banyan_core::pipeline::order_queue::call_limit;
 use banyan_core::pipeline::placement::PlacementOrder;
-use banyan_core::pipeline::placement::plan_placement;
+use banyan_core::pipeline::placement::plan_copies;
+use banyan_core::pipeline::placement::sending_order;
 use banyan_core::pipeline::placement_target::PlacementTarget;
 use banyan_core::units::Moment;
 
@@ -40,6 +48,9 @@
 const SETTLE_LIMIT: Duration = Duration::from_secs(4);
 /// The time between two state requests to an engine that is loading layers.
 const LOAD_CHECK_INTERVAL: Duration = Duration::from_millis(300);
+/// The time between two plans in a large fleet, as a multiple of the time that the last one took.
+/// Planning then takes at most a fifth of the machine, however many engines there are.
+const PLAN_PAUSE_FACTOR: u32 = 4;
 
 /// Keeps this instance in the group, and assigns layers to engines while it leads.
 pub async fn run_leadership<P: Platform>(state: Arc<ForwardState<P>>) {
@@ -47,6 +58,7 @@
 }
 
 async fn run_placement<P: Platform>(state: Arc<ForwardState<P>>) {
+    let mut next_plan_at = Moment::default();
     loop {
         // Changes that occur together, such as the crash of several engines, are handled in one
         // round.
@@ -55,48 +67,132 @@
         state.tables().expire_orders(state.now());
         let generation = leading_generation(&state);
         state.tables().orders_layers = generation.is_some();
-        let Some(generation) = generation else { continue };
+        let Some(generation) = generation else {
+            state.tables().order_queue.clear();
+            continue;
+        };
+        set_call_limit(&state);
         check_pending_loads(&state);
-        send_orders(&state, generation, due_orders(&state));
+        let started_at = state.now();
+        if started_at >= next_plan_at {
+            let orders = due_orders(&state, generation);
+            let mut tables = state.tables();
+            tables.order_queue.replace_waiting(generation, orders);
+            if tables.order_queue.is_limited() {
+                let ended_at = state.now();
+                next_plan_at = ended_at + ended_at.since(started_at) * PLAN_PAUSE_FACTOR;
+            }
+        }
+        send_orders(&state, generation);
     }
 }
 
+/// Sets how many calls to engines may be in flight, and forgets engines that are no longer listed.
+fn set_call_limit<P>(state: &ForwardState<P>) {
+    let capacity = state.settings().duty_capacity;
+    let mut guard = state.tables();
+    let tables = &mut *guard;
+    tables.order_queue.set_limit(call_limit(tables.peers_listed, capacity));
+    let rows = &tables.fleet.rows;
+    tables.order_queue.retain_targets(|id| rows.contains_key(id));
+    tables.engine_states.retain_targets(|id| rows.contains_key(id));
+}
+
 /// Asks engines whose loads should be complete which layers they hold.
 fn check_pending_loads<P: Platform>(state: &Arc<ForwardState<P>>) {
     for (id, address) in due_load_checks(state) {
         let state = state.clone();
         tokio::spawn(async move {
-            // `observe_target` logs failures, and the request is repeated later.
-            let _ = observe_target(&state, &id, address, STATE_TIMEOUT).await;
+            let asked_at = state.now();
+            let answer = observe_target(&state, &id, address, STATE_TIMEOUT).await;
+            record_load_check(&state, &id, answer, asked_at);
         });
     }
 }
 
-/// The engines whose pending loads are due for a check. Schedules the next check of each.
+/// Records how a question to an engine ended whose load should be complete. `observe_target` has
+/// recorded the engine's layers and logged a failure.
+fn record_load_check<P>(
+    state: &ForwardState<P>,
+    id: &TargetId,
+    answer: Result<EngineState, OrderError>,
+    asked_at: Moment,
+) {
+    let now = state.now();
+    let mut tables = state.tables();
+    let end = call_end(&answer);
+    tables.order_queue.finish(CallPurpose::Check, id, end, now);
+    if !tables.order_queue.is_limited() {
+        return;
+    }
+    let pause = tables.order_queue.pause_of(id);
+    let Some(order) = tables.pending_orders.get_mut(id) else { return };
+    match answer {
+        Ok(engine) => {
+            // The engine accepted the order before it was asked, and ended it without the layers.
+            // With many loads, the order would expire only much later.
+            let taken_before = order.taken_at.is_some_and(|at| at < asked_at);
+            let lacks_layers = order.range.is_some_and(|range| engine.held != [range]);
+            if taken_before && lacks_layers && !engine.busy {
+                tables.set_pending_order(id.clone(), None);
+            }
+        }
+        Err(OrderError::NoAnswer { .. }) => order.next_check_at = now + pause,
+        Err(OrderError::Absent) => {}
+    }
+}
+
+/// The engines whose pending loads are due for a check, those that have waited longest first.
+/// Schedules the next check of each.
 fn due_load_checks<P>(state: &ForwardState<P>) -> Vec<(TargetId, SocketAddr)> {
     let now = state.now();
     let mut guard = state.tables();
     let tables = &mut *guard;
+    let mut waiting: Vec<(&TargetId, &mut PendingOrder)> = tables
+        .pending_orders
+        .iter_mut()
+        .filter(|(_, order)| order.range.is_some() && now >= order.next_check_at)
+        .collect();
+    waiting.sort_by_key(|(_, order)| order.next_check_at);
     let mut due = Vec::new();
-    for (id, order) in &mut tables.pending_orders {
-        if order.range.is_none() || now < order.next_check_at {
-            continue;
+    for (id, order) in waiting {
+        let Some(row) = tables.fleet.rows.get(id) else { continue };
+        if !tables.order_queue.start_check() {
+            break;
         }
         order.next_check_at = now + LOAD_CHECK_INTERVAL;
-        if let Some(row) = tables.fleet.rows.get(id) {
-            due.push((id.clone(), row.report.address));
-        }
+        due.push((id.clone(), row.report.address));
     }
     due
 }
 
-/// The orders to send now, for all models.
-fn due_orders<P>(state: &ForwardState<P>) -> Vec<(Arc<PipelineModel>, PlacementOrder)> {
+/// The orders to send now, for all models, in the sequence in which they are sent.
+fn due_orders<P>(state: &ForwardState<P>, generation: u64) -> Vec<QueuedOrder> {
+    let mut due = Vec::new();
+    // Planning for thousands of engines takes long, and requests need the tables meanwhile.
+    for (model, targets) in plan_inputs(state, generation) {
+        let load_times = |order: PlacementOrder| QueuedOrder {
+            load_time: model.load_time_of(order.range.count()),
+            loads_at_once: model.loads_at_once.max(1),
+            order,
+        };
+        due.extend(sending_order(plan_copies(&model, &targets)).into_iter().map(load_times));
+    }
+    due
+}
+
+/// The models and their engines as input for the planner. Drops the orders that wait, since an
+/// order that is started while the planner runs would be planned a second time.
+fn plan_inputs<P>(
+    state: &ForwardState<P>,
+    generation: u64,
+) -> Vec<(Arc<PipelineModel>, Vec<PlacementTarget>)> {
     let now = state.now();
     let mut guard = state.tables();
     let tables = &mut *guard;
+    tables.order_queue.replace_waiting(generation, Vec::new());
     let Some(routes) = tables.route_table() else { return Vec::new() };
-    let mut due = Vec::new();
+    let mut inputs = Vec::new();
     for (service, spec) in &routes.services {
         let Some(model) = &spec.model else { continue };
         let mut targets = placement_targets(model, service, tables, now);
@@ -106,10 +202,9 @@
         {
             continue;
         }
-        let orders = plan_placement(model, &targets);
-        due.extend(orders.into_iter().map(|order| (model.clone(), order)));
+        inputs.push((model.clone(), targets));
     }
-    due
+    inputs
 }
 
 /// Whether an engine is considered lost: its host refuses connections, or both this instance and at
--- a/crates/banyan-forward/src/decisions/tables.rs
+++ b/crates/banyan-forward/src/decisions/tables.rs
@@ -9,6 +9,7 @@
 use crate::callers::answer::NotRunCause;
 use crate::callers::answer::Refusal;
 use crate::edges::ConfigurationRecord;
+use crate::edges::EngineState;
 use crate::edges::Membership;
 use crate::logs;
 use crate::settings::ForwardSettings;
@@ -19,11 +20,13 @@
 use banyan_core::pipeline::chain::ChainPool;
 use banyan_core::pipeline::chain::RequestSize;
 use banyan_core::pipeline::crashes::CrashTable;
+use banyan_core::pipeline::engine_states::EngineStates;
 use banyan_core::pipeline::fleet::FleetTable;
 use banyan_core::pipeline::history::FleetHistory;
 use banyan_core::pipeline::load::LoadTable;
 use banyan_core::pipeline::load::LoadView;
 use banyan_core::pipeline::load::PeerLoadTable;
+use banyan_core::pipeline::order_queue::OrderQueue;
 use banyan_core::pipeline::readers::ReaderTable;
 use banyan_core::pipeline::reroute::RerouteQuery;
 use banyan_core::pipeline::reroute::reroute_chain;
@@ -65,6 +68,8 @@
     pub next_check_at: Moment,
     /// When the order is considered lost.
     pub expires_at: Moment,
+    /// When the engine accepted this instance's order, if it did.
+    pub taken_at: Option<Moment>,
 }
 
 /// The tables on which routing and placement decisions are based.
@@ -108,6 +113,12 @@
     /// Orders of this instance, or of the leader from which it last received a digest, that engines
     /// may still be carrying out.
     pub pending_orders: BTreeMap<TargetId, PendingOrder>,
+    /// The orders that wait to be sent, and the calls to engines in flight, while this instance
+    /// orders layers.
+    pub order_queue: OrderQueue,
+    /// What is known about the orders that engines have accepted, while this instance orders
+    /// layers.
+    pub engine_states: EngineStates,
     /// The highest generation for which an engine rejected this instance's order because it had
     /// seen a higher fencing token.
     pub fenced_generation: u64,
@@ -241,10 +252,15 @@
     /// Sets the pending order of an engine, or removes it.
     pub fn set_pending_order(&mut self, target: TargetId, order: Option<PendingOrder>) {
         match order {
-            Some(order) => self.pending_orders.insert(target, order),
-            None => self.pending_orders.remove(&target),
-        };
-        self.sync_orders();
+            Some(order) => {
+                self.fleet.set_ordered_of(&target, order.range);
+                self.pending_orders.insert(target, order);
+            }
+            None => {
+                self.fleet.set_ordered_of(&target, None);
+                self.pending_orders.remove(&target);
+            }
+        }
     }
 
     /// The refusal of a request that has not run. The caller is told to retry no earlier than after
@@ -253,6 +269,15 @@
         Refusal::NotRun(cause, self.retry_delays.next_delay(now + wait, now))
     }
 
+    /// Records how many orders an engine has accepted by its own report.
+    pub fn note_engine_state(&mut self, id: &TargetId, engine: &EngineState) {
+        if engine.busy {
+            self.engine_states.record_unsure(id);
+        } else {
+            self.engine_states.record_idle(id, engine.started_at, engine.accepted_orders);
+        }
+    }
+
     /// Updates the table of targets with the layers of the pending orders.
     pub fn sync_orders(&mut self) {
         let pending = &self.pending_orders;
--- a/crates/banyan-forward/src/engines/probes.rs
+++ b/crates/banyan-forward/src/engines/probes.rs
@@ -126,6 +126,11 @@
         let now = state.now();
         state.tables().fleet.observe(id, &engine.held, asked_at, now);
     }
-    state.tables().fleet.note_slowdown(id, engine.slowdown, asked_at);
+    let mut tables = state.tables();
+    tables.fleet.note_slowdown(id, engine.slowdown, asked_at);
+    if tables.orders_layers {
+        tables.note_engine_state(id, &engine);
+    }
+    drop(tables);
     Ok(engine)
 }
--- a/crates/banyan-forward/src/peers/digests.rs
+++ b/crates/banyan-forward/src/peers/digests.rs
@@ -203,9 +203,9 @@
             continue;
         };
         let expires_at = now + Duration::from_millis(order.left_ms);
-        tables
-            .pending_orders
-            .insert(id, PendingOrder { range: Some(range), next_check_at: now, expires_at });
+        let pending =
+            PendingOrder { range: Some(range), next_check_at: now, expires_at, taken_at: None };
+        tables.pending_orders.insert(id, pending);
     }
     tables.sync_orders();
 }
--- a/crates/banyan-forward/tests/tables.rs
+++ b/crates/banyan-forward/tests/tables.rs
@@ -31,6 +31,7 @@
         range: Some(LayerRange { first: 40, end: 60 }),
         next_check_at: expires_at,
         expires_at,
+        taken_at: None,
     };
     tables.pending_orders.insert(id.clone(), order);
     tables.sync_orders();
