New requests skip engines that rejected one for lack of room

The suspicion after a refusal is soft, so that a full engine is asked again where no other chain is left, and by requests that the engine will reject once more.

A 503 that states 'not run' is recorded against the engine that it names. Where room is accounted for, every chain through it counts as full for 500 ms, or until a report requested afterwards shows room. The report's kv_used, kv_total, waiting and running are decoded for that. In effect for services whose requests differ in priority, with more than 32 other instances announced; elsewhere the choice is as before.

Ruled out: a longer suspicion, which stays soft and would also reroute running requests; passing rejections on in digests, which arrive after they ended. Resumed streams may still use such an engine if no other is left.

No load was run.

--- a/crates/banyan-core/src/pipeline.rs
+++ b/crates/banyan-core/src/pipeline.rs
@@ -17,6 +17,7 @@
 //! - [`suspicion`]: which targets are suspected of having failed.
 //! - [`crashes`]: which requests crash targets.
 //! - [`load`]: the load of each target.
+//! - [`rejections`]: which targets rejected requests for lack of room.
 //! - [`replica`]: which replica of an unpartitioned service is called.
 //! - [`target_limits`]: how many requests limited targets still take.
 //! - [`retries`]: whether a request may be retried.
@@ -35,6 +36,7 @@
 pub mod placement;
 pub mod placement_target;
 pub mod readers;
+pub mod rejections;
 pub mod replica;
 pub mod report_stamp;
 pub mod reroute;
--- a/crates/banyan-core/src/pipeline/chain.rs
+++ b/crates/banyan-core/src/pipeline/chain.rs
@@ -20,6 +20,7 @@
 use crate::pipeline::search;
 use crate::pipeline::suspicion::SuspicionTable;
 use crate::pipeline::target_chain::MAX_FULLNESS;
+use crate::pipeline::target_chain::RoomRule;
 use crate::pipeline::target_chain::TargetChain;
 use crate::units::Moment;
 use crate::units::TokenCount;
@@ -71,6 +72,8 @@
     /// Start of the window of chains to score. It moves with each choice, so that consecutive
     /// choices among many chains score different ones.
     rotation: usize,
+    /// How room is accounted for among all instances, if it is.
+    room_rule: Option<RoomRule>,
 }
 
 impl ChainPool {
@@ -130,7 +133,7 @@
             if chain.uses_any(avoided) || closed.contains(&chain.parts[0].target) {
                 continue;
             }
-            let fullness = chain.fullness(loads, size.total);
+            let fullness = self.fullness(chain, loads, size.total);
             if fullness > MAX_FULLNESS {
                 continue;
             }
@@ -148,6 +151,19 @@
         best.map(|(_, choice)| choice)
     }
 
+    /// Sets whether and how the next choices account for room among all instances.
+    pub fn set_room_rule(&mut self, rule: Option<RoomRule>) {
+        self.room_rule = rule;
+    }
+
+    /// The fullness of a chain with `tokens` more, by the pool's rule.
+    fn fullness(&self, chain: &TargetChain, loads: &LoadView<'_>, tokens: TokenCount) -> f64 {
+        match self.room_rule {
+            Some(rule) => chain.accounted_fullness(loads, tokens, rule),
+            None => chain.fullness(loads, tokens),
+        }
+    }
+
     /// The chains that one choice scores. If there are too many, it is a rotating selection of
     /// local and remote chains, which bounds the cost of a choice.
     fn chains_to_score(&self, zone: &ZoneId) -> Vec<&Arc<TargetChain>> {
--- a/crates/banyan-core/src/pipeline/load.rs
+++ b/crates/banyan-core/src/pipeline/load.rs
@@ -6,6 +6,7 @@
 
 use crate::ids::InstanceId;
 use crate::ids::TargetId;
+use crate::pipeline::rejections::RejectionTable;
 use crate::units::Moment;
 use crate::units::TokenCount;
 
@@ -115,6 +116,8 @@
     peers: BTreeMap<InstanceId, PeerReport>,
     /// The token layers of all peers by target, as of the latest report from any peer.
     sums: BTreeMap<TargetId, u64>,
+    /// The targets that rejected requests of this instance for lack of room.
+    pub rejections: RejectionTable,
 }
 
 impl PeerLoadTable {
--- a/crates/banyan-core/src/pipeline/routes.rs
+++ b/crates/banyan-core/src/pipeline/routes.rs
@@ -1,6 +1,7 @@
 //! Maps requests to services and callers to workspaces: [`RouteTable`].
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -140,6 +141,8 @@
     routes: BTreeMap<SmolStr, BTreeMap<SmolStr, Arc<RouteSpec>>>,
     keys: BTreeMap<SmolStr, KeyOwner>,
     needs_keys: bool,
+    /// The services whose requests differ in priority.
+    competing: BTreeSet<ServiceId>,
 }
 
 impl RouteTable {
@@ -151,6 +154,7 @@
         limits: CallerLimits,
         keys: Option<BTreeMap<SmolStr, KeyOwner>>,
     ) -> Self {
+        let competing = competing_services(&routes, keys.as_ref());
         let mut by_host: BTreeMap<SmolStr, BTreeMap<SmolStr, Arc<RouteSpec>>> = BTreeMap::new();
         for route in routes {
             let prefixes = by_host.entry(route.host.clone()).or_default();
@@ -160,6 +164,7 @@
             version,
             services: services.into_iter().map(|spec| (spec.id.clone(), Arc::new(spec))).collect(),
             limits,
+            competing,
             routes: by_host,
             needs_keys: keys.is_some(),
             keys: keys.unwrap_or_default(),
@@ -180,6 +185,12 @@
         Err(RouteMiss::NoRoute)
     }
 
+    /// Whether requests for a service differ in priority, because its routes do or because API keys
+    /// override the priority of those that need a key.
+    pub fn has_competing_priorities(&self, service: &ServiceId) -> bool {
+        self.competing.contains(service)
+    }
+
     /// The owner of a request on `route`, or `None` if the route needs no key.
     pub fn owner(
         &self,
@@ -194,6 +205,29 @@
     }
 }
 
+/// The services whose requests differ in priority.
+fn competing_services(
+    routes: &[RouteSpec],
+    keys: Option<&BTreeMap<SmolStr, KeyOwner>>,
+) -> BTreeSet<ServiceId> {
+    let of_keys: Option<BTreeSet<Option<u8>>> =
+        keys.map(|keys| keys.values().map(|owner| owner.priority).collect());
+    let mut priorities: BTreeMap<&ServiceId, BTreeSet<u8>> = BTreeMap::new();
+    for route in routes {
+        let of_route: BTreeSet<u8> = match &of_keys {
+            Some(of_keys) if !route.open => {
+                of_keys.iter().map(|priority| priority.unwrap_or(route.priority)).collect()
+            }
+            _ => BTreeSet::from([route.priority]),
+        };
+        for share in route.shares.iter().filter(|share| share.weight > 0) {
+            priorities.entry(&share.service).or_default().extend(&of_route);
+        }
+    }
+    let competing = priorities.into_iter().filter(|(_, priorities)| priorities.len() > 1);
+    competing.map(|(service, _)| service.clone()).collect()
+}
+
 /// The host without a port.
 fn host_name(host: &str) -> &str {
     match host.rsplit_once(':') {
--- a/crates/banyan-core/src/pipeline/target_chain.rs
+++ b/crates/banyan-core/src/pipeline/target_chain.rs
@@ -7,6 +7,7 @@
 use crate::ids::TargetId;
 use crate::ids::ZoneId;
 use crate::pipeline::load::LoadView;
+use crate::units::Moment;
 use crate::units::TokenCount;
 
 /// Number of token steps before the first event reaches the caller.
@@ -15,6 +16,13 @@
 /// request is counted with its final length and reaches that only at the end of its answer.
 pub(super) const MAX_FULLNESS: f64 = 1.1;
 
+/// How the room of a service's engines is accounted for among all instances.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct RoomRule {
+    /// The time of the decision.
+    pub now: Moment,
+}
+
 /// One engine's part of a chain.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct ChainPart {
@@ -81,6 +89,21 @@
         self.cross_zone_time.mul_f64(prompt.0 as f64)
     }
 
+    /// [`Self::fullness`] where room is accounted for among all instances: infinite if an engine
+    /// recently rejected a request for lack of room.
+    pub fn accounted_fullness(
+        &self,
+        loads: &LoadView<'_>,
+        tokens: TokenCount,
+        rule: RoomRule,
+    ) -> f64 {
+        let is_full = |part: &ChainPart| loads.peers.rejections.is_full(&part.target, rule.now);
+        if self.parts.iter().any(is_full) {
+            return f64::INFINITY;
+        }
+        self.fullness(loads, tokens)
+    }
+
     /// The load of the fullest engine if `tokens` were added, as a fraction of its capacity.
     pub fn fullness(&self, loads: &LoadView<'_>, tokens: TokenCount) -> f64 {
         let part_fullness = |part: &ChainPart| {
--- a/crates/banyan-core/tests/pipeline/main.rs
+++ b/crates/banyan-core/tests/pipeline/main.rs
@@ -9,6 +9,7 @@
 mod layouts;
 mod loads;
 mod readers;
+mod rejections;
 mod replicas;
 mod reroutes;
 mod retry_budget;
--- a/crates/banyan-core/tests/pipeline/route_table.rs
+++ b/crates/banyan-core/tests/pipeline/route_table.rs
@@ -103,3 +103,30 @@
     let split = route("split", "h", "/", &[("s1", 0), ("s2", 5)]);
     assert!((0..100).all(|draw| split.service_for(draw).as_str() == "s2"));
 }
+
+#[test]
+fn priorities_compete_where_routes_or_keys_of_a_service_differ() {
+    // Guards against a new behaviour that takes effect where all requests are equally urgent.
+    let table = |priorities: [u8; 2], key_priority: Option<u8>, open: bool| {
+        let mut routes = vec![
+            route("one", "one.example", "/a/", &[("s1", 1), ("s2", 1)]),
+            route("two", "one.example", "/b/", &[("s1", 1), ("s2", 0)]),
+        ];
+        for (route, priority) in routes.iter_mut().zip(priorities) {
+            route.priority = priority;
+            route.open = open;
+        }
+        let owner = |priority| KeyOwner { workspace: "w1".parse().expect("a name"), priority };
+        let keys = BTreeMap::from([
+            (SmolStr::new("k1"), owner(None)),
+            (SmolStr::new("k2"), owner(key_priority)),
+        ]);
+        let table = RouteTable::new(1, routes, Vec::new(), LIMITS, Some(keys));
+        ["s1", "s2"].map(|name| table.has_competing_priorities(&name.parse().expect("a name")))
+    };
+    assert_eq!(table([1, 1], None, false), [false, false]);
+    assert_eq!(table([0, 2], None, false), [true, false]);
+    assert_eq!(table([1, 1], Some(1), false), [false, false]);
+    assert_eq!(table([1, 1], Some(0), false), [true, true]);
+    assert_eq!(table([1, 1], Some(0), true), [false, false]);
+}
--- a/crates/banyan-forward/src/decisions/tables.rs
+++ b/crates/banyan-forward/src/decisions/tables.rs
@@ -32,6 +32,7 @@
 use banyan_core::pipeline::routes::RouteTable;
 use banyan_core::pipeline::suspicion::SuspicionTable;
 use banyan_core::pipeline::target_chain::ChainPart;
+use banyan_core::pipeline::target_chain::RoomRule;
 use banyan_core::pipeline::target_chain::TargetChain;
 use banyan_core::pipeline::target_limits::InstanceRank;
 use banyan_core::pipeline::target_limits::LimitTable;
@@ -270,6 +271,15 @@
         self.retries.set_instance_count(count + 1);
     }
 
+    /// How the room of a service's engines is accounted for among all instances. `None` where all
+    /// of its requests are equally urgent, and where the digests of all peers arrive in time.
+    fn room_rule(&self, routes: &RouteTable, service: &ServiceId, now: Moment) -> Option<RoomRule> {
+        let listed = self.peers_listed.unwrap_or_default();
+        let in_effect =
+            listed > MAX_FULLY_COVERED_PEERS && routes.has_competing_priorities(service);
+        in_effect.then_some(RoomRule { now })
+    }
+
     /// Chooses, for a request, a chain without any of the `avoided` targets.
     pub fn choose_chain(
         &mut self,
@@ -278,6 +288,34 @@
         size: RequestSize,
         avoided: &[TargetId],
         now: Moment,
+    ) -> Option<ChainChoice> {
+        let routes = self.route_table()?;
+        let rule = self.room_rule(&routes, service, now);
+        self.choose_chain_by(rule, service, settings, size, avoided, now)
+    }
+
+    /// Chooses a chain for a stream whose caller already has part of the answer. It may use engines
+    /// that new requests leave alone, if there are no others.
+    pub fn choose_chain_to_resume(
+        &mut self,
+        service: &ServiceId,
+        settings: &ForwardSettings,
+        size: RequestSize,
+        avoided: &[TargetId],
+        now: Moment,
+    ) -> Option<ChainChoice> {
+        let choice = self.choose_chain(service, settings, size, avoided, now);
+        choice.or_else(|| self.choose_chain_by(None, service, settings, size, avoided, now))
+    }
+
+    fn choose_chain_by(
+        &mut self,
+        room_rule: Option<RoomRule>,
+        service: &ServiceId,
+        settings: &ForwardSettings,
+        size: RequestSize,
+        avoided: &[TargetId],
+        now: Moment,
     ) -> Option<ChainChoice> {
         let routes = self.route_table()?;
         let model = routes.services.get(service)?.model.clone()?;
@@ -290,6 +328,7 @@
         if pool.refresh(&model, service, version, &self.fleet, &self.suspicions, now) {
             logs::chains_changed(service, pool.chains(), self.fleet.revision);
         }
+        pool.set_room_rule(room_rule);
         let loads = LoadView { own: &self.loads, peers: &self.peer_loads, peer_scale };
         let live_peers = self.peer_loads.live_peer_count(now);
         pool.choose(&loads, &settings.zone, size, live_peers, &avoided, &closed)
--- a/crates/banyan-forward/src/edges.rs
+++ b/crates/banyan-forward/src/edges.rs
@@ -25,6 +25,7 @@
 use banyan_core::ids::WorkspaceId;
 use banyan_core::pipeline::fleet::FleetChange;
 use banyan_core::pipeline::fleet::TargetReport;
+use banyan_core::pipeline::rejections::RoomReport;
 use banyan_core::pipeline::routes::RouteTable;
 use banyan_core::pipeline::target_chain::ChainPart;
 use banyan_core::pipeline::target_limits::TargetLimit;
@@ -130,6 +131,8 @@
     pub not_run: bool,
     /// The address of the target at fault, if that is not the sender.
     pub at_fault: Option<SocketAddr>,
+    /// Whether the request has not run for lack of room at the target at fault.
+    pub lacks_room: bool,
     /// The rate of requests that the target takes from all instances together, if it names one.
     pub limit: Option<TargetLimit>,
     /// How long the target wants no request of this instance, if it says so.
@@ -270,6 +273,8 @@
     pub held: Vec<LayerRange>,
     /// The factor by which its work takes longer than usual.
     pub slowdown: f64,
+    /// How full its memory for requests is, if it reports that.
+    pub room: Option<RoomReport>,
     /// Whether it says that it leaves.
     pub leaving: bool,
 }
--- a/crates/banyan-forward/src/engines/exchange.rs
+++ b/crates/banyan-forward/src/engines/exchange.rs
@@ -67,6 +67,9 @@
         ));
     }
     note_limit(state, dispatch.target, &facts, success);
+    if facts.lacks_room {
+        note_rejection(state, dispatch, &facts);
+    }
     if facts.not_run {
         return Err(ExchangeFailure::NotRun(facts));
     }
@@ -104,6 +107,24 @@
     );
 }
 
+/// Records that the target, or the engine of the chain that it names, had no room for a request. An
+/// engine that is named but not in the chain is not known to be full, nor is the target then.
+fn note_rejection<P>(state: &ForwardState<P>, dispatch: &Dispatch<'_>, facts: &AnswerFacts) {
+    let named = facts.at_fault.filter(|_| !dispatch.chain.is_empty());
+    let index = match named {
+        Some(address) => dispatch.chain.iter().position(|part| part.address == address),
+        None => Some(0),
+    };
+    let Some(index) = index else { return };
+    let target = dispatch.chain.get(index).map_or(dispatch.target, |part| &part.target);
+    let place = if index == 0 { "first" } else { "later" };
+    metrics::counter!("banyan_room_rejections_total", "engine" => place).increment(1);
+    let now = state.now();
+    if state.tables().peer_loads.rejections.note_rejection(target, now) {
+        logs::target_full(target, place);
+    }
+}
+
 /// Whether a caller would take this status as proof that its request has not run and will not run.
 /// An answer with such a status is never relayed: if the target did state that the request has not
 /// run, the daemon retries or refuses it instead.
--- a/crates/banyan-forward/src/engines/probes.rs
+++ b/crates/banyan-forward/src/engines/probes.rs
@@ -126,6 +126,11 @@
         let now = state.now();
         state.tables().fleet.observe(id, &engine.held, asked_at, now);
     }
-    state.tables().fleet.note_slowdown(id, engine.slowdown, asked_at);
+    let mut tables = state.tables();
+    tables.fleet.note_slowdown(id, engine.slowdown, asked_at);
+    if let Some(room) = engine.room {
+        tables.peer_loads.rejections.note_report(id, room, asked_at);
+    }
+    drop(tables);
     Ok(engine)
 }
--- a/crates/banyan-forward/src/engines/stream_opener.rs
+++ b/crates/banyan-forward/src/engines/stream_opener.rs
@@ -272,7 +272,11 @@
         let size = self.size();
         let service = &self.request.service.id;
         let mut tables = self.state.tables();
-        let choice = tables.choose_chain(service, &settings, size, &self.avoided, now);
+        let choice = if self.resuming {
+            tables.choose_chain_to_resume(service, &settings, size, &self.avoided, now)
+        } else {
+            tables.choose_chain(service, &settings, size, &self.avoided, now)
+        };
         let Some(choice) = choice else {
             let no_chains = tables.pools.get(service).is_none_or(|pool| pool.chains().is_empty());
             let limit_wait = tables.limit_wait(service, &settings, now);
--- a/crates/banyan-forward/src/logs.rs
+++ b/crates/banyan-forward/src/logs.rs
@@ -200,6 +200,12 @@
     tracing::info!(part = "health", request = %token, %target, cause, "Doubted.");
 }
 
+/// Logs that a target rejected a request for lack of room. `place` tells whether it is the first
+/// engine of the chain or a later one.
+pub fn target_full(target: &TargetId, place: &str) {
+    tracing::info!(part = "room", %target, engine = place, "A target had no room for a request.");
+}
+
 /// Logs that a chain sent the first event of a stream.
 pub fn stream_opened(request: &RoutedRequest, chain: &TargetChain, took: Duration) {
     metrics::histogram!("banyan_first_event_seconds").record(took.as_secs_f64());
--- a/crates/banyan-forward/src/metric.rs
+++ b/crates/banyan-forward/src/metric.rs
@@ -30,6 +30,11 @@
         count,
         "Streams that went on elsewhere."
     );
+    describe_counter!(
+        "banyan_room_rejections_total",
+        count,
+        "Requests that targets rejected for lack of room, by place of the full one in the chain."
+    );
     describe_counter!(
         "banyan_reroutes_total",
         count,
--- a/crates/banyan-forward/src/store/feeds.rs
+++ b/crates/banyan-forward/src/store/feeds.rs
@@ -192,6 +192,7 @@
     let tables = &mut *guard;
     tables.fleet.expire_observations(tables.history.listed(), now);
     tables.fleet.expire_slowdowns(now);
+    tables.peer_loads.rejections.expire(now);
     let retention = tables.removal_retention(&settings, now);
     let dropped_targets = tables.fleet.drop_removed(retention, now);
     for id in &dropped_targets {
