Replicas shared by many instances are chosen by the calls of all

Cause: 121 instances share 3 replicas of 6 slots, and each chose by its own calls alone. Ties were broken by a count of draws that is equal on instances which started together.

Where a service has fewer slots than instances are announced, the choice is the less loaded of two drawn replicas, by own calls and those in peers' digests, with draws seeded by the instance's name. LoadWire carries the number of requests.

Ruled out: the least loaded of all, which is the same for every instance until the next digests; a hard skip after a rejection, since three of them would stop all calls of an instance.

No load was run.

--- a/crates/banyan-core/src/pipeline/load.rs
+++ b/crates/banyan-core/src/pipeline/load.rs
@@ -110,12 +110,19 @@
     unreachable: Vec<TargetId>,
 }
 
+/// The load that all peers with a valid report put on one target.
+#[derive(Clone, Copy, Debug, Default)]
+struct PeerSum {
+    token_layers: u64,
+    requests: u64,
+}
+
 /// The loads that other instances report.
 #[derive(Debug, Default)]
 pub struct PeerLoadTable {
     peers: BTreeMap<InstanceId, PeerReport>,
-    /// The token layers of all peers by target, as of the latest report from any peer.
-    sums: BTreeMap<TargetId, u64>,
+    /// The loads of all peers by target, as of the latest report from any peer.
+    sums: BTreeMap<TargetId, PeerSum>,
     /// The targets that rejected requests of this instance for lack of room.
     pub rejections: RejectionTable,
 }
@@ -134,7 +141,9 @@
         self.sums.clear();
         for row in self.peers.values() {
             for (target, load) in &row.loads {
-                *self.sums.entry(target.clone()).or_default() += load.token_layers;
+                let sum = self.sums.entry(target.clone()).or_default();
+                sum.token_layers += load.token_layers;
+                sum.requests += u64::from(load.requests);
             }
         }
     }
@@ -157,7 +166,7 @@
         self.peers.values().filter(fresh).flat_map(|row| &row.unreachable)
     }
 
-    fn token_layers(&self, id: &TargetId) -> u64 {
+    fn sum(&self, id: &TargetId) -> PeerSum {
         self.sums.get(id).copied().unwrap_or_default()
     }
 }
@@ -187,11 +196,18 @@
         self.own.cross_zone_time.as_secs_f64() * (1.0 + peer_count as f64 * self.peer_scale)
     }
 
+    /// Estimates the active requests at a target: this instance's exactly, and the peers' as they
+    /// reported them.
+    pub fn requests(&self, id: &TargetId) -> f64 {
+        let peers = self.peers.sum(id).requests as f64;
+        f64::from(self.own.get(id).requests) + peers * self.peer_scale
+    }
+
     /// Estimates the tokens of requests at a target, times the layers that each runs there. Each
     /// peer is assumed to have added as much as this instance since the last exchange.
     pub fn token_layers(&self, id: &TargetId) -> f64 {
         let unreported = self.own.added_since_baseline(id) * self.peers.peers.len() as u64;
-        let peers = (self.peers.token_layers(id) + unreported) as f64;
+        let peers = (self.peers.sum(id).token_layers + unreported) as f64;
         self.own.get(id).token_layers as f64 + peers * self.peer_scale
     }
 }
--- a/crates/banyan-forward/src/engines/call.rs
+++ b/crates/banyan-forward/src/engines/call.rs
@@ -36,9 +36,12 @@
 use crate::logs;
 use crate::state::ForwardState;
 use banyan_core::ids::TargetId;
+use banyan_core::pipeline::load::LoadView;
+use banyan_core::pipeline::replica::InstanceCalls;
 use banyan_core::pipeline::replica::ReplicaChoice;
 use banyan_core::pipeline::replica::ReplicaQuery;
-use banyan_core::pipeline::replica::choose_replica;
+use banyan_core::pipeline::replica::choose_shared_replica;
+use banyan_core::pipeline::replica::instance_seed;
 use banyan_core::units::Moment;
 
 /// The largest answer that is buffered before it is relayed.
@@ -179,7 +182,16 @@
         removal_grace: tables.removal_grace(&settings, now),
         draw: tables.next_random(),
     };
-    let choice = choose_replica(&tables.fleet, &tables.loads, &tables.suspicions, &query, now);
+    let calls = InstanceCalls {
+        loads: LoadView {
+            own: &tables.loads,
+            peers: &tables.peer_loads,
+            peer_scale: tables.peer_scale(now),
+        },
+        count: tables.peers_listed.unwrap_or_default() + 1,
+        seed: instance_seed(&settings.instance),
+    };
+    let choice = choose_shared_replica(&tables.fleet, &calls, &tables.suspicions, &query, now);
     let Some(choice) = choice else { return false };
     // An attempt that could not connect sent nothing, so the next one does not count as a retry.
     let uses_retry_budget = repeat && progress.sent > 0;
--- a/crates/banyan-wire/src/forward.rs
+++ b/crates/banyan-wire/src/forward.rs
@@ -296,6 +296,8 @@
     /// The sum over these requests of their tokens times the layers that they pass through at the
     /// target.
     pub token_layers: u64,
+    /// The number of these requests.
+    pub requests: u32,
 }
 
 /// The data that a peer has read from the platform.
@@ -420,7 +422,8 @@
 
 impl From<(&TargetId, TargetLoad)> for LoadWire {
     fn from((id, load): (&TargetId, TargetLoad)) -> Self {
-        Self { target: SmolStr::new(id.as_str()), token_layers: load.token_layers }
+        let target = SmolStr::new(id.as_str());
+        Self { target, token_layers: load.token_layers, requests: load.requests }
     }
 }
 
@@ -428,7 +431,8 @@
     type Error = IdError;
 
     fn try_from(wire: LoadWire) -> Result<Self, IdError> {
-        let load = TargetLoad { token_layers: wire.token_layers, ..TargetLoad::default() };
-        Ok((wire.target.parse()?, load))
+        let LoadWire { target, token_layers, requests } = wire;
+        let load = TargetLoad { token_layers, requests, ..TargetLoad::default() };
+        Ok((target.parse()?, load))
     }
 }
