--- a/crates/banyan-core/tests/pipeline/main.rs
+++ b/crates/banyan-core/tests/pipeline/main.rs
@@ -10,6 +10,7 @@
 mod loads;
 mod order_queues;
 mod readers;
+mod rejections;
 mod replicas;
 mod reroutes;
 mod retry_budget;
--- a/crates/banyan-forward/src/engines/probes.rs
+++ b/crates/banyan-forward/src/engines/probes.rs
@@ -131,6 +131,9 @@
     if tables.orders_layers {
         tables.note_engine_state(id, &engine);
     }
+    if let Some(room) = engine.room {
+        tables.peer_loads.rejections.note_report(id, room, asked_at);
+    }
     drop(tables);
     Ok(engine)
 }
