Long prompts yield to short ones where the routes of a service differ

Cause: each prompt had the same urgency at an engine, so that a short one that arrived behind a long one waited for its whole prefill, and long ones went where they were fastest whatever they delayed.

`pipeline/prompt_order.rs` decides the urgency of a request by the priority first, then by the length of its prompt against recent ones and by its slack. A long prompt yields only as many levels as its slack covers its own prefill and twice the estimated wait, and none when the slack is used up. A long prompt is sent where its prefill delays fewest others, and not to an engine whose pending prefill takes over half the tightest latency target while another chain exists. All of it is off for a service whose routes agree in priority, latency target and pause target; resumed streams keep priority 1 there.

Ruled out: order by least slack alone, which puts long prompts first when all have one latency target; the mean length as the usual one, which few long prompts raise above the short ones.

The platform's system tests were not run for this commit.

--- a/crates/banyan-core/src/pipeline.rs
+++ b/crates/banyan-core/src/pipeline.rs
@@ -11,6 +11,7 @@
 //! - [`placement`]: which layers each engine should hold.
 //! - [`target_chain`]: engines that together run all layers.
 //! - [`chain`]: which chain serves a request.
+//! - [`prompt_order`]: how long prompts yield to short ones.
 //! - [`reroute`]: how a running request moves off some of its engines.
 //! - [`duties`]: which instances take on work for others.
 //! - [`checkers`]: which instance checks a target for the others of its zone.
@@ -34,6 +35,7 @@
 mod path;
 pub mod placement;
 pub mod placement_target;
+pub mod prompt_order;
 pub mod readers;
 pub mod replica;
 pub mod report_stamp;
--- a/crates/banyan-core/src/pipeline/chain.rs
+++ b/crates/banyan-core/src/pipeline/chain.rs
@@ -17,6 +17,7 @@
 use crate::pipeline::fleet::FleetTable;
 use crate::pipeline::load::LoadView;
 use crate::pipeline::model::PipelineModel;
+use crate::pipeline::prompt_order::PromptMix;
 use crate::pipeline::search;
 use crate::pipeline::suspicion::SuspicionTable;
 use crate::pipeline::target_chain::MAX_FULLNESS;
@@ -71,6 +72,8 @@
     /// Start of the window of chains to score. It moves with each choice, so that consecutive
     /// choices among many chains score different ones.
     rotation: usize,
+    /// The usual prompts of the service, against which a prompt is long.
+    pub prompts: PromptMix,
 }
 
 impl ChainPool {
@@ -125,7 +128,7 @@
         closed: &BTreeSet<TargetId>,
     ) -> Option<ChainChoice> {
         self.rotation = self.rotation.wrapping_add(MAX_SCORED_CHAINS / 2);
-        let mut best: Option<(f64, ChainChoice)> = None;
+        let mut best: Option<((bool, f64), ChainChoice)> = None;
         for chain in self.chains_to_score(zone) {
             if chain.uses_any(avoided) || closed.contains(&chain.parts[0].target) {
                 continue;
@@ -138,7 +141,11 @@
             let zone_factor = if is_local { 1.0 } else { REMOTE_ZONE_FACTOR };
             let fullness_factor = 1.0 + FULLNESS_WEIGHT * fullness * fullness;
             let first_event = chain.first_event_time(loads, size.prompt, peer_count);
-            let score = first_event * zone_factor * fullness_factor;
+            let fit = self.prompts.long_prompt_fit(chain, loads, size.prompt, peer_count);
+            let (over_backlog, delay_to_others) =
+                fit.map_or((false, 0.0), |fit| (fit.over_backlog, fit.delay_to_others));
+            let cost = (first_event + delay_to_others) * zone_factor * fullness_factor;
+            let score = (over_backlog, cost);
             if best.as_ref().is_none_or(|(least, _)| score < *least) {
                 let first_event = Duration::from_secs_f64(first_event);
                 let chain = chain.clone();
--- a/crates/banyan-core/src/pipeline/routes.rs
+++ b/crates/banyan-core/src/pipeline/routes.rs
@@ -1,6 +1,7 @@
 //! Maps requests to services and callers to workspaces: [`RouteTable`].
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -9,6 +10,7 @@
 use crate::ids::ServiceId;
 use crate::ids::WorkspaceId;
 use crate::pipeline::model::PipelineModel;
+use crate::pipeline::prompt_order::PromptPolicy;
 use crate::units::ByteCount;
 
 /// How often a request may run, and the form of its answer.
@@ -140,6 +142,7 @@
     routes: BTreeMap<SmolStr, BTreeMap<SmolStr, Arc<RouteSpec>>>,
     keys: BTreeMap<SmolStr, KeyOwner>,
     needs_keys: bool,
+    prompt_policies: BTreeMap<ServiceId, Arc<PromptPolicy>>,
 }
 
 impl RouteTable {
@@ -151,6 +154,9 @@
         limits: CallerLimits,
         keys: Option<BTreeMap<SmolStr, KeyOwner>>,
     ) -> Self {
+        let owners = keys.iter().flat_map(BTreeMap::values);
+        let owner_priorities: BTreeSet<u8> = owners.filter_map(|owner| owner.priority).collect();
+        let prompt_policies = PromptPolicy::of_routes(&routes, &owner_priorities);
         let mut by_host: BTreeMap<SmolStr, BTreeMap<SmolStr, Arc<RouteSpec>>> = BTreeMap::new();
         for route in routes {
             let prefixes = by_host.entry(route.host.clone()).or_default();
@@ -163,6 +169,7 @@
             routes: by_host,
             needs_keys: keys.is_some(),
             keys: keys.unwrap_or_default(),
+            prompt_policies,
         }
     }
 
@@ -180,6 +187,11 @@
         Err(RouteMiss::NoRoute)
     }
 
+    /// How the routes of a service differ, or `None` if they are alike.
+    pub fn prompt_policy(&self, service: &ServiceId) -> Option<&Arc<PromptPolicy>> {
+        self.prompt_policies.get(service)
+    }
+
     /// The owner of a request on `route`, or `None` if the route needs no key.
     pub fn owner(
         &self,
--- a/crates/banyan-core/tests/pipeline/main.rs
+++ b/crates/banyan-core/tests/pipeline/main.rs
@@ -8,6 +8,7 @@
 mod histories;
 mod layouts;
 mod loads;
+mod prompt_orders;
 mod readers;
 mod replicas;
 mod reroutes;
--- a/crates/banyan-forward/src/decisions/tables.rs
+++ b/crates/banyan-forward/src/decisions/tables.rs
@@ -24,6 +24,8 @@
 use banyan_core::pipeline::load::LoadTable;
 use banyan_core::pipeline::load::LoadView;
 use banyan_core::pipeline::load::PeerLoadTable;
+use banyan_core::pipeline::prompt_order::PromptRequest;
+use banyan_core::pipeline::prompt_order::Urgency;
 use banyan_core::pipeline::readers::ReaderTable;
 use banyan_core::pipeline::reroute::RerouteQuery;
 use banyan_core::pipeline::reroute::reroute_chain;
@@ -290,11 +292,29 @@
         if pool.refresh(&model, service, version, &self.fleet, &self.suspicions, now) {
             logs::chains_changed(service, pool.chains(), self.fleet.revision);
         }
+        pool.prompts.set_policy(routes.prompt_policy(service));
         let loads = LoadView { own: &self.loads, peers: &self.peer_loads, peer_scale };
         let live_peers = self.peer_loads.live_peer_count(now);
         pool.choose(&loads, &settings.zone, size, live_peers, &avoided, &closed)
     }
 
+    /// Counts the prompt of a new request among the recent ones of its service.
+    pub fn note_prompt(&mut self, service: &ServiceId, prompt: TokenCount) {
+        if let Some(pool) = self.pools.get_mut(service) {
+            pool.prompts.note_prompt(prompt);
+        }
+    }
+
+    /// The urgency that engines are told for a request on the chain chosen for it.
+    pub fn urgency(
+        &self,
+        service: &ServiceId,
+        request: &PromptRequest,
+        choice: &ChainChoice,
+    ) -> Option<Urgency> {
+        self.pools.get(service)?.prompts.urgency(request, choice)
+    }
+
     /// Whether an engine of the chain was ordered to unload layers that the chain uses. The first
     /// engine is not considered, since a running request cannot leave it.
     pub fn has_unloading_engine(&self, chain: &TargetChain) -> bool {
--- a/crates/banyan-forward/src/edges.rs
+++ b/crates/banyan-forward/src/edges.rs
@@ -25,6 +25,7 @@
 use banyan_core::ids::WorkspaceId;
 use banyan_core::pipeline::fleet::FleetChange;
 use banyan_core::pipeline::fleet::TargetReport;
+use banyan_core::pipeline::prompt_order::Urgency;
 use banyan_core::pipeline::routes::RouteTable;
 use banyan_core::pipeline::target_chain::ChainPart;
 use banyan_core::pipeline::target_limits::TargetLimit;
@@ -114,9 +115,8 @@
     pub chain: &'a [ChainPart],
     /// The last event already received, if a stream is resumed.
     pub last_event: Option<u64>,
-    /// Whether it has priority over other requests, since the caller already has part of the
-    /// answer.
-    pub urgent: bool,
+    /// Which requests the target admits before it, or `None` if it is told none.
+    pub urgency: Option<Urgency>,
 }
 
 /// The metadata in the head of a target's answer.
--- a/crates/banyan-forward/src/engines/call.rs
+++ b/crates/banyan-forward/src/engines/call.rs
@@ -218,7 +218,7 @@
         workspace: request.workspace.as_ref(),
         chain: &[],
         last_event: None,
-        urgent: false,
+        urgency: None,
     };
     let (head, body) = match send_to_target(state, request, choice.address, &dispatch).await {
         Ok(answer) => answer,
--- a/crates/banyan-forward/src/engines/chain_attempt.rs
+++ b/crates/banyan-forward/src/engines/chain_attempt.rs
@@ -21,6 +21,7 @@
 use crate::engines::leases::RequestLease;
 use crate::engines::link::LinkBody;
 use crate::state::ForwardState;
+use banyan_core::pipeline::prompt_order::Urgency;
 use banyan_core::pipeline::target_chain::TargetChain;
 use banyan_core::units::Moment;
 
@@ -79,7 +80,7 @@
     request: Arc<RoutedRequest>,
     chain: Arc<TargetChain>,
     last_event: Option<u64>,
-    resuming: bool,
+    urgency: Option<Urgency>,
     lease: RequestLease,
 ) -> Result<OpenedStream, OpenFailure> {
     let sent = state.now();
@@ -90,7 +91,7 @@
         workspace: request.workspace.as_ref(),
         chain: &chain.parts,
         last_event,
-        urgent: resuming,
+        urgency,
     };
     let answer = send_to_target(&state, &request, first.address, &dispatch).await;
     let (head, mut body) = answer?;
--- a/crates/banyan-forward/src/engines/stream_opener.rs
+++ b/crates/banyan-forward/src/engines/stream_opener.rs
@@ -36,6 +36,7 @@
 use crate::state::ForwardState;
 use banyan_core::ids::TargetId;
 use banyan_core::pipeline::chain::RequestSize;
+use banyan_core::pipeline::prompt_order::PromptRequest;
 use banyan_core::pipeline::target_chain::TargetChain;
 use banyan_core::units::Moment;
 use banyan_core::units::TokenCount;
@@ -266,12 +267,15 @@
     fn start(&mut self) -> Result<(), Refusal> {
         refuse_if_blocked(&self.state, &self.request, self.admitted)
             .map_err(|refusal| self.refusal_for(refusal))?;
-        self.admitted = true;
         let now = self.state.now();
         let settings = self.state.settings();
         let size = self.size();
         let service = &self.request.service.id;
         let mut tables = self.state.tables();
+        if !self.admitted {
+            tables.note_prompt(service, size.prompt);
+        }
+        self.admitted = true;
         let choice = tables.choose_chain(service, &settings, size, &self.avoided, now);
         let Some(choice) = choice else {
             let no_chains = tables.pools.get(service).is_none_or(|pool| pool.chains().is_empty());
@@ -292,8 +296,9 @@
             return Err(self.refusal_for(refusal));
         }
         tables.limits.note_sent(&choice.chain.parts[0].target);
+        let urgency = tables.urgency(service, &self.prompt_request(now), &choice);
         drop(tables);
-        logs::chain_chosen(&self.request.token, &choice, self.attempts, self.last_event);
+        logs::chain_chosen(&self.request.token, &choice, self.attempts, self.last_event, urgency);
         let chain = choice.chain;
         self.attempts += 1;
         self.running_chains.push(chain.clone());
@@ -304,7 +309,7 @@
             self.request.clone(),
             chain.clone(),
             self.last_event,
-            self.resuming,
+            urgency,
             lease,
         );
         let attempt = OpenAttempt { chain, started: now };
@@ -409,6 +414,17 @@
         let answer = answer.0.min(demand.answer_limit.0);
         RequestSize { prompt: demand.prompt, total: TokenCount(demand.prompt.0 + answer) }
     }
+
+    /// What the urgency of the request depends on beside its chain.
+    fn prompt_request(&self, now: Moment) -> PromptRequest {
+        PromptRequest {
+            prompt: self.size().prompt,
+            priority: self.request.route.priority,
+            latency_target: self.request.route.latency_target,
+            waited: now.since(self.request.received),
+            resuming: self.resuming,
+        }
+    }
 }
 
 /// Records progress for all engines of a chain, since an event has passed through each of them.
--- a/crates/banyan-forward/src/logs.rs
+++ b/crates/banyan-forward/src/logs.rs
@@ -29,6 +29,7 @@
 use banyan_core::ids::TargetId;
 use banyan_core::ids::ZoneId;
 use banyan_core::pipeline::chain::ChainChoice;
+use banyan_core::pipeline::prompt_order::Urgency;
 use banyan_core::pipeline::target_chain::TargetChain;
 use banyan_core::pipeline::target_limits::TargetLimit;
 use banyan_http::clock::RuntimeClock;
@@ -167,7 +168,13 @@
     choice: &ChainChoice,
     attempts: u32,
     last_event: Option<u64>,
+    urgency: Option<Urgency>,
 ) {
+    let urgency = urgency.map(Urgency::level);
+    if let Some(level) = urgency {
+        // There are ten levels, which bounds the label.
+        metrics::counter!("banyan_urgencies_total", "urgency" => level.to_string()).increment(1);
+    }
     tracing::info!(
         target: ROUTINE,
         part = "request",
@@ -178,6 +185,7 @@
         first_event_ms = choice.first_event.as_millis() as u64,
         attempts,
         last_event,
+        urgency,
         "A chain was chosen."
     );
 }
--- a/crates/banyan-forward/src/metric.rs
+++ b/crates/banyan-forward/src/metric.rs
@@ -35,6 +35,11 @@
         count,
         "Orders to leave engines of a running chain, by whether they were taken."
     );
+    describe_counter!(
+        "banyan_urgencies_total",
+        count,
+        "Streams sent to engines with an urgency, by its level."
+    );
     describe_counter!("banyan_orders_total", count, "Orders to hold layers, by how they ended.");
     describe_counter!(
         "banyan_limit_changes_total",
