--- a/crates/banyan-core/src/pipeline.rs
+++ b/crates/banyan-core/src/pipeline.rs
@@ -13,6 +13,7 @@
 //! - [`engine_states`]: which orders need no state request before them.
 //! - [`target_chain`]: engines that together run all layers.
 //! - [`chain`]: which chain serves a request.
+//! - [`prompt_order`]: how long prompts yield to short ones.
 //! - [`reroute`]: how a running request moves off some of its engines.
 //! - [`duties`]: which instances take on work for others.
 //! - [`checkers`]: which instance checks a target for the others of its zone.
@@ -39,6 +40,7 @@
 mod path;
 pub mod placement;
 pub mod placement_target;
+pub mod prompt_order;
 pub mod readers;
 pub mod rejections;
 pub mod replica;
--- a/crates/banyan-core/src/pipeline/routes.rs
+++ b/crates/banyan-core/src/pipeline/routes.rs
@@ -10,6 +10,7 @@
 use crate::ids::ServiceId;
 use crate::ids::WorkspaceId;
 use crate::pipeline::model::PipelineModel;
+use crate::pipeline::prompt_order::PromptPolicy;
 use crate::units::ByteCount;
 
 /// How often a request may run, and the form of its answer.
@@ -143,6 +144,7 @@
     needs_keys: bool,
     /// The services whose requests differ in priority.
     competing: BTreeSet<ServiceId>,
+    prompt_policies: BTreeMap<ServiceId, Arc<PromptPolicy>>,
 }
 
 impl RouteTable {
@@ -155,6 +157,9 @@
         keys: Option<BTreeMap<SmolStr, KeyOwner>>,
     ) -> Self {
         let competing = competing_services(&routes, keys.as_ref());
+        let owners = keys.iter().flat_map(BTreeMap::values);
+        let owner_priorities: BTreeSet<u8> = owners.filter_map(|owner| owner.priority).collect();
+        let prompt_policies = PromptPolicy::of_routes(&routes, &owner_priorities);
         let mut by_host: BTreeMap<SmolStr, BTreeMap<SmolStr, Arc<RouteSpec>>> = BTreeMap::new();
         for route in routes {
             let prefixes = by_host.entry(route.host.clone()).or_default();
@@ -168,6 +173,7 @@
             routes: by_host,
             needs_keys: keys.is_some(),
             keys: keys.unwrap_or_default(),
+            prompt_policies,
         }
     }
 
@@ -191,6 +197,11 @@
         self.competing.contains(service)
     }
 
+    /// How the routes of a service differ, or `None` if they are alike.
+    pub fn prompt_policy(&self, service: &ServiceId) -> Option<&Arc<PromptPolicy>> {
+        self.prompt_policies.get(service)
+    }
+
     /// The owner of a request on `route`, or `None` if the route needs no key.
     pub fn owner(
         &self,
--- a/crates/banyan-core/tests/pipeline/main.rs
+++ b/crates/banyan-core/tests/pipeline/main.rs
@@ -9,6 +9,7 @@
 mod layouts;
 mod loads;
 mod order_queues;
+mod prompt_orders;
 mod readers;
 mod rejections;
 mod replicas;
