Chains keep room free for more urgent requests

Cause: priority had no effect on the admission of streams; when chains were full, all priorities of a service were refused alike.

A request carries its effective priority (the workspace's, or else the route's). Where requests of a service can differ in it, a first attempt may use a chain only up to a fullness that falls with the share of more urgent requests in the recent demand, a quarter of it always and the rest as far as these find no room. Every tenth new request is exempt, so that no priority starves. A repeated request is recognised by its content and counted once. Further attempts and resumed streams use all room.

tests/pipeline/chains.rs and banyan-load pass the limit, nothing else changed in them. Not built yet: the waiting queue and Retry-After from the completion rate.

--- a/crates/banyan-core/src/pipeline.rs
+++ b/crates/banyan-core/src/pipeline.rs
@@ -12,6 +12,9 @@
 //! - [`target_chain`]: engines that together run all layers.
 //! - [`chain`]: which chain serves a request.
 //! - [`reroute`]: how a running request moves off some of its engines.
+//! - [`priority`]: how urgent a request is.
+//! - [`reservation`]: how much room is kept free for more urgent requests.
+//! - [`returning`]: which requests were refused before.
 //! - [`duties`]: which instances take on work for others.
 //! - [`checkers`]: which instance checks a target for the others of its zone.
 //! - [`suspicion`]: which targets are suspected of having failed.
@@ -34,12 +37,15 @@
 mod path;
 pub mod placement;
 pub mod placement_target;
+pub mod priority;
 pub mod readers;
 pub mod replica;
 pub mod report_stamp;
 pub mod reroute;
+pub mod reservation;
 pub mod retries;
 pub mod retry_after;
+pub mod returning;
 pub mod routes;
 mod search;
 pub mod suspicion;
--- a/crates/banyan-core/src/pipeline/chain.rs
+++ b/crates/banyan-core/src/pipeline/chain.rs
@@ -19,7 +19,6 @@
 use crate::pipeline::model::PipelineModel;
 use crate::pipeline::search;
 use crate::pipeline::suspicion::SuspicionTable;
-use crate::pipeline::target_chain::MAX_FULLNESS;
 use crate::pipeline::target_chain::TargetChain;
 use crate::units::Moment;
 use crate::units::TokenCount;
@@ -57,10 +56,23 @@
     pub chain: Arc<TargetChain>,
     /// The load of its fullest engine with this request, as a fraction of its capacity.
     pub fullness: f64,
+    /// The lowest such load of all chains that the request could use.
+    pub least_fullness: f64,
     /// The estimated time until the first event.
     pub first_event: Duration,
 }
 
+/// Which chains a request may use.
+#[derive(Clone, Copy, Debug)]
+pub struct ChainFilter<'a> {
+    /// Targets that no chain may contain.
+    pub avoided: &'a [TargetId],
+    /// Targets with which no chain may begin.
+    pub closed: &'a BTreeSet<TargetId>,
+    /// The highest fullness that a chain may have with the request.
+    pub max_fullness: f64,
+}
+
 /// The candidate chains of one service.
 #[derive(Clone, Debug, Default)]
 pub struct ChainPool {
@@ -113,27 +125,29 @@
     }
 
     /// Chooses the chain with the earliest expected first event, weighted by distance and fullness.
-    /// Chains that use a target in `avoided`, that begin with one in `closed` or that lack capacity
-    /// are skipped. `peer_count` is the number of peers whose load is known.
+    /// Chains that `filter` excludes are skipped. `peer_count` is the number of peers whose load is
+    /// known.
     pub fn choose(
         &mut self,
         loads: &LoadView<'_>,
         zone: &ZoneId,
         size: RequestSize,
         peer_count: usize,
-        avoided: &[TargetId],
-        closed: &BTreeSet<TargetId>,
+        filter: ChainFilter<'_>,
     ) -> Option<ChainChoice> {
+        let ChainFilter { avoided, closed, max_fullness } = filter;
         self.rotation = self.rotation.wrapping_add(MAX_SCORED_CHAINS / 2);
         let mut best: Option<(f64, ChainChoice)> = None;
+        let mut least_fullness = f64::INFINITY;
         for chain in self.chains_to_score(zone) {
             if chain.uses_any(avoided) || closed.contains(&chain.parts[0].target) {
                 continue;
             }
             let fullness = chain.fullness(loads, size.total);
-            if fullness > MAX_FULLNESS {
+            if fullness > max_fullness {
                 continue;
             }
+            least_fullness = least_fullness.min(fullness);
             let is_local = chain.zone.as_ref() == Some(zone);
             let zone_factor = if is_local { 1.0 } else { REMOTE_ZONE_FACTOR };
             let fullness_factor = 1.0 + FULLNESS_WEIGHT * fullness * fullness;
@@ -142,10 +156,10 @@
             if best.as_ref().is_none_or(|(least, _)| score < *least) {
                 let first_event = Duration::from_secs_f64(first_event);
                 let chain = chain.clone();
-                best = Some((score, ChainChoice { chain, fullness, first_event }));
+                best = Some((score, ChainChoice { chain, fullness, least_fullness, first_event }));
             }
         }
-        best.map(|(_, choice)| choice)
+        best.map(|(_, choice)| ChainChoice { least_fullness, ..choice })
     }
 
     /// The chains that one choice scores. If there are too many, it is a rotating selection of
--- a/crates/banyan-core/src/pipeline/routes.rs
+++ b/crates/banyan-core/src/pipeline/routes.rs
@@ -1,6 +1,7 @@
 //! Maps requests to services and callers to workspaces: [`RouteTable`].
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -9,6 +10,8 @@
 use crate::ids::ServiceId;
 use crate::ids::WorkspaceId;
 use crate::pipeline::model::PipelineModel;
+use crate::pipeline::priority::EffectivePriority;
+use crate::pipeline::priority::priorities_by_service;
 use crate::units::ByteCount;
 
 /// How often a request may run, and the form of its answer.
@@ -140,6 +143,8 @@
     routes: BTreeMap<SmolStr, BTreeMap<SmolStr, Arc<RouteSpec>>>,
     keys: BTreeMap<SmolStr, KeyOwner>,
     needs_keys: bool,
+    /// The effective priorities that requests of each service can have.
+    priorities: BTreeMap<ServiceId, BTreeSet<EffectivePriority>>,
 }
 
 impl RouteTable {
@@ -151,6 +156,8 @@
         limits: CallerLimits,
         keys: Option<BTreeMap<SmolStr, KeyOwner>>,
     ) -> Self {
+        let owners = keys.as_ref().map(BTreeMap::values);
+        let priorities = priorities_by_service(&routes, owners);
         let mut by_host: BTreeMap<SmolStr, BTreeMap<SmolStr, Arc<RouteSpec>>> = BTreeMap::new();
         for route in routes {
             let prefixes = by_host.entry(route.host.clone()).or_default();
@@ -163,9 +170,16 @@
             routes: by_host,
             needs_keys: keys.is_some(),
             keys: keys.unwrap_or_default(),
+            priorities,
         }
     }
 
+    /// Whether requests of a service can have different effective priorities. Only then do
+    /// priorities affect which of them are admitted.
+    pub fn ranks_requests(&self, service: &ServiceId) -> bool {
+        self.priorities.get(service).is_some_and(|priorities| priorities.len() > 1)
+    }
+
     /// The route with the longest prefix of `path` among those of `host`.
     pub fn route(&self, host: &str, path: &str) -> Result<&Arc<RouteSpec>, RouteMiss> {
         let host = host_name(host).to_ascii_lowercase();
--- a/crates/banyan-core/tests/pipeline/chains.rs
+++ b/crates/banyan-core/tests/pipeline/chains.rs
@@ -12,12 +12,14 @@
 use crate::support::target;
 use crate::support::zone;
 use banyan_core::ids::LayerRange;
+use banyan_core::pipeline::chain::ChainFilter;
 use banyan_core::pipeline::chain::ChainPool;
 use banyan_core::pipeline::chain::RequestSize;
 use banyan_core::pipeline::fleet::FleetTable;
 use banyan_core::pipeline::load::LoadTable;
 use banyan_core::pipeline::load::LoadView;
 use banyan_core::pipeline::load::PeerLoadTable;
+use banyan_core::pipeline::reservation::UNRESERVED_FULLNESS;
 use banyan_core::pipeline::suspicion::ProbeOutcome;
 use banyan_core::pipeline::suspicion::SuspicionTable;
 use banyan_core::pipeline::target_chain::TargetChain;
@@ -35,9 +37,9 @@
 fn choose(pool: &ChainPool, loads: &LoadTable, from: &str) -> Option<std::sync::Arc<TargetChain>> {
     let peers = PeerLoadTable::default();
     let view = LoadView { own: loads, peers: &peers, peer_scale: 1.0 };
-    pool.clone()
-        .choose(&view, &zone(from), SIZE, 0, &[], &BTreeSet::new())
-        .map(|choice| choice.chain)
+    let closed = BTreeSet::new();
+    let filter = ChainFilter { avoided: &[], closed: &closed, max_fullness: UNRESERVED_FULLNESS };
+    pool.clone().choose(&view, &zone(from), SIZE, 0, filter).map(|choice| choice.chain)
 }
 
 fn ranges(chain: &TargetChain) -> Vec<LayerRange> {
--- a/crates/banyan-forward/src/callers/routed_request.rs
+++ b/crates/banyan-forward/src/callers/routed_request.rs
@@ -11,6 +11,7 @@
 use http_body_util::Full;
 use xxhash_rust::xxh3::Xxh3;
 
+use crate::decisions::admission::RequestRank;
 use crate::edges::AnswerFacts;
 use crate::edges::CallerRequest;
 use crate::edges::Dispatch;
@@ -20,6 +21,7 @@
 use banyan_core::ids::WorkspaceId;
 use banyan_core::pipeline::crashes::RequestTrait;
 use banyan_core::pipeline::crashes::TraitKind;
+use banyan_core::pipeline::priority::EffectivePriority;
 use banyan_core::pipeline::routes::RouteSpec;
 use banyan_core::pipeline::routes::ServiceSpec;
 use banyan_core::record::ContentDigest;
@@ -50,6 +52,8 @@
     pub service: Arc<ServiceSpec>,
     /// The workspace that its API key belongs to, or `None` if the route needs no key.
     pub workspace: Option<WorkspaceId>,
+    /// The priority with which it is admitted.
+    pub priority: EffectivePriority,
     /// The version of the configuration that it was routed by.
     pub version: u64,
     /// When its head had been read.
@@ -121,6 +125,13 @@
         request
     }
 
+    /// What the admission of its first attempt depends on.
+    pub fn rank(&self) -> RequestRank {
+        let content = self.traits.iter().find(|one| one.kind == TraitKind::Content);
+        let content = content.map_or(ContentDigest(0), |one| one.digest);
+        RequestRank { priority: self.priority, content }
+    }
+
     /// Whether an answer belongs to this request and can be relayed unchanged. A successful answer
     /// must carry the request's token and have no content encoding.
     pub fn accepts(&self, facts: &AnswerFacts, headers: &HeaderMap, success: bool) -> bool {
--- a/crates/banyan-forward/src/callers/serve.rs
+++ b/crates/banyan-forward/src/callers/serve.rs
@@ -28,6 +28,7 @@
 use crate::logs;
 use crate::state::DaemonPhase;
 use crate::state::ForwardState;
+use banyan_core::pipeline::priority::EffectivePriority;
 use banyan_core::pipeline::routes::RouteMiss;
 use banyan_core::pipeline::routes::RouteSpec;
 use banyan_core::pipeline::routes::RouteTable;
@@ -90,6 +91,7 @@
     let host = head.headers.get(header::HOST).and_then(|value| value.to_str().ok()).unwrap_or("");
     let route = routes.route(host, head.uri.path()).map_err(refusal_for_miss)?.clone();
     let owner = routes.owner(&route, caller.key.as_deref()).map_err(refusal_for_miss)?;
+    let priority = EffectivePriority::of(&route, owner);
     let workspace = owner.map(|owner| owner.workspace.clone());
     let service = find_service(&routes, &route, &caller)?;
     let timeout = caller.time_left.map_or(route.timeout, |left| left.min(route.timeout));
@@ -102,6 +104,7 @@
         route,
         service,
         workspace,
+        priority,
         version: routes.version,
         received,
         deadline,
--- a/crates/banyan-forward/src/decisions.rs
+++ b/crates/banyan-forward/src/decisions.rs
@@ -1,7 +1,8 @@
 //! Decisions of the daemon: [`tables`] holds what they are based on, [`leading`] tells whether this
 //! instance leads, [`placement`] plans which engine holds which layers, and [`orders`] sends the
-//! orders for that.
+//! orders for that. [`admission`] admits requests by priority.
 
+pub mod admission;
 pub mod leading;
 pub mod orders;
 pub mod placement;
--- a/crates/banyan-forward/src/decisions/tables.rs
+++ b/crates/banyan-forward/src/decisions/tables.rs
@@ -16,6 +16,7 @@
 use banyan_core::ids::ServiceId;
 use banyan_core::ids::TargetId;
 use banyan_core::pipeline::chain::ChainChoice;
+use banyan_core::pipeline::chain::ChainFilter;
 use banyan_core::pipeline::chain::ChainPool;
 use banyan_core::pipeline::chain::RequestSize;
 use banyan_core::pipeline::crashes::CrashTable;
@@ -27,8 +28,10 @@
 use banyan_core::pipeline::readers::ReaderTable;
 use banyan_core::pipeline::reroute::RerouteQuery;
 use banyan_core::pipeline::reroute::reroute_chain;
+use banyan_core::pipeline::reservation::ReservationTable;
 use banyan_core::pipeline::retries::RetryShare;
 use banyan_core::pipeline::retry_after::RetryAfterTable;
+use banyan_core::pipeline::returning::RefusedTable;
 use banyan_core::pipeline::routes::RouteTable;
 use banyan_core::pipeline::suspicion::SuspicionTable;
 use banyan_core::pipeline::target_chain::ChainPart;
@@ -99,6 +102,10 @@
     pub peers_listed: Option<usize>,
     /// The available chains for each service that serves a model.
     pub pools: BTreeMap<ServiceId, ChainPool>,
+    /// The room that is kept free for more urgent requests of each service.
+    pub reservations: ReservationTable,
+    /// The requests that were refused and may be repeated, of services that rank them.
+    pub refused: RefusedTable,
     /// This instance's share of the retry budget.
     pub retries: RetryShare,
     /// Assigns the retry delays that refused callers are given.
@@ -270,13 +277,15 @@
         self.retries.set_instance_count(count + 1);
     }
 
-    /// Chooses, for a request, a chain without any of the `avoided` targets.
+    /// Chooses, for a request, a chain without any of the `avoided` targets that is filled up to at
+    /// most `max_fullness` with it.
     pub fn choose_chain(
         &mut self,
         service: &ServiceId,
         settings: &ForwardSettings,
         size: RequestSize,
         avoided: &[TargetId],
+        max_fullness: f64,
         now: Moment,
     ) -> Option<ChainChoice> {
         let routes = self.route_table()?;
@@ -292,7 +301,8 @@
         }
         let loads = LoadView { own: &self.loads, peers: &self.peer_loads, peer_scale };
         let live_peers = self.peer_loads.live_peer_count(now);
-        pool.choose(&loads, &settings.zone, size, live_peers, &avoided, &closed)
+        let filter = ChainFilter { avoided: &avoided, closed: &closed, max_fullness };
+        pool.choose(&loads, &settings.zone, size, live_peers, filter)
     }
 
     /// Whether an engine of the chain was ordered to unload layers that the chain uses. The first
--- a/crates/banyan-forward/src/engines/stream_opener.rs
+++ b/crates/banyan-forward/src/engines/stream_opener.rs
@@ -15,6 +15,7 @@
 use crate::callers::answer::NotRunCause;
 use crate::callers::answer::Refusal;
 use crate::callers::routed_request::RoutedRequest;
+use crate::decisions::admission::RoomQuery;
 use crate::edges::OrderAnswer;
 use crate::edges::OrderOutcome;
 use crate::edges::Platform;
@@ -262,6 +263,12 @@
         opened
     }
 
+    /// Whether the next attempt is the first of a request of which the caller has no part yet.
+    /// Others use all room: they precede new requests, and refusing them wastes what has run.
+    fn is_first_attempt(&self) -> bool {
+        self.attempts == 0 && self.avoided.is_empty() && !self.resuming && self.last_event.is_none()
+    }
+
     /// Starts an attempt on the best chain without avoided engines.
     fn start(&mut self) -> Result<(), Refusal> {
         refuse_if_blocked(&self.state, &self.request, self.admitted)
@@ -272,7 +279,9 @@
         let size = self.size();
         let service = &self.request.service.id;
         let mut tables = self.state.tables();
-        let choice = tables.choose_chain(service, &settings, size, &self.avoided, now);
+        let rank = self.is_first_attempt().then(|| self.request.rank());
+        let query = RoomQuery { service, size, avoided: &self.avoided, rank };
+        let choice = tables.admit_to_chain(&query, &settings, now);
         let Some(choice) = choice else {
             let no_chains = tables.pools.get(service).is_none_or(|pool| pool.chains().is_empty());
             let limit_wait = tables.limit_wait(service, &settings, now);
@@ -282,6 +291,7 @@
                 None => (NotRunCause::NoRoom, NO_ROOM_RETRY_AFTER),
             };
             let refusal = tables.not_run_refusal(cause, wait, now);
+            tables.note_refused(&query, refusal, now);
             drop(tables);
             return Err(self.refusal_for(refusal));
         };
--- a/crates/banyan-load/src/emulate/decisions.rs
+++ b/crates/banyan-load/src/emulate/decisions.rs
@@ -12,6 +12,7 @@
 use crate::report::rounded;
 use banyan_core::ids::LayerRange;
 use banyan_core::ids::ServiceId;
+use banyan_core::pipeline::chain::ChainFilter;
 use banyan_core::pipeline::chain::ChainPool;
 use banyan_core::pipeline::chain::RequestSize;
 use banyan_core::pipeline::fleet::FleetChange;
@@ -24,6 +25,7 @@
 use banyan_core::pipeline::placement::plan_placement;
 use banyan_core::pipeline::placement_target::PlacementTarget;
 use banyan_core::pipeline::report_stamp::ReportStamp;
+use banyan_core::pipeline::reservation::UNRESERVED_FULLNESS;
 use banyan_core::pipeline::suspicion::SuspicionTable;
 use banyan_core::units::Moment;
 use banyan_core::units::TokenCount;
@@ -112,9 +114,11 @@
     let peers = PeerLoadTable::default();
     let view = LoadView { own: &own, peers: &peers, peer_scale: 1.0 };
     let size = RequestSize { prompt: TokenCount(800), total: TokenCount(950) };
+    let closed = BTreeSet::new();
+    let filter = ChainFilter { avoided: &[], closed: &closed, max_fullness: UNRESERVED_FULLNESS };
     let begun = Instant::now();
     for _ in 0..REPEATS {
-        std::hint::black_box(pool.choose(&view, &near.zone, size, 0, &[], &BTreeSet::new()));
+        std::hint::black_box(pool.choose(&view, &near.zone, size, 0, filter));
     }
     begun.elapsed() / REPEATS
 }
--- a/crates/banyan-load/src/emulate/instances.rs
+++ b/crates/banyan-load/src/emulate/instances.rs
@@ -8,6 +8,7 @@
 use banyan_core::ids::TargetId;
 use banyan_core::ids::ZoneId;
 use banyan_core::pipeline::chain::ChainChoice;
+use banyan_core::pipeline::chain::ChainFilter;
 use banyan_core::pipeline::chain::ChainPool;
 use banyan_core::pipeline::chain::RequestSize;
 use banyan_core::pipeline::fleet::FleetTable;
@@ -16,6 +17,7 @@
 use banyan_core::pipeline::load::PeerLoadTable;
 use banyan_core::pipeline::load::TargetLoad;
 use banyan_core::pipeline::model::PipelineModel;
+use banyan_core::pipeline::reservation::UNRESERVED_FULLNESS;
 use banyan_core::pipeline::suspicion::SuspicionTable;
 use banyan_core::pipeline::target_chain::TargetChain;
 use banyan_core::units::Moment;
@@ -87,14 +89,10 @@
             return self.choose_quickest();
         }
         let view = LoadView { own: &self.loads, peers: &self.peers, peer_scale: 1.0 };
-        self.pool.choose(
-            &view,
-            &self.zone,
-            size,
-            self.peers.live_peer_count(now),
-            avoided,
-            &BTreeSet::new(),
-        )
+        let closed = BTreeSet::new();
+        let filter = ChainFilter { avoided, closed: &closed, max_fullness: UNRESERVED_FULLNESS };
+        let live_peers = self.peers.live_peer_count(now);
+        self.pool.choose(&view, &self.zone, size, live_peers, filter)
     }
 
     /// What it tells its peers.
@@ -117,6 +115,11 @@
     fn choose_quickest(&self) -> Option<ChainChoice> {
         let quickest = self.pool.chains().iter().min_by_key(|chain| chain.step_time)?;
         let first_event = quickest.step_time;
-        Some(ChainChoice { chain: quickest.clone(), fullness: 0.0, first_event })
+        Some(ChainChoice {
+            chain: quickest.clone(),
+            fullness: 0.0,
+            least_fullness: 0.0,
+            first_event,
+        })
     }
 }
