Refused callers return when requests are expected to end

Cause: a request without room was refused with a constant of 400 ms, at which most callers found no room again.

Where a service ranks its requests, Retry-After follows from the interval between ends of requests at this instance, the refused requests at least as urgent that are to return first, and the share of more urgent demand, with a quarter as spread. While such requests are due, others of no higher urgency are admitted only if there is room for both, in proportion to how many refused requests return to this instance at all. A log line gives priority, arrival, limit, requests ahead, estimate and time; a counter gives the outcomes by service and priority.

Ruled out: holding room for each refused request regardless of whether callers return here; behind a balancer with many instances it would only idle. Until two requests have ended the constant stands.

--- a/crates/banyan-core/src/pipeline/reservation.rs
+++ b/crates/banyan-core/src/pipeline/reservation.rs
@@ -155,6 +155,19 @@
         }
     }
 
+    /// The share of requests that are more urgent than `priority` in the recent demand.
+    pub fn urgent_share(
+        &self,
+        service: &ServiceId,
+        priority: EffectivePriority,
+        now: Moment,
+    ) -> f64 {
+        let Some(rows) = self.services.get(service) else { return 0.0 };
+        let asked: f64 = rows.range(..priority).map(|(_, row)| row.asked.get(now)).sum();
+        let all_asked: f64 = rows.values().map(|row| row.asked.get(now)).sum();
+        asked / (all_asked + DEMAND_OFFSET)
+    }
+
     /// Drops what is known about a service whose requests all have the same priority now.
     pub fn forget(&mut self, service: &ServiceId) {
         self.services.remove(service);
--- a/crates/banyan-core/tests/pipeline/main.rs
+++ b/crates/banyan-core/tests/pipeline/main.rs
@@ -15,6 +15,7 @@
 mod reservations;
 mod retry_budget;
 mod retry_times;
+mod returns;
 mod route_table;
 mod support;
 mod suspicions;
--- a/crates/banyan-core/tests/pipeline/reservations.rs
+++ b/crates/banyan-core/tests/pipeline/reservations.rs
@@ -10,8 +10,10 @@
 use banyan_core::pipeline::reservation::RoomOutcome;
 use banyan_core::pipeline::reservation::UNRESERVED_FULLNESS;
 use banyan_core::pipeline::returning::Arrival;
+use banyan_core::pipeline::returning::RefusedRequest;
 use banyan_core::pipeline::returning::RefusedTable;
 use banyan_core::record::ContentDigest;
+use banyan_core::units::TokenCount;
 
 /// The running requests with which the replayed chain has fullness one.
 const PLACES: f64 = 100.0;
@@ -70,7 +72,13 @@
             ends.insert((time + run_time, sequence));
             counts.entry(priority).or_default().1 += 1.0;
         } else if asks > 1 {
-            refused.note_refused(content, at(time + 400), now);
+            let request = RefusedRequest {
+                service: service(),
+                priority: rank,
+                tokens: TokenCount(1),
+                time: at(time + 400),
+            };
+            refused.note_refused(content, request, now);
             asking.insert((time + 50, sequence, priority, asks - 1));
         }
     }
--- a/crates/banyan-forward/src/decisions/admission.rs
+++ b/crates/banyan-forward/src/decisions/admission.rs
@@ -1,6 +1,8 @@
 //! Admits the first attempts of streams by priority, where a service's requests differ in it.
 
-use crate::callers::answer::Refusal;
+use std::time::Duration;
+
+use crate::callers::answer::NO_ROOM_RETRY_AFTER;
 use crate::decisions::tables::ForwardTables;
 use crate::settings::ForwardSettings;
 use banyan_core::ids::ServiceId;
@@ -10,8 +12,18 @@
 use banyan_core::pipeline::priority::EffectivePriority;
 use banyan_core::pipeline::reservation::RoomOutcome;
 use banyan_core::pipeline::reservation::UNRESERVED_FULLNESS;
+use banyan_core::pipeline::returning::Arrival;
+use banyan_core::pipeline::returning::RefusedRequest;
 use banyan_core::record::ContentDigest;
 use banyan_core::units::Moment;
+use banyan_core::units::TokenCount;
+
+/// The spread of the waits of callers, as a fraction of the estimate. Other instances tell their
+/// callers similar times.
+const ESTIMATE_SPREAD: f64 = 0.25;
+
+/// The fraction of the time left to them for which callers wait at most before they return.
+const HONOURED_FRACTION: f64 = 1.0 / 3.0;
 
 /// A request that asks for room at a chain.
 #[derive(Clone, Copy, Debug)]
@@ -35,27 +47,52 @@
     pub content: ContentDigest,
 }
 
+/// How the admission of a request was decided, for its log line.
+#[derive(Clone, Copy, Debug)]
+pub struct AdmissionDecision {
+    /// What the decision depended on.
+    pub rank: RequestRank,
+    /// Whether it was refused before.
+    pub arrival: Arrival,
+    /// The fullness up to which it could use a chain.
+    pub limit: f64,
+}
+
+/// When the caller of a refused request returns.
+#[derive(Clone, Copy, Debug)]
+pub struct PlannedReturn {
+    /// The refused requests, at least as urgent, that are expected to return before.
+    pub ahead: usize,
+    /// The estimated time until there is room for it, or `None` if nothing is known yet.
+    pub estimate: Option<Duration>,
+    /// How long the caller is told to wait.
+    pub wait: Duration,
+}
+
 impl ForwardTables {
-    /// Chooses a chain with room for a request. Room reserved for more urgent requests is not
-    /// given to it, unless all requests of the service have the same priority.
+    /// Chooses a chain with room for a request. Room reserved for more urgent requests, or held for
+    /// requests that were refused before, is not given to it, unless all requests of the service
+    /// have the same priority. The decision is `None` if priorities had no part in it.
     pub fn admit_to_chain(
         &mut self,
         query: &RoomQuery<'_>,
         settings: &ForwardSettings,
         now: Moment,
-    ) -> Option<ChainChoice> {
+    ) -> (Option<ChainChoice>, Option<AdmissionDecision>) {
         let RoomQuery { service, size, avoided, rank } = *query;
-        let routes = self.route_table()?;
-        if !routes.ranks_requests(service) {
-            self.reservations.forget(service);
-            return self.choose_chain(service, settings, size, avoided, UNRESERVED_FULLNESS, now);
-        }
-        let Some(RequestRank { priority, content }) = rank else {
-            return self.choose_chain(service, settings, size, avoided, UNRESERVED_FULLNESS, now);
+        let Some(rank) = rank.filter(|_| self.ranks_requests(service)) else {
+            let limit = UNRESERVED_FULLNESS;
+            return (self.choose_chain(service, settings, size, avoided, limit, now), None);
         };
+        let RequestRank { priority, content } = rank;
         let arrival = self.refused.arrival(content, now);
         let limit = self.reservations.next_limit(service, priority, arrival, now);
-        let choice = self.choose_chain(service, settings, size, avoided, limit, now);
+        let held = match arrival {
+            Arrival::OnTime => TokenCount(0),
+            Arrival::New | Arrival::Early => self.refused.held_tokens(service, priority, now),
+        };
+        let needed = RequestSize { total: TokenCount(size.total.0 + held.0), ..size };
+        let choice = self.choose_chain(service, settings, needed, avoided, limit, now);
         let outcome = match &choice {
             Some(choice) => RoomOutcome::Admitted { least_fullness: choice.least_fullness },
             None => RoomOutcome::Refused,
@@ -64,20 +101,55 @@
         if self.pools.get(service).is_some_and(|pool| !pool.chains().is_empty()) {
             self.reservations.record(service, priority, arrival, outcome, now);
         }
-        if choice.is_some() {
-            self.refused.remove(content);
+        self.refused.note_returned(content);
+        (choice, Some(AdmissionDecision { rank, arrival, limit }))
+    }
+
+    /// How long the caller of a request without room is told to wait, and remembers when it
+    /// returns. `time_left` is how much longer the caller waits for an answer.
+    pub fn plan_return(
+        &mut self,
+        query: &RoomQuery<'_>,
+        decision: &AdmissionDecision,
+        time_left: Duration,
+        now: Moment,
+    ) -> PlannedReturn {
+        let RequestRank { priority, content } = decision.rank;
+        let service = query.service;
+        let ahead = self.refused.expected_returns(service, priority, now);
+        let urgent_share = self.reservations.urgent_share(service, priority, now);
+        let estimate = self.releases.wait(service, ahead, urgent_share);
+        let wait = match estimate {
+            Some(estimate) => self.retry_delays.spread(estimate, estimate.mul_f64(ESTIMATE_SPREAD)),
+            None => self.retry_delays.next_delay(now + NO_ROOM_RETRY_AFTER, now),
+        };
+        let request = RefusedRequest {
+            service: service.clone(),
+            priority,
+            tokens: query.size.total,
+            time: now + wait.min(time_left.mul_f64(HONOURED_FRACTION)),
+        };
+        self.refused.note_refused(content, request, now);
+        PlannedReturn { ahead, estimate, wait }
+    }
+
+    /// Records that a request on a chain that begins with this engine released its room.
+    pub fn note_released(&mut self, first: &TargetId, now: Moment) {
+        let Some(row) = self.fleet.rows.get(first) else { return };
+        let service = row.report.service.clone();
+        if self.ranks_requests(&service) {
+            self.releases.note_release(&service, now);
         }
-        choice
     }
 
-    /// Remembers that a request was refused and when its caller was told to repeat it, if the
-    /// service's requests differ in priority.
-    pub fn note_refused(&mut self, query: &RoomQuery<'_>, refusal: Refusal, now: Moment) {
-        let ranks_requests =
-            self.route_table().is_some_and(|routes| routes.ranks_requests(query.service));
-        if let (Some(rank), Refusal::NotRun(_, wait), true) = (query.rank, refusal, ranks_requests)
-        {
-            self.refused.note_refused(rank.content, now + wait, now);
+    /// Whether requests of a service can differ in priority. If not, what was learned about it
+    /// under an earlier configuration is dropped.
+    fn ranks_requests(&mut self, service: &ServiceId) -> bool {
+        let ranks = self.route_table().is_some_and(|routes| routes.ranks_requests(service));
+        if !ranks {
+            self.reservations.forget(service);
+            self.releases.forget(service);
         }
+        ranks
     }
 }
--- a/crates/banyan-forward/src/decisions/tables.rs
+++ b/crates/banyan-forward/src/decisions/tables.rs
@@ -30,6 +30,7 @@
 use banyan_core::pipeline::reroute::reroute_chain;
 use banyan_core::pipeline::reservation::ReservationTable;
 use banyan_core::pipeline::retries::RetryShare;
+use banyan_core::pipeline::retry_after::ReleaseTable;
 use banyan_core::pipeline::retry_after::RetryAfterTable;
 use banyan_core::pipeline::returning::RefusedTable;
 use banyan_core::pipeline::routes::RouteTable;
@@ -106,6 +107,8 @@
     pub reservations: ReservationTable,
     /// The requests that were refused and may be repeated, of services that rank them.
     pub refused: RefusedTable,
+    /// How often requests end, of services that rank them.
+    pub releases: ReleaseTable,
     /// This instance's share of the retry budget.
     pub retries: RetryShare,
     /// Assigns the retry delays that refused callers are given.
--- a/crates/banyan-forward/src/engines/leases.rs
+++ b/crates/banyan-forward/src/engines/leases.rs
@@ -64,10 +64,12 @@
     let state = state.clone();
     let chain = chain.clone();
     let release = move || {
+        let now = state.now();
         let mut tables = state.tables();
         for (index, part) in chain.parts.iter().enumerate() {
             tables.loads.remove(&part.target, tokens, part.range.count(), index == 0);
         }
+        tables.note_released(&chain.parts[0].target, now);
     };
     RequestLease::new(release)
 }
--- a/crates/banyan-forward/src/engines/stream_opener.rs
+++ b/crates/banyan-forward/src/engines/stream_opener.rs
@@ -281,7 +281,7 @@
         let mut tables = self.state.tables();
         let rank = self.is_first_attempt().then(|| self.request.rank());
         let query = RoomQuery { service, size, avoided: &self.avoided, rank };
-        let choice = tables.admit_to_chain(&query, &settings, now);
+        let (choice, decision) = tables.admit_to_chain(&query, &settings, now);
         let Some(choice) = choice else {
             let no_chains = tables.pools.get(service).is_none_or(|pool| pool.chains().is_empty());
             let limit_wait = tables.limit_wait(service, &settings, now);
@@ -290,8 +290,15 @@
                 Some(wait) => (NotRunCause::TargetLimited, wait),
                 None => (NotRunCause::NoRoom, NO_ROOM_RETRY_AFTER),
             };
-            let refusal = tables.not_run_refusal(cause, wait, now);
-            tables.note_refused(&query, refusal, now);
+            let refusal = match decision {
+                Some(decision) if cause == NotRunCause::NoRoom => {
+                    let time_left = self.request.deadline.since(now);
+                    let planned = tables.plan_return(&query, &decision, time_left, now);
+                    logs::admission_refused(&self.request, &decision, &planned);
+                    Refusal::NotRun(cause, planned.wait)
+                }
+                _ => tables.not_run_refusal(cause, wait, now),
+            };
             drop(tables);
             return Err(self.refusal_for(refusal));
         };
@@ -303,6 +310,9 @@
         }
         tables.limits.note_sent(&choice.chain.parts[0].target);
         drop(tables);
+        if let Some(decision) = &decision {
+            logs::admitted(&self.request, decision);
+        }
         logs::chain_chosen(&self.request.token, &choice, self.attempts, self.last_event);
         let chain = choice.chain;
         self.attempts += 1;
--- a/crates/banyan-forward/src/logs.rs
+++ b/crates/banyan-forward/src/logs.rs
@@ -20,6 +20,8 @@
 
 use crate::callers::answer::Refusal;
 use crate::callers::routed_request::RoutedRequest;
+use crate::decisions::admission::AdmissionDecision;
+use crate::decisions::admission::PlannedReturn;
 use crate::edges::OrderError;
 use crate::edges::OrderOutcome;
 use crate::edges::RequestToken;
@@ -182,6 +184,51 @@
     );
 }
 
+/// Logs that a request was admitted to a chain by its priority.
+pub fn admitted(request: &RoutedRequest, decision: &AdmissionDecision) {
+    count_admission(request, decision, "admitted");
+    tracing::info!(
+        target: ROUTINE,
+        part = "request",
+        request = %request.token,
+        priority = decision.rank.priority.0,
+        arrival = ?decision.arrival,
+        limit = (decision.limit * 100.0).round() / 100.0,
+        "Admitted by priority."
+    );
+}
+
+/// Logs that no chain had room for a request of its priority, and when its caller returns.
+pub fn admission_refused(
+    request: &RoutedRequest,
+    decision: &AdmissionDecision,
+    planned: &PlannedReturn,
+) {
+    count_admission(request, decision, "no_room");
+    tracing::info!(
+        part = "request",
+        request = %request.token,
+        priority = decision.rank.priority.0,
+        arrival = ?decision.arrival,
+        limit = (decision.limit * 100.0).round() / 100.0,
+        ahead = planned.ahead,
+        estimate_ms = planned.estimate.map(|estimate| estimate.as_millis() as u64),
+        after_ms = planned.wait.as_millis() as u64,
+        "No room for its priority."
+    );
+}
+
+/// Counts by service, priority and outcome, whose numbers the configuration bounds.
+fn count_admission(request: &RoutedRequest, decision: &AdmissionDecision, outcome: &'static str) {
+    metrics::counter!(
+        "banyan_admissions_total",
+        "service" => request.service.id.to_string(),
+        "priority" => decision.rank.priority.to_string(),
+        "outcome" => outcome
+    )
+    .increment(1);
+}
+
 /// Logs that one attempt of a request failed.
 pub fn attempt_failed(request: &RoutedRequest, target: &TargetId, cause: &str) {
     metrics::counter!("banyan_attempt_failures_total").increment(1);
--- a/crates/banyan-forward/src/metric.rs
+++ b/crates/banyan-forward/src/metric.rs
@@ -24,6 +24,11 @@
     let seconds = Unit::Seconds;
     describe_counter!("banyan_requests_total", count, "Requests that ended, by outcome.");
     describe_counter!("banyan_refusals_total", count, "Answers of the daemon's own, by cause.");
+    describe_counter!(
+        "banyan_admissions_total",
+        count,
+        "First attempts of streams of services that rank them, by priority and outcome."
+    );
     describe_counter!("banyan_attempt_failures_total", count, "Attempts that failed.");
     describe_counter!(
         "banyan_stream_interruptions_total",
--- a/crates/banyan-forward/tests/admission.rs
+++ b/crates/banyan-forward/tests/admission.rs
@@ -151,7 +151,7 @@
 ) -> Option<ChainChoice> {
     let service = service();
     let query = RoomQuery { service: &service, size: SIZE, avoided: &[], rank };
-    tables.admit_to_chain(&query, &settings(), now)
+    tables.admit_to_chain(&query, &settings(), now).0
 }
 
 fn rank(priority: u8, content: u64) -> Option<RequestRank> {
