--- a/crates/banyan-core/src/pipeline/routes.rs
+++ b/crates/banyan-core/src/pipeline/routes.rs
@@ -10,6 +10,8 @@
 use crate::ids::ServiceId;
 use crate::ids::WorkspaceId;
 use crate::pipeline::model::PipelineModel;
+use crate::pipeline::priority::EffectivePriority;
+use crate::pipeline::priority::priorities_by_service;
 use crate::pipeline::prompt_order::PromptPolicy;
 use crate::units::ByteCount;
 
@@ -142,9 +144,9 @@
     routes: BTreeMap<SmolStr, BTreeMap<SmolStr, Arc<RouteSpec>>>,
     keys: BTreeMap<SmolStr, KeyOwner>,
     needs_keys: bool,
-    /// The services whose requests differ in priority.
-    competing: BTreeSet<ServiceId>,
     prompt_policies: BTreeMap<ServiceId, Arc<PromptPolicy>>,
+    /// The effective priorities that requests of each service can have.
+    priorities: BTreeMap<ServiceId, BTreeSet<EffectivePriority>>,
 }
 
 impl RouteTable {
@@ -156,10 +158,11 @@
         limits: CallerLimits,
         keys: Option<BTreeMap<SmolStr, KeyOwner>>,
     ) -> Self {
-        let competing = competing_services(&routes, keys.as_ref());
         let owners = keys.iter().flat_map(BTreeMap::values);
         let owner_priorities: BTreeSet<u8> = owners.filter_map(|owner| owner.priority).collect();
         let prompt_policies = PromptPolicy::of_routes(&routes, &owner_priorities);
+        let owners = keys.as_ref().map(BTreeMap::values);
+        let priorities = priorities_by_service(&routes, owners);
         let mut by_host: BTreeMap<SmolStr, BTreeMap<SmolStr, Arc<RouteSpec>>> = BTreeMap::new();
         for route in routes {
             let prefixes = by_host.entry(route.host.clone()).or_default();
@@ -169,14 +172,20 @@
             version,
             services: services.into_iter().map(|spec| (spec.id.clone(), Arc::new(spec))).collect(),
             limits,
-            competing,
             routes: by_host,
             needs_keys: keys.is_some(),
             keys: keys.unwrap_or_default(),
             prompt_policies,
+            priorities,
         }
     }
 
+    /// Whether requests of a service can have different effective priorities. Only then do
+    /// priorities affect which of them are admitted.
+    pub fn has_competing_priorities(&self, service: &ServiceId) -> bool {
+        self.priorities.get(service).is_some_and(|priorities| priorities.len() > 1)
+    }
+
     /// The route with the longest prefix of `path` among those of `host`.
     pub fn route(&self, host: &str, path: &str) -> Result<&Arc<RouteSpec>, RouteMiss> {
         let host = host_name(host).to_ascii_lowercase();
@@ -191,12 +200,6 @@
         Err(RouteMiss::NoRoute)
     }
 
-    /// Whether requests for a service differ in priority, because its routes do or because API keys
-    /// override the priority of those that need a key.
-    pub fn has_competing_priorities(&self, service: &ServiceId) -> bool {
-        self.competing.contains(service)
-    }
-
     /// How the routes of a service differ, or `None` if they are alike.
     pub fn prompt_policy(&self, service: &ServiceId) -> Option<&Arc<PromptPolicy>> {
         self.prompt_policies.get(service)
@@ -216,29 +219,6 @@
     }
 }
 
-/// The services whose requests differ in priority.
-fn competing_services(
-    routes: &[RouteSpec],
-    keys: Option<&BTreeMap<SmolStr, KeyOwner>>,
-) -> BTreeSet<ServiceId> {
-    let of_keys: Option<BTreeSet<Option<u8>>> =
-        keys.map(|keys| keys.values().map(|owner| owner.priority).collect());
-    let mut priorities: BTreeMap<&ServiceId, BTreeSet<u8>> = BTreeMap::new();
-    for route in routes {
-        let of_route: BTreeSet<u8> = match &of_keys {
-            Some(of_keys) if !route.open => {
-                of_keys.iter().map(|priority| priority.unwrap_or(route.priority)).collect()
-            }
-            _ => BTreeSet::from([route.priority]),
-        };
-        for share in route.shares.iter().filter(|share| share.weight > 0) {
-            priorities.entry(&share.service).or_default().extend(&of_route);
-        }
-    }
-    let competing = priorities.into_iter().filter(|(_, priorities)| priorities.len() > 1);
-    competing.map(|(service, _)| service.clone()).collect()
-}
-
 /// The host without a port.
 fn host_name(host: &str) -> &str {
     match host.rsplit_once(':') {
--- a/crates/banyan-core/tests/pipeline/prompt_orders.rs
+++ b/crates/banyan-core/tests/pipeline/prompt_orders.rs
@@ -16,6 +16,7 @@
 use crate::support::target;
 use crate::support::zone;
 use banyan_core::pipeline::chain::ChainChoice;
+use banyan_core::pipeline::chain::ChainFilter;
 use banyan_core::pipeline::chain::ChainPool;
 use banyan_core::pipeline::chain::RequestSize;
 use banyan_core::pipeline::load::LoadTable;
@@ -25,6 +26,7 @@
 use banyan_core::pipeline::prompt_order::PromptPolicy;
 use banyan_core::pipeline::prompt_order::PromptRequest;
 use banyan_core::pipeline::prompt_order::Urgency;
+use banyan_core::pipeline::reservation::UNRESERVED_FULLNESS;
 use banyan_core::pipeline::routes::CallerLimits;
 use banyan_core::pipeline::routes::KeyOwner;
 use banyan_core::pipeline::routes::RouteKind;
@@ -92,7 +94,9 @@
     let peers = PeerLoadTable::default();
     let view = LoadView { own: loads, peers: &peers, peer_scale: 1.0 };
     let size = RequestSize { prompt, total: TokenCount(prompt.0 + 150) };
-    pool.choose(&view, &zone("a"), size, 0, &[], &BTreeSet::new())
+    let closed = BTreeSet::new();
+    let filter = ChainFilter { avoided: &[], closed: &closed, max_fullness: UNRESERVED_FULLNESS };
+    pool.choose(&view, &zone("a"), size, 0, filter)
 }
 
 fn request(prompt: TokenCount, priority: u8, waited_ms: u64) -> PromptRequest {
--- a/crates/banyan-core/tests/pipeline/rejections.rs
+++ b/crates/banyan-core/tests/pipeline/rejections.rs
@@ -9,6 +9,7 @@
 use crate::support::service;
 use crate::support::target;
 use crate::support::zone;
+use banyan_core::pipeline::chain::ChainFilter;
 use banyan_core::pipeline::chain::ChainPool;
 use banyan_core::pipeline::chain::RequestSize;
 use banyan_core::pipeline::load::LoadTable;
@@ -17,6 +18,7 @@
 use banyan_core::pipeline::rejections::REJECTION_VALIDITY;
 use banyan_core::pipeline::rejections::RejectionTable;
 use banyan_core::pipeline::rejections::RoomReport;
+use banyan_core::pipeline::reservation::UNRESERVED_FULLNESS;
 use banyan_core::pipeline::suspicion::SuspicionTable;
 use banyan_core::pipeline::target_chain::RoomRule;
 use banyan_core::units::TokenCount;
@@ -75,7 +77,10 @@
     let used = |pool: &mut ChainPool, peers: &PeerLoadTable, rule: Option<RoomRule>| {
         pool.set_room_rule(rule);
         let view = LoadView { own: &own, peers, peer_scale: 1.0 };
-        pool.choose(&view, &zone("a"), size, 0, &[], &BTreeSet::new()).map(|choice| choice.chain)
+        let closed = BTreeSet::new();
+        let filter =
+            ChainFilter { avoided: &[], closed: &closed, max_fullness: UNRESERVED_FULLNESS };
+        pool.choose(&view, &zone("a"), size, 0, filter).map(|choice| choice.chain)
     };
     let rule = Some(RoomRule { now: at(100) });
     let chain = used(&mut pool, &peers, rule).expect("a chain without the full engine");
--- a/crates/banyan-forward/src/decisions/tables.rs
+++ b/crates/banyan-forward/src/decisions/tables.rs
@@ -17,6 +17,7 @@
 use banyan_core::ids::ServiceId;
 use banyan_core::ids::TargetId;
 use banyan_core::pipeline::chain::ChainChoice;
+use banyan_core::pipeline::chain::ChainFilter;
 use banyan_core::pipeline::chain::ChainPool;
 use banyan_core::pipeline::chain::RequestSize;
 use banyan_core::pipeline::crashes::CrashTable;
@@ -32,8 +33,12 @@
 use banyan_core::pipeline::readers::ReaderTable;
 use banyan_core::pipeline::reroute::RerouteQuery;
 use banyan_core::pipeline::reroute::reroute_chain;
+use banyan_core::pipeline::reservation::ReservationTable;
+use banyan_core::pipeline::reservation::UNRESERVED_FULLNESS;
 use banyan_core::pipeline::retries::RetryShare;
+use banyan_core::pipeline::retry_after::ReleaseTable;
 use banyan_core::pipeline::retry_after::RetryAfterTable;
+use banyan_core::pipeline::returning::RefusedTable;
 use banyan_core::pipeline::routes::RouteTable;
 use banyan_core::pipeline::suspicion::SuspicionTable;
 use banyan_core::pipeline::target_chain::ChainPart;
@@ -107,6 +112,12 @@
     pub peers_listed: Option<usize>,
     /// The available chains for each service that serves a model.
     pub pools: BTreeMap<ServiceId, ChainPool>,
+    /// The room that is kept free for more urgent requests of each service.
+    pub reservations: ReservationTable,
+    /// The requests that were refused and may be repeated, of services that rank them.
+    pub refused: RefusedTable,
+    /// How often requests end, of services that rank them.
+    pub releases: ReleaseTable,
     /// This instance's share of the retry budget.
     pub retries: RetryShare,
     /// Assigns the retry delays that refused callers are given.
@@ -307,18 +318,20 @@
         in_effect.then_some(RoomRule { now })
     }
 
-    /// Chooses, for a request, a chain without any of the `avoided` targets.
+    /// Chooses, for a request, a chain without any of the `avoided` targets that is filled up to at
+    /// most `max_fullness` with it.
     pub fn choose_chain(
         &mut self,
         service: &ServiceId,
         settings: &ForwardSettings,
         size: RequestSize,
         avoided: &[TargetId],
+        max_fullness: f64,
         now: Moment,
     ) -> Option<ChainChoice> {
         let routes = self.route_table()?;
         let rule = self.room_rule(&routes, service, now);
-        self.choose_chain_by(rule, service, settings, size, avoided, now)
+        self.choose_chain_by(rule, service, settings, size, avoided, max_fullness, now)
     }
 
     /// Chooses a chain for a stream whose caller already has part of the answer. It may use engines
@@ -331,8 +344,9 @@
         avoided: &[TargetId],
         now: Moment,
     ) -> Option<ChainChoice> {
-        let choice = self.choose_chain(service, settings, size, avoided, now);
-        choice.or_else(|| self.choose_chain_by(None, service, settings, size, avoided, now))
+        let limit = UNRESERVED_FULLNESS;
+        let choice = self.choose_chain(service, settings, size, avoided, limit, now);
+        choice.or_else(|| self.choose_chain_by(None, service, settings, size, avoided, limit, now))
     }
 
     fn choose_chain_by(
@@ -342,6 +356,7 @@
         settings: &ForwardSettings,
         size: RequestSize,
         avoided: &[TargetId],
+        max_fullness: f64,
         now: Moment,
     ) -> Option<ChainChoice> {
         let routes = self.route_table()?;
@@ -359,7 +374,8 @@
         pool.prompts.set_policy(routes.prompt_policy(service));
         let loads = LoadView { own: &self.loads, peers: &self.peer_loads, peer_scale };
         let live_peers = self.peer_loads.live_peer_count(now);
-        pool.choose(&loads, &settings.zone, size, live_peers, &avoided, &closed)
+        let filter = ChainFilter { avoided: &avoided, closed: &closed, max_fullness };
+        pool.choose(&loads, &settings.zone, size, live_peers, filter)
     }
 
     /// Counts the prompt of a new request among the recent ones of its service.
--- a/crates/banyan-forward/src/engines/stream_opener.rs
+++ b/crates/banyan-forward/src/engines/stream_opener.rs
@@ -15,6 +15,7 @@
 use crate::callers::answer::NotRunCause;
 use crate::callers::answer::Refusal;
 use crate::callers::routed_request::RoutedRequest;
+use crate::decisions::admission::RoomQuery;
 use crate::edges::OrderAnswer;
 use crate::edges::OrderOutcome;
 use crate::edges::Platform;
@@ -263,6 +264,12 @@
         opened
     }
 
+    /// Whether the next attempt is the first of a request of which the caller has no part yet.
+    /// Others use all room: they precede new requests, and refusing them wastes what has run.
+    fn is_first_attempt(&self) -> bool {
+        self.attempts == 0 && self.avoided.is_empty() && !self.resuming && self.last_event.is_none()
+    }
+
     /// Starts an attempt on the best chain without avoided engines.
     fn start(&mut self) -> Result<(), Refusal> {
         refuse_if_blocked(&self.state, &self.request, self.admitted)
@@ -276,10 +283,12 @@
             tables.note_prompt(service, size.prompt);
         }
         self.admitted = true;
-        let choice = if self.resuming {
-            tables.choose_chain_to_resume(service, &settings, size, &self.avoided, now)
+        let rank = self.is_first_attempt().then(|| self.request.rank());
+        let query = RoomQuery { service, size, avoided: &self.avoided, rank };
+        let (choice, decision) = if self.resuming {
+            (tables.choose_chain_to_resume(service, &settings, size, &self.avoided, now), None)
         } else {
-            tables.choose_chain(service, &settings, size, &self.avoided, now)
+            tables.admit_to_chain(&query, &settings, now)
         };
         let Some(choice) = choice else {
             let no_chains = tables.pools.get(service).is_none_or(|pool| pool.chains().is_empty());
@@ -289,7 +298,15 @@
                 Some(wait) => (NotRunCause::TargetLimited, wait),
                 None => (NotRunCause::NoRoom, NO_ROOM_RETRY_AFTER),
             };
-            let refusal = tables.not_run_refusal(cause, wait, now);
+            let refusal = match decision {
+                Some(decision) if cause == NotRunCause::NoRoom => {
+                    let time_left = self.request.deadline.since(now);
+                    let planned = tables.plan_return(&query, &decision, time_left, now);
+                    logs::admission_refused(&self.request, &decision, &planned);
+                    Refusal::NotRun(cause, planned.wait)
+                }
+                _ => tables.not_run_refusal(cause, wait, now),
+            };
             drop(tables);
             return Err(self.refusal_for(refusal));
         };
@@ -302,6 +319,9 @@
         tables.limits.note_sent(&choice.chain.parts[0].target);
         let urgency = tables.urgency(service, &self.prompt_request(now), &choice);
         drop(tables);
+        if let Some(decision) = &decision {
+            logs::admitted(&self.request, decision);
+        }
         logs::chain_chosen(&self.request.token, &choice, self.attempts, self.last_event, urgency);
         let chain = choice.chain;
         self.attempts += 1;
@@ -423,7 +443,7 @@
     fn prompt_request(&self, now: Moment) -> PromptRequest {
         PromptRequest {
             prompt: self.size().prompt,
-            priority: self.request.route.priority,
+            priority: self.request.priority.0,
             latency_target: self.request.route.latency_target,
             waited: now.since(self.request.received),
             resuming: self.resuming,
