The targets of a service are found without reading the whole fleet

Cause: FleetTable::of_service filtered all rows, and each call to a plain service reads it. At 5,303 targets, 3 of them replicas, a choice of a replica took 35.6 us by choose_replica and 52.5 us by choose_shared_replica, over the 20 us that a decision may take.

The table keeps the targets of each service. The order of the targets is the same.

Ruled out: keeping the replicas by revision of the fleet in the caller, which each heartbeat of an engine's layers would compute again.

--- a/crates/banyan-core/src/pipeline/fleet.rs
+++ b/crates/banyan-core/src/pipeline/fleet.rs
@@ -1,6 +1,7 @@
 //! The table of known targets: [`FleetTable`].
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -151,6 +152,8 @@
     /// The targets that said in an answer that they leave. Only a later run under the same id
     /// undoes that, and not an older report that arrives afterwards.
     leaving: BTreeMap<TargetId, LeavingNote>,
+    /// The targets in `rows` by service. Invariant: no set is empty.
+    by_service: BTreeMap<ServiceId, BTreeSet<TargetId>>,
 }
 
 /// What a target said about its leaving.
@@ -222,7 +225,9 @@
             .map(|(id, _)| id.clone())
             .collect();
         for id in &dropped {
-            self.rows.remove(id);
+            if let Some(row) = self.rows.remove(id) {
+                self.unlist(id, &row.report.service);
+            }
             self.revision += 1;
         }
         dropped
@@ -233,7 +238,8 @@
         &'a self,
         service: &'a ServiceId,
     ) -> impl Iterator<Item = (&'a TargetId, &'a TargetRow)> {
-        self.rows.iter().filter(move |(_, row)| row.report.service == *service)
+        let ids = self.by_service.get(service).into_iter().flatten();
+        ids.filter_map(|id| self.rows.get_key_value(id))
     }
 
     /// The target at an address.
@@ -344,6 +350,7 @@
                 pace: None,
                 said_leaving,
             };
+            self.list(&id, &row.report.service);
             self.rows.insert(id, row);
             self.revision += 1;
             return;
@@ -359,7 +366,8 @@
         let observed = row.observed.filter(|_| same_run);
         let ordered = row.ordered.filter(|_| same_run);
         let pace = row.pace.filter(|_| same_run);
-        *row = TargetRow {
+        let service = report.service.clone();
+        let next = TargetRow {
             report,
             removed: None,
             changed: now,
@@ -368,9 +376,28 @@
             pace,
             said_leaving,
         };
+        let before = std::mem::replace(row, next);
+        if before.report.service != service {
+            self.unlist(&id, &before.report.service);
+            self.list(&id, &service);
+        }
         self.revision += 1;
     }
 
+    /// Adds a target to those of a service.
+    fn list(&mut self, id: &TargetId, service: &ServiceId) {
+        self.by_service.entry(service.clone()).or_default().insert(id.clone());
+    }
+
+    /// Removes a target from those of a service.
+    fn unlist(&mut self, id: &TargetId, service: &ServiceId) {
+        let Some(ids) = self.by_service.get_mut(service) else { return };
+        ids.remove(id);
+        if ids.is_empty() {
+            self.by_service.remove(service);
+        }
+    }
+
     fn remove(&mut self, id: &TargetId, now: Moment) {
         let Some(row) = self.rows.get_mut(id) else { return };
         if row.removed.is_none() {
--- a/crates/banyan-core/tests/pipeline/fleets.rs
+++ b/crates/banyan-core/tests/pipeline/fleets.rs
@@ -145,3 +145,28 @@
     table.expire_leaving(at(600_000));
     assert!(table.note_leaving(&id, LeavingNote { born: Some(5), heard: at(0) }));
 }
+
+#[test]
+fn the_targets_of_a_service_follow_every_change_of_the_table() {
+    // Guards the index by service, without which a choice of a replica read all 5,300 engines: a
+    // target must be found under its present service alone, and under none once it is dropped.
+    let of = |table: &FleetTable, name: &str| -> Vec<String> {
+        let service = name.parse().expect("a name");
+        table.of_service(&service).map(|(id, _)| id.to_string()).collect()
+    };
+    let mut table =
+        fleet(&[("a2", "a", "fast", layers(0, 10)), ("a1", "a", "fast", layers(0, 10))]);
+    assert_eq!(of(&table, "engines"), ["a1", "a2"]);
+    let mut moved = report("a", "fast", 1_000, &[layers(0, 10)]);
+    moved.service = "others".parse().expect("a name");
+    table.apply(FleetChange::Reported(target("a2"), moved.clone()), at(100));
+    assert_eq!(
+        (of(&table, "engines"), of(&table, "others")),
+        (vec!["a1".into()], vec!["a2".into()])
+    );
+    table.replace(BTreeMap::from([(target("a2"), moved)]), at(200));
+    assert_eq!(of(&table, "engines"), ["a1"]);
+    table.drop_removed(Duration::from_millis(500), at(700));
+    assert!(of(&table, "engines").is_empty());
+    assert_eq!(of(&table, "others"), ["a2"]);
+}
