--- a/crates/banyan-core/src/pipeline/rejections.rs
+++ b/crates/banyan-core/src/pipeline/rejections.rs
@@ -10,8 +10,8 @@
 use crate::ids::TargetId;
 use crate::units::Moment;
 
-/// How long a rejection holds without further news. It is about as long as a round of digests, so
-/// that the promises that filled the target are known afterwards.
+/// How long a rejection holds without further news: as long as a target that refused a request is
+/// suspected, so that the two end together.
 pub const REJECTION_VALIDITY: Duration = Duration::from_millis(500);
 /// The fullness up to which a report shows room. Above it, a target has room for a few requests at
 /// most, which the instances that were rejected would all use at once.
