--- a/crates/banyan-forward/tests/room.rs
+++ b/crates/banyan-forward/tests/room.rs
@@ -19,6 +19,7 @@
 use banyan_core::pipeline::model::PassTiming;
 use banyan_core::pipeline::model::PipelineModel;
 use banyan_core::pipeline::report_stamp::ReportStamp;
+use banyan_core::pipeline::reservation::UNRESERVED_FULLNESS;
 use banyan_core::pipeline::retries::RetryBounds;
 use banyan_core::pipeline::routes::CallerLimits;
 use banyan_core::pipeline::routes::RouteKind;
@@ -30,9 +31,9 @@
 use banyan_core::units::Moment;
 use banyan_core::units::TokenCount;
 use banyan_forward::decisions::tables::ForwardTables;
-use banyan_forward::edges::ConfigurationRecord;
 use banyan_forward::settings::ForwardSettings;
 use banyan_forward::settings::ServiceBounds;
+use banyan_forward::store::configuration_record::ConfigurationRecord;
 
 const SIZE: RequestSize = RequestSize { prompt: TokenCount(80), total: TokenCount(95) };
 
@@ -129,7 +130,7 @@
         stamp: ReportStamp::default(),
     };
     let mut tables = ForwardTables::default();
-    tables.configuration = Some(ConfigurationRecord { table, bytes: Bytes::new() });
+    tables.configuration = Some(ConfigurationRecord::new(table, Bytes::new()));
     tables.fleet.apply(FleetChange::Reported(engine("e1"), report), Moment(0));
     tables.set_peers(peers);
     tables
@@ -139,9 +140,11 @@
 fn served_after_rejection(priorities: [u8; 2], peers: usize) -> (bool, bool) {
     let mut tables = tables(priorities, peers);
     let (settings, service, now) = (settings(), service(), Moment(1_000));
-    assert!(tables.choose_chain(&service, &settings, SIZE, &[], now).is_some());
+    assert!(
+        tables.choose_chain(&service, &settings, SIZE, &[], UNRESERVED_FULLNESS, now).is_some()
+    );
     tables.peer_loads.rejections.note_rejection(&engine("e1"), now);
-    let new = tables.choose_chain(&service, &settings, SIZE, &[], now);
+    let new = tables.choose_chain(&service, &settings, SIZE, &[], UNRESERVED_FULLNESS, now);
     let resumed = tables.choose_chain_to_resume(&service, &settings, SIZE, &[], now);
     (new.is_some(), resumed.is_some())
 }
