In a large fleet the announced names decide who joins the group; a replaced leader stops

With 24 or more other announced instances, GroupTable decides: all instances order the announced names by one hash; what members state about themselves (zone, generation, whether they lead, when the group last answered) is passed on in digests with its age. While fewer than six members are heard of, the first names join after a second, each further one 160 ms after the one before it and no sooner than a statement takes to spread, at most 6 s. The first names read the list a second time before they join, since instances that start together are listed one after another. A zone without a member gets one after 4 s. A member leaves only if 16 come before it for 10 s. Members that fell silent are not waited for.

A leader stops ordering once another instance stated that it leads under a higher generation, or once the group answered others later than it could still count this leader as a member. If the group answers nobody, the leader goes on as before. The deputy of a large fleet is the lowest name among the live members, since digests of few peers arrive within their 2 s.

Cause: the standbys of a zone were chosen among peers with a status of the last 6 s, and with 300 peers an instance hears of each only every 15 s, so that nearly all took themselves to be first at some time.

Ruled out: the zone and capacity in the announcement, since readers of the old form take the whole value as an address and would ignore the instance. The hash spreads the first names over zones instead; a zone that is left without a member gets one by digests.

The status alone, on which a settled fleet relied, expires after 6 s.

--- a/crates/banyan-core/src/pipeline.rs
+++ b/crates/banyan-core/src/pipeline.rs
@@ -14,6 +14,7 @@
 //! - [`target_chain`]: engines that together run all layers.
 //! - [`chain`]: which chain serves a request.
 //! - [`reroute`]: how a running request moves off some of its engines.
+//! - [`group`]: which instances of a large fleet choose the leader among them.
 //! - [`duties`]: which instances take on work for others.
 //! - [`checkers`]: which instance checks a target for the others of its zone.
 //! - [`suspicion`]: which targets are suspected of having failed.
@@ -30,6 +31,7 @@
 pub mod duties;
 pub mod engine_states;
 pub mod fleet;
+pub mod group;
 pub mod history;
 mod layout;
 pub mod load;
--- a/crates/banyan-core/src/pipeline/readers.rs
+++ b/crates/banyan-core/src/pipeline/readers.rs
@@ -158,6 +158,16 @@
         self.rows.iter().filter(move |(_, row)| row.is_live(now)).map(|(peer, _)| peer)
     }
 
+    /// The names of the live peers of an instance's zone.
+    pub fn live_zone_peers(
+        &self,
+        own: &OwnInstance<'_>,
+        now: Moment,
+    ) -> impl Iterator<Item = &InstanceId> {
+        let in_zone = move |row: &ReaderRow| row.is_live(now) && row.status.zone == *own.zone;
+        self.rows.iter().filter(move |(_, row)| in_zone(row)).map(|(peer, _)| peer)
+    }
+
     /// Chooses the source for an instance. `last_failure` is when its own call to the store last
     /// failed.
     ///
--- a/crates/banyan-forward/src/decisions/tables.rs
+++ b/crates/banyan-forward/src/decisions/tables.rs
@@ -22,6 +22,7 @@
 use banyan_core::pipeline::crashes::CrashTable;
 use banyan_core::pipeline::engine_states::EngineStates;
 use banyan_core::pipeline::fleet::FleetTable;
+use banyan_core::pipeline::group::GroupTable;
 use banyan_core::pipeline::history::FleetHistory;
 use banyan_core::pipeline::load::LoadTable;
 use banyan_core::pipeline::load::LoadView;
@@ -113,6 +114,8 @@
     /// Orders of this instance, or of the leader from which it last received a digest, that engines
     /// may still be carrying out.
     pub pending_orders: BTreeMap<TargetId, PendingOrder>,
+    /// The announced instances, and the members of the group among them.
+    pub group: GroupTable,
     /// The orders that wait to be sent, and the calls to engines in flight, while this instance
     /// orders layers.
     pub order_queue: OrderQueue,
--- a/crates/banyan-forward/src/peers.rs
+++ b/crates/banyan-forward/src/peers.rs
@@ -8,6 +8,7 @@
 pub mod crash_alerts;
 pub mod digests;
 pub mod limit_alerts;
+pub mod members;
 pub mod news;
 pub mod peer_link;
 pub mod rounds;
--- a/crates/banyan-forward/src/peers/digests.rs
+++ b/crates/banyan-forward/src/peers/digests.rs
@@ -16,6 +16,8 @@
 use crate::peers::crash_alerts::suspect_wires;
 use crate::peers::limit_alerts::limit_wires;
 use crate::peers::limit_alerts::merge_limits;
+use crate::peers::members::member_wires;
+use crate::peers::members::merge_members;
 use crate::state::ForwardState;
 use crate::store::feeds;
 use banyan_core::ids::InstanceId;
@@ -71,6 +73,7 @@
         generation: tables.membership.map_or(0, |membership| membership.generation),
         leads: tables.membership.is_some_and(|membership| membership.leads),
         ordered: tables.pending_orders.iter().filter_map(|row| ordered_wire(row, now)).collect(),
+        members: member_wires(&settings, &tables, now),
     }
 }
 
@@ -129,6 +132,7 @@
         return;
     };
     let now = state.now();
+    let settings = state.settings();
     let mut tables = state.tables();
     let read_age = digest.read_age_ms.map(Duration::from_millis);
     let role = match read_age {
@@ -151,8 +155,10 @@
     tables.highest_seen_generation = tables.highest_seen_generation.max(digest.generation);
     if digest.leads {
         tables.leader_seen_at = Some(now);
+        tables.group.note_leader(digest.generation);
         apply_leader_orders(&mut tables, digest.ordered, now);
     }
+    merge_members(&mut tables, &settings.instance, digest.members, now);
     merge_suspects(&mut tables, digest.suspects, now);
     merge_limits(&mut tables, digest.limits, now);
     merge_leaving(&mut tables, digest.leaving, now);
--- /dev/null
+++ b/crates/banyan-forward/src/peers/members.rs
@@ -0,0 +1,83 @@
+//! What digests say about the members of the group: [`member_wires`] and [`merge_members`].
+
+use std::time::Duration;
+
+use smol_str::SmolStr;
+
+use crate::decisions::tables::ForwardTables;
+use crate::peers::digests::millis;
+use crate::settings::ForwardSettings;
+use banyan_core::ids::IdError;
+use banyan_core::ids::InstanceId;
+use banyan_core::pipeline::duties::is_small_fleet;
+use banyan_core::pipeline::group::MAX_STATEMENTS;
+use banyan_core::pipeline::group::MemberStatement;
+use banyan_core::units::Moment;
+use banyan_wire::forward::MemberWire;
+
+/// The statements of the members that were heard of recently, and of this instance if it is one.
+/// Small fleets need none, since their instances hear each member itself.
+pub fn member_wires(
+    settings: &ForwardSettings,
+    tables: &ForwardTables,
+    now: Moment,
+) -> Vec<MemberWire> {
+    if is_small_fleet(tables.peers_listed) {
+        return Vec::new();
+    }
+    let own = tables.membership.map(|membership| MemberStatement {
+        zone: settings.zone.clone(),
+        generation: membership.generation,
+        leads: membership.leads,
+        stated: now,
+        confirmed: tables.membership_confirmed_at,
+    });
+    let own = own.iter().map(|statement| (&settings.instance, statement));
+    let all = own.chain(tables.group.statements(now));
+    all.map(|(name, statement)| member_wire(name, statement, now)).collect()
+}
+
+fn member_wire(name: &InstanceId, statement: &MemberStatement, now: Moment) -> MemberWire {
+    MemberWire {
+        instance: SmolStr::new(name.as_str()),
+        zone: SmolStr::new(statement.zone.as_str()),
+        generation: statement.generation,
+        leads: statement.leads,
+        age_ms: millis(now.since(statement.stated)),
+        confirmed_age_ms: millis(now.since(statement.confirmed)),
+    }
+}
+
+/// Applies what a peer says about members other than this instance.
+pub fn merge_members(
+    tables: &mut ForwardTables,
+    own: &InstanceId,
+    members: Vec<MemberWire>,
+    now: Moment,
+) {
+    for member in members.into_iter().take(MAX_STATEMENTS + 1) {
+        let generation = member.generation;
+        match read_statement(member, now) {
+            Ok((name, statement)) if name != *own => {
+                tables.group.record_statement(name, statement);
+                tables.highest_seen_generation = tables.highest_seen_generation.max(generation);
+            }
+            Ok(_) => {}
+            Err(error) => tracing::warn!(part = "peers", %error, "Ignored an invalid member."),
+        }
+    }
+}
+
+fn read_statement(
+    member: MemberWire,
+    now: Moment,
+) -> Result<(InstanceId, MemberStatement), IdError> {
+    let statement = MemberStatement {
+        zone: member.zone.parse()?,
+        generation: member.generation,
+        leads: member.leads,
+        stated: now.before(Duration::from_millis(member.age_ms)),
+        confirmed: now.before(Duration::from_millis(member.confirmed_age_ms)),
+    };
+    Ok((member.instance.parse()?, statement))
+}
--- a/crates/banyan-forward/src/peers/rounds.rs
+++ b/crates/banyan-forward/src/peers/rounds.rs
@@ -21,6 +21,9 @@
 use crate::peers::peer_link::connect_or_reuse;
 use crate::state::ForwardState;
 use crate::store::feeds;
+use banyan_core::ids::InstanceId;
+use banyan_core::pipeline::duties::is_small_fleet;
+use banyan_core::pipeline::group::LISTING_CONFIRMATION;
 use banyan_core::units::Moment;
 use banyan_wire::forward::ForwardDigest;
 use banyan_wire::forward::ForwardServiceClient;
@@ -99,10 +102,16 @@
     match state.platform.peers().await {
         Ok(listed) => {
             feeds::record_store_success(state, "peers");
+            let names: BTreeSet<InstanceId> = listed.keys().cloned().collect();
             peers.addresses.extend(listed.into_values());
             peers.addresses.remove(&settings.peer_address);
-            peers.next_listing = now + LISTING_INTERVAL;
-            state.tables().set_peers(peers.addresses.len());
+            let mut tables = state.tables();
+            tables.set_peers(peers.addresses.len());
+            tables.group.set_announced(names, now);
+            let reads_again = !is_small_fleet(tables.peers_listed)
+                && tables.group.needs_confirmation(&settings.own_instance());
+            let interval = if reads_again { LISTING_CONFIRMATION } else { LISTING_INTERVAL };
+            peers.next_listing = now + interval;
         }
         Err(error) => feeds::record_store_failure(state, "peers", &error),
     }
--- a/crates/banyan-forward/src/store/membership.rs
+++ b/crates/banyan-forward/src/store/membership.rs
@@ -1,7 +1,8 @@
 //! This instance's membership in the group of instances: [`keep_membership`].
 //!
 //! The group determines the leader. Only a few instances of each zone are members, since each
-//! further member makes the calls to the group more expensive.
+//! further member makes the calls to the group more expensive. In a large fleet
+//! [`banyan_core::pipeline::group`] decides who joins.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -10,22 +11,19 @@
 use crate::state::ForwardState;
 use crate::store::feeds::record_store_failure;
 use crate::store::feeds::record_store_success;
+use banyan_core::pipeline::duties::is_small_fleet;
 
 /// The time between two heartbeats to the group.
 pub const MEMBERSHIP_INTERVAL: Duration = Duration::from_millis(700);
 /// The time without a heartbeat after which the group removes an instance.
 pub const MEMBERSHIP_TTL: Duration = Duration::from_millis(2_200);
 
-/// If fewer other instances than this are listed, an instance joins the group at startup without
-/// waiting for digests: the first digest rounds ([`crate::peers::rounds::run_peers`]) reach all of them.
-const MIN_PEERS_TO_WAIT: usize = 24;
 /// The time between two checks of the number of instances at startup.
 const STARTUP_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 /// The maximum number of checks of the number of instances at startup.
 const MAX_STARTUP_CHECKS: u32 = 60;
 
-/// Keeps this instance in the group while it is one of the standbys of its zone. Runs until the
-/// daemon stops.
+/// Keeps this instance in the group while it should be a member. Runs until the daemon stops.
 pub async fn keep_membership<P: Platform>(state: Arc<ForwardState<P>>) {
     let mut generation = 0;
     wait_for_peers(&state).await;
@@ -75,18 +73,27 @@
 /// joins the group only to leave it again makes the group redistribute its work needlessly.
 async fn wait_for_peers<P: Platform>(state: &ForwardState<P>) {
     for _ in 0..MAX_STARTUP_CHECKS {
-        if state.tables().peers_listed.is_some_and(|listed| listed < MIN_PEERS_TO_WAIT) {
+        if is_small_fleet(state.tables().peers_listed) {
             return;
         }
         tokio::time::sleep(STARTUP_CHECK_INTERVAL).await;
     }
 }
 
-/// Whether this instance should be a member of the group.
+/// Whether this instance should be a member of the group. In a small fleet the standbys of each
+/// zone are. While the instances could not be listed, those that sent digests tell the size.
 fn should_be_member<P>(state: &ForwardState<P>) -> bool {
     let settings = state.settings();
+    let own = settings.own_instance();
     let now = state.now();
-    state.tables().readers.is_standby(&settings.own_instance(), now)
+    let mut guard = state.tables();
+    let tables = &mut *guard;
+    let heard = tables.readers.live_peers(now).count();
+    if is_small_fleet(tables.peers_listed.or(Some(heard))) {
+        return tables.readers.is_standby(&own, now);
+    }
+    let zone_peers = tables.readers.live_zone_peers(&own, now);
+    tables.group.should_be_member(&own, tables.membership.is_some(), zone_peers, now)
 }
 
 /// Leaves the group, if this instance is a member, because enough others of the zone are members.
--- a/crates/banyan-wire/src/forward.rs
+++ b/crates/banyan-wire/src/forward.rs
@@ -132,6 +132,26 @@
     pub leads: bool,
     /// The layers that the sender has ordered and that engines may still be loading.
     pub ordered: Vec<OrderedWire>,
+    /// The members of the group that the sender heard of recently, and the sender if it is one.
+    /// Empty in a small fleet.
+    pub members: Vec<MemberWire>,
+}
+
+/// What a member of the group states about itself.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct MemberWire {
+    /// The member's instance name.
+    pub instance: SmolStr,
+    /// The member's availability zone.
+    pub zone: SmolStr,
+    /// The generation of the group that it knows.
+    pub generation: u64,
+    /// Whether it leads.
+    pub leads: bool,
+    /// The age of the statement, in milliseconds.
+    pub age_ms: u64,
+    /// The time since the group last answered the member, in milliseconds.
+    pub confirmed_age_ms: u64,
 }
 
 /// What a checker knows about a target.
