Roles are stable and digests bounded in a large fleet

The status of a peer stays valid for as long as a cycle of exchanges with all peers may take (0.75 s a round of 8), at least 6 s as before; beyond 6 s only if the peer has not failed to answer an exchange, an update or a check since it was heard of. A follower's digest names the instance of its zone that it follows, so that the others of the zone choose the same one within a few rounds. In a large fleet a digest carries at most 96 pending orders, only those that make engines unload layers, and the 96 newest reported layers.

Cause: with 300 peers each is heard of every 15 s, so that the known reader of a zone expired and its followers read the store themselves. During a start the leader's digest carried up to 3,000 pending orders (about 50 bytes each) to 16 peers a round, more than its link of 20 Mbit/s.

Ruled out: more peers a round, since the bytes between zones are the largest cost; passing the status of all peers on, for the same reason.

The bytes of digests were not measured.

--- a/crates/banyan-core/src/pipeline/readers.rs
+++ b/crates/banyan-core/src/pipeline/readers.rs
@@ -28,7 +28,8 @@
 /// How much older than [`MAX_READ_AGE`] the data of a relay may be. A relay whose reader fails needs
 /// this long to find another source, and its followers need not look for one meanwhile.
 const RELAY_GRACE: Duration = Duration::from_millis(400);
-/// How long a peer's status is valid.
+/// How long a peer's status is valid in any case. It is valid for longer in a large fleet, where a
+/// peer is heard of less often, unless the peer has failed to answer since.
 const STATUS_VALIDITY: Duration = Duration::from_secs(6);
 /// How long a peer is not asked after it failed to deliver changes.
 const FAILURE_PAUSE: Duration = Duration::from_secs(2);
@@ -84,11 +85,18 @@
     failed: Option<Moment>,
     /// When it last did not answer as a checker.
     silent_as_checker: Option<Moment>,
+    /// When it last did not answer an exchange.
+    unanswered: Option<Moment>,
+    /// How long its status is valid while it answers.
+    validity: Duration,
 }
 
 impl ReaderRow {
     fn is_live(&self, now: Moment) -> bool {
-        now.since(self.received) < STATUS_VALIDITY
+        let age = now.since(self.received);
+        let last_failure = self.failed.max(self.silent_as_checker).max(self.unanswered);
+        let has_failed = last_failure.is_some_and(|at| at >= self.received);
+        age < STATUS_VALIDITY || (age < self.validity && !has_failed)
     }
 
     /// Whether the peer has recent records for others and did not fail to deliver them.
@@ -122,6 +130,8 @@
 #[derive(Debug, Default)]
 pub struct ReaderTable {
     rows: BTreeMap<InstanceId, ReaderRow>,
+    /// The longest time in which this instance calls each peer once.
+    exchange_cycle: Duration,
 }
 
 impl ReaderTable {
@@ -131,7 +141,29 @@
         let known = self.rows.get(&peer);
         let failed = known.and_then(|row| row.failed);
         let silent_as_checker = known.and_then(|row| row.silent_as_checker);
-        self.rows.insert(peer, ReaderRow { status, received: now, failed, silent_as_checker });
+        let unanswered = known.and_then(|row| row.unanswered);
+        let validity = self.exchange_cycle.max(STATUS_VALIDITY);
+        let received = now;
+        let row = ReaderRow { status, received, failed, silent_as_checker, unanswered, validity };
+        self.rows.insert(peer, row);
+    }
+
+    /// Sets the longest time in which this instance exchanges digests with each peer once. The
+    /// status of a peer stays valid until then.
+    pub fn set_exchange_cycle(&mut self, cycle: Duration) {
+        self.exchange_cycle = cycle;
+    }
+
+    /// Records that the peer at an address did not answer an exchange.
+    pub fn note_unanswered(&mut self, address: SocketAddr, now: Moment) {
+        for row in self.rows.values_mut().filter(|row| row.status.address == address) {
+            row.unanswered = Some(now);
+        }
+    }
+
+    /// The announced status of a peer.
+    pub fn status(&self, peer: &InstanceId) -> Option<&ReaderStatus> {
+        self.rows.get(peer).map(|row| &row.status)
     }
 
     /// Records that a peer failed to deliver changes when it was asked.
--- a/crates/banyan-core/tests/pipeline/order_queues.rs
+++ b/crates/banyan-core/tests/pipeline/order_queues.rs
@@ -224,3 +224,43 @@
     states.record_idle(&id, Some(0), 3);
     assert_eq!(states.expected_orders(&id, &holding), None);
 }
+
+/// An engine as the protocol describes it: it refuses lower fencing tokens and orders that state
+/// another number of accepted orders.
+#[derive(Default)]
+struct EngineModel {
+    fence: u64,
+    accepted_orders: u64,
+    accepted: Vec<u64>,
+}
+
+impl EngineModel {
+    fn place(&mut self, fence: u64, expected_orders: u64) {
+        if fence >= self.fence && expected_orders == self.accepted_orders {
+            self.fence = fence;
+            self.accepted_orders += 1;
+            self.accepted.push(fence);
+        }
+    }
+}
+
+#[test]
+fn of_two_leaders_that_order_without_state_requests_one_is_refused() {
+    // Failure: both rely on what they know of an engine, and it loads layers for both.
+    let id = target("e1");
+    let empty = report("a", "fast", 1, &[]);
+    let states = [EngineStates::default(), EngineStates::default()];
+    let expected = states.map(|states| states.expected_orders(&id, &empty).expect("a number"));
+    for generations in [[5, 6], [6, 5]] {
+        let mut engine = EngineModel::default();
+        for (generation, expected_orders) in generations.into_iter().zip(expected) {
+            engine.place(generation, expected_orders);
+        }
+        assert_eq!(engine.accepted, [generations[0]]);
+    }
+    // A former leader that read the state after its successor's order is refused by its token.
+    let mut engine = EngineModel::default();
+    engine.place(6, 0);
+    engine.place(5, 1);
+    assert_eq!(engine.accepted, [6]);
+}
--- a/crates/banyan-forward/src/decisions/tables.rs
+++ b/crates/banyan-forward/src/decisions/tables.rs
@@ -13,6 +13,7 @@
 use crate::edges::Membership;
 use crate::logs;
 use crate::settings::ForwardSettings;
+use banyan_core::ids::InstanceId;
 use banyan_core::ids::LayerRange;
 use banyan_core::ids::ServiceId;
 use banyan_core::ids::TargetId;
@@ -114,6 +115,8 @@
     /// Orders of this instance, or of the leader from which it last received a digest, that engines
     /// may still be carrying out.
     pub pending_orders: BTreeMap<TargetId, PendingOrder>,
+    /// The instance of the same zone from which this instance gets the platform's data, if it does.
+    pub followed: Option<InstanceId>,
     /// The announced instances, and the members of the group among them.
     pub group: GroupTable,
     /// The orders that wait to be sent, and the calls to engines in flight, while this instance
--- a/crates/banyan-forward/src/peers/digests.rs
+++ b/crates/banyan-forward/src/peers/digests.rs
@@ -18,12 +18,15 @@
 use crate::peers::limit_alerts::merge_limits;
 use crate::peers::members::member_wires;
 use crate::peers::members::merge_members;
+use crate::peers::members::merge_source;
+use crate::peers::members::source_wire;
 use crate::state::ForwardState;
 use crate::store::feeds;
 use banyan_core::ids::InstanceId;
 use banyan_core::ids::LogOffset;
 use banyan_core::ids::TargetId;
 use banyan_core::pipeline::duties::DutyCapacity;
+use banyan_core::pipeline::duties::is_small_fleet;
 use banyan_core::pipeline::fleet::TargetReport;
 use banyan_core::pipeline::fleet::TargetRow;
 use banyan_core::pipeline::load::TargetLoad;
@@ -42,6 +45,9 @@
 
 /// The age up to which a target's report of its layers is passed on to peers.
 const OBSERVED_TIME: Duration = Duration::from_secs(3);
+/// The largest number of pending orders, and of reported layers, in a digest of a large fleet: 5 kB
+/// each. Thousands would take all of a small machine's link during a start.
+const MAX_LARGE_FLEET_ROWS: usize = 96;
 /// The largest number of suspected traits in a digest.
 const MAX_DIGEST_SUSPECTS: usize = 32;
 
@@ -72,11 +78,25 @@
         leaving: leaving_wires(&tables, now),
         generation: tables.membership.map_or(0, |membership| membership.generation),
         leads: tables.membership.is_some_and(|membership| membership.leads),
-        ordered: tables.pending_orders.iter().filter_map(|row| ordered_wire(row, now)).collect(),
+        ordered: ordered_wires(&tables, now),
         members: member_wires(&settings, &tables, now),
+        follows: source_wire(&tables),
     }
 }
 
+/// The pending orders. In a large fleet only those that make engines unload layers are passed on:
+/// choices of chains need them, and a new leader learns of the others from the engines.
+fn ordered_wires(tables: &ForwardTables, now: Moment) -> Vec<OrderedWire> {
+    let is_small = is_small_fleet(tables.peers_listed);
+    let limit = if is_small { usize::MAX } else { MAX_LARGE_FLEET_ROWS };
+    let unloads = |id: &TargetId| {
+        let row = tables.fleet.rows.get(id);
+        row.is_some_and(|row| row.kept_layers() != row.report.held)
+    };
+    let orders = tables.pending_orders.iter().filter(|(id, _)| is_small || unloads(id));
+    orders.filter_map(|row| ordered_wire(row, now)).take(limit).collect()
+}
+
 fn ordered_wire((id, order): (&TargetId, &PendingOrder), now: Moment) -> Option<OrderedWire> {
     let range = order.range?;
     Some(OrderedWire {
@@ -87,13 +107,19 @@
 }
 
 /// The layers that targets reported to this instance, where they differ from the targets' records.
+/// In a large fleet only the newest are passed on, since the records tell the others soon.
 fn observed_wires(tables: &ForwardTables, now: Moment) -> Vec<ObservedWire> {
     let listed = tables.history.listed();
     let differs_from_record = |(id, row): &(&TargetId, &TargetRow)| {
         listed.get(*id).is_none_or(|report| report.held != row.report.held)
     };
     let rows = tables.fleet.rows.iter().filter(differs_from_record);
-    rows.filter_map(|row| observed_wire(row, now)).collect()
+    let mut wires: Vec<ObservedWire> = rows.filter_map(|row| observed_wire(row, now)).collect();
+    if !is_small_fleet(tables.peers_listed) {
+        wires.sort_by_key(|wire| wire.age_ms);
+        wires.truncate(MAX_LARGE_FLEET_ROWS);
+    }
+    wires
 }
 
 /// The slowdown that an engine reported, if it reported one.
@@ -158,6 +184,11 @@
         tables.group.note_leader(digest.generation);
         apply_leader_orders(&mut tables, digest.ordered, now);
     }
+    if let Some(source) = digest.follows
+        && digest.zone == settings.zone.as_str()
+    {
+        merge_source(&mut tables, &settings, source, now);
+    }
     merge_members(&mut tables, &settings.instance, digest.members, now);
     merge_suspects(&mut tables, digest.suspects, now);
     merge_limits(&mut tables, digest.limits, now);
--- a/crates/banyan-forward/src/peers/members.rs
+++ b/crates/banyan-forward/src/peers/members.rs
@@ -1,4 +1,6 @@
-//! What digests say about the members of the group: [`member_wires`] and [`merge_members`].
+//! What digests pass on about other instances in a large fleet, where an instance hears of most
+//! peers seldom: the members of the group ([`member_wires`], [`merge_members`]), and who passes on
+//! the platform's data within a zone ([`source_wire`], [`merge_source`]).
 
 use std::time::Duration;
 
@@ -9,11 +11,15 @@
 use crate::settings::ForwardSettings;
 use banyan_core::ids::IdError;
 use banyan_core::ids::InstanceId;
+use banyan_core::pipeline::duties::DutyCapacity;
 use banyan_core::pipeline::duties::is_small_fleet;
 use banyan_core::pipeline::group::MAX_STATEMENTS;
 use banyan_core::pipeline::group::MemberStatement;
+use banyan_core::pipeline::readers::FeedRole;
+use banyan_core::pipeline::readers::ReaderStatus;
 use banyan_core::units::Moment;
 use banyan_wire::forward::MemberWire;
+use banyan_wire::forward::SourceWire;
 
 /// The statements of the members that were heard of recently, and of this instance if it is one.
 /// Small fleets need none, since their instances hear each member itself.
@@ -81,3 +87,41 @@
     };
     Ok((member.instance.parse()?, statement))
 }
+
+/// The instance of this zone that this instance follows, so that others of the zone choose the same
+/// one before they hear of it themselves.
+pub fn source_wire(tables: &ForwardTables) -> Option<SourceWire> {
+    let name = tables.followed.as_ref().filter(|_| !is_small_fleet(tables.peers_listed))?;
+    let status = tables.readers.status(name)?;
+    Some(SourceWire {
+        instance: SmolStr::new(name.as_str()),
+        address: status.address,
+        capacity_millicores: status.capacity.0,
+        relays: status.role == FeedRole::Relay,
+    })
+}
+
+/// Records the instance that a follower of the same zone follows. The follower has recent data from
+/// it.
+pub fn merge_source(
+    tables: &mut ForwardTables,
+    settings: &ForwardSettings,
+    source: SourceWire,
+    now: Moment,
+) {
+    let Ok(name) = source.instance.parse::<InstanceId>() else {
+        tracing::warn!(part = "peers", instance = %source.instance, "Ignored an invalid name.");
+        return;
+    };
+    if name == settings.instance {
+        return;
+    }
+    let status = ReaderStatus {
+        zone: settings.zone.clone(),
+        address: source.address,
+        capacity: DutyCapacity(source.capacity_millicores),
+        role: if source.relays { FeedRole::Relay } else { FeedRole::Reader },
+        read_age: Some(Duration::ZERO),
+    };
+    tables.readers.record_status(name, status, now);
+}
--- a/crates/banyan-forward/src/peers/news.rs
+++ b/crates/banyan-forward/src/peers/news.rs
@@ -57,6 +57,7 @@
     loop {
         match current_source(&state) {
             FeedSource::Store => {
+                state.tables().followed = None;
                 set_role(&state, FeedRole::Reader);
                 tokio::time::sleep(SOURCE_CHECK_INTERVAL).await;
             }
@@ -66,6 +67,8 @@
                     Ok(client) => {
                         link = Some((address, client));
                         let role = role_behind(&state, &peer);
+                        let follows = role == FeedRole::Follower;
+                        state.tables().followed = follows.then_some(peer);
                         set_role(&state, role);
                     }
                     Err(error) => record_reader_failure(&state, &peer, &error),
@@ -104,7 +107,9 @@
 fn record_reader_failure<P>(state: &ForwardState<P>, peer: &InstanceId, error: &UpdateError) {
     tracing::info!(part = "store", %peer, %error, "A request to a peer for an update failed.");
     metrics::counter!("banyan_reader_failures_total").increment(1);
-    state.tables().readers.note_failure(peer, state.now());
+    let mut tables = state.tables();
+    tables.followed = None;
+    tables.readers.note_failure(peer, state.now());
 }
 
 /// Sends one request for an update to a reader and applies the answer.
--- a/crates/banyan-forward/src/peers/rounds.rs
+++ b/crates/banyan-forward/src/peers/rounds.rs
@@ -127,6 +127,8 @@
     if available.is_empty() {
         return;
     }
+    let rounds = peers.addresses.len().div_ceil(PEERS_PER_ROUND) as u32;
+    state.tables().readers.set_exchange_cycle((ROUND_INTERVAL + EXCHANGE_TIMEOUT) * rounds);
     let count = available.len().min(PEERS_PER_ROUND);
     let chosen: Vec<SocketAddr> =
         (0..count).map(|step| available[(peers.next_index + step) % available.len()]).collect();
@@ -152,7 +154,9 @@
                 apply_digest(state, digest);
             }
             None => {
-                peers.paused_until.insert(address, state.now() + UNRESPONSIVE_PAUSE);
+                let now = state.now();
+                peers.paused_until.insert(address, now + UNRESPONSIVE_PAUSE);
+                state.tables().readers.note_unanswered(address, now);
             }
         }
     }
--- a/crates/banyan-wire/src/forward.rs
+++ b/crates/banyan-wire/src/forward.rs
@@ -135,6 +135,22 @@
     /// The members of the group that the sender heard of recently, and the sender if it is one.
     /// Empty in a small fleet.
     pub members: Vec<MemberWire>,
+    /// The instance of the sender's zone from which the sender gets the platform's data, if it gets
+    /// it from one. Absent in a small fleet.
+    pub follows: Option<SourceWire>,
+}
+
+/// An instance that passes on the platform's data within its zone.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct SourceWire {
+    /// Its instance name.
+    pub instance: SmolStr,
+    /// The address where it answers its peers.
+    pub address: SocketAddr,
+    /// What it can spend on work for others, in thousandths of a processor core.
+    pub capacity_millicores: u32,
+    /// Whether it passes on what an instance of another zone has read.
+    pub relays: bool,
 }
 
 /// What a member of the group states about itself.
