--- a/crates/banyan-core/src/pipeline/group.rs
+++ b/crates/banyan-core/src/pipeline/group.rs
@@ -27,6 +27,10 @@
 /// The age from which on a member's statement does not count. A statement reaches 1,000 instances
 /// within five rounds of exchanges, mostly of 400 ms, and at most of 750 ms.
 const STATEMENT_VALIDITY: Duration = Duration::from_secs(4);
+/// The time by which the age of a statement may be too low after it was passed on several times. In
+/// an outage, when all members were last answered at about the same time, it must not look as if
+/// the group answered the others later.
+const STATEMENT_DELAY: Duration = Duration::from_millis(1_500);
 /// The time for which a member that fell silent is not expected to join again.
 const GONE_MEMORY: Duration = Duration::from_secs(60);
 /// How long members must be missing before an instance joins, since a statement may be late.
@@ -129,7 +133,8 @@
     /// Whether the group answers others but has not answered this instance since `confirmed`, for
     /// the time after which it drops a member. A group that answers nobody has dropped nobody.
     pub fn has_dropped(&self, confirmed: Moment, ttl: Duration) -> bool {
-        self.members.values().any(|row| row.confirmed > confirmed + ttl)
+        let dropped = confirmed + ttl + STATEMENT_DELAY;
+        self.members.values().any(|row| row.confirmed > dropped)
     }
 
     /// When a leader last stated that it leads, if that was recently.
--- a/crates/banyan-forward/src/decisions/leading.rs
+++ b/crates/banyan-forward/src/decisions/leading.rs
@@ -3,7 +3,6 @@
 use std::time::Duration;
 
 use crate::decisions::tables::ForwardTables;
-use crate::edges::Membership;
 use crate::state::ForwardState;
 use crate::store::membership::MEMBERSHIP_TTL;
 use banyan_core::pipeline::duties::LeadershipLease;
@@ -16,18 +15,14 @@
 /// The fencing token for this instance's orders, or `None` if it must not send any.
 pub(super) fn leading_generation<P>(state: &ForwardState<P>) -> Option<u64> {
     let tables = state.tables();
-    let confirmed = tables.membership_confirmed_at;
     let lease = LeadershipLease {
-        confirmed,
+        confirmed: tables.membership_confirmed_at,
         ttl: MEMBERSHIP_TTL,
         engines_check_fences: state.settings().bounds.engines_check_fences,
     };
-    let is_replaced = |generation| tables.group.has_replaced(generation, confirmed, MEMBERSHIP_TTL);
     let generation = match tables.membership {
-        Some(Membership { leads: true, generation })
-            if lease.is_valid(state.now()) && !is_replaced(generation) =>
-        {
-            Some(generation)
+        Some(membership) if tables.is_leader() && lease.is_valid(state.now()) => {
+            Some(membership.generation)
         }
         _ => deputy_generation(state, &tables),
     };
@@ -37,11 +32,10 @@
 /// The generation that this instance uses as a deputy, or `None` if it is not the deputy.
 ///
 /// While neither the group nor a leader responds, the live instance with the lowest name (in a large
-/// fleet, of the members of the group) sends
-/// orders with the highest generation that it has seen. There is a deputy only if engines check
-/// fencing tokens. Two deputies at the same time do no harm: each order states the number of orders
-/// that the engine has accepted so far, so only one of two concurrent orders is accepted, and no
-/// order exceeds the engine's memory.
+/// fleet, of the members of the group) sends orders with the highest generation that it has seen.
+/// There is a deputy only if engines check fencing tokens. Two deputies at the same time do no harm:
+/// each order states the number of orders that the engine has accepted so far, so only one of two
+/// concurrent orders is accepted, and no order exceeds the engine's memory.
 fn deputy_generation<P>(state: &ForwardState<P>, tables: &ForwardTables) -> Option<u64> {
     let now = state.now();
     let settings = state.settings();
--- a/crates/banyan-forward/src/decisions/tables.rs
+++ b/crates/banyan-forward/src/decisions/tables.rs
@@ -13,6 +13,7 @@
 use crate::edges::Membership;
 use crate::logs;
 use crate::settings::ForwardSettings;
+use crate::store::membership::MEMBERSHIP_TTL;
 use banyan_core::ids::InstanceId;
 use banyan_core::ids::LayerRange;
 use banyan_core::ids::ServiceId;
@@ -275,6 +276,16 @@
         Refusal::NotRun(cause, self.retry_delays.next_delay(now + wait, now))
     }
 
+    /// Whether the group chose this instance as the leader and has not replaced it since. An
+    /// instance that has been replaced must not keep a deputy from taking over.
+    pub fn is_leader(&self) -> bool {
+        let confirmed = self.membership_confirmed_at;
+        self.membership.is_some_and(|membership| {
+            let generation = membership.generation;
+            membership.leads && !self.group.has_replaced(generation, confirmed, MEMBERSHIP_TTL)
+        })
+    }
+
     /// Records how many orders an engine has accepted by its own report.
     pub fn note_engine_state(&mut self, id: &TargetId, engine: &EngineState) {
         if engine.busy {
--- a/crates/banyan-forward/src/peers/digests.rs
+++ b/crates/banyan-forward/src/peers/digests.rs
@@ -77,7 +77,7 @@
         limits: limit_wires(tables.limits.all_reports(), now),
         leaving: leaving_wires(&tables, now),
         generation: tables.membership.map_or(0, |membership| membership.generation),
-        leads: tables.membership.is_some_and(|membership| membership.leads),
+        leads: tables.is_leader(),
         ordered: ordered_wires(&tables, now),
         members: member_wires(&settings, &tables, now),
         follows: source_wire(&tables),
--- a/crates/banyan-forward/src/peers/members.rs
+++ b/crates/banyan-forward/src/peers/members.rs
@@ -34,7 +34,7 @@
     let own = tables.membership.map(|membership| MemberStatement {
         zone: settings.zone.clone(),
         generation: membership.generation,
-        leads: membership.leads,
+        leads: tables.is_leader(),
         stated: now,
         confirmed: tables.membership_confirmed_at,
     });
