--- a/crates/banyan-core/src/pipeline.rs
+++ b/crates/banyan-core/src/pipeline.rs
@@ -18,6 +18,7 @@
 //! - [`priority`]: how urgent a request is.
 //! - [`reservation`]: how much room is kept free for more urgent requests.
 //! - [`returning`]: which requests were refused before.
+//! - [`group`]: which instances of a large fleet choose the leader among them.
 //! - [`duties`]: which instances take on work for others.
 //! - [`checkers`]: which instance checks a target for the others of its zone.
 //! - [`suspicion`]: which targets are suspected of having failed.
@@ -35,6 +36,7 @@
 pub mod duties;
 pub mod engine_states;
 pub mod fleet;
+pub mod group;
 pub mod history;
 mod layout;
 pub mod load;
--- a/crates/banyan-forward/src/decisions/tables.rs
+++ b/crates/banyan-forward/src/decisions/tables.rs
@@ -13,6 +13,8 @@
 use crate::logs;
 use crate::settings::ForwardSettings;
 use crate::store::configuration_record::ConfigurationRecord;
+use crate::store::membership::MEMBERSHIP_TTL;
+use banyan_core::ids::InstanceId;
 use banyan_core::ids::LayerRange;
 use banyan_core::ids::ServiceId;
 use banyan_core::ids::TargetId;
@@ -23,6 +25,7 @@
 use banyan_core::pipeline::crashes::CrashTable;
 use banyan_core::pipeline::engine_states::EngineStates;
 use banyan_core::pipeline::fleet::FleetTable;
+use banyan_core::pipeline::group::GroupTable;
 use banyan_core::pipeline::history::FleetHistory;
 use banyan_core::pipeline::load::LoadTable;
 use banyan_core::pipeline::load::LoadView;
@@ -127,6 +130,10 @@
     /// Orders of this instance, or of the leader from which it last received a digest, that engines
     /// may still be carrying out.
     pub pending_orders: BTreeMap<TargetId, PendingOrder>,
+    /// The instance of the same zone from which this instance gets the platform's data, if it does.
+    pub followed: Option<InstanceId>,
+    /// The announced instances, and the members of the group among them.
+    pub group: GroupTable,
     /// The orders that wait to be sent, and the calls to engines in flight, while this instance
     /// orders layers.
     pub order_queue: OrderQueue,
@@ -283,6 +290,16 @@
         Refusal::NotRun(cause, self.retry_delays.next_delay(now + wait, now))
     }
 
+    /// Whether the group chose this instance as the leader and has not replaced it since. An
+    /// instance that has been replaced must not keep a deputy from taking over.
+    pub fn is_leader(&self) -> bool {
+        let confirmed = self.membership_confirmed_at;
+        self.membership.is_some_and(|membership| {
+            let generation = membership.generation;
+            membership.leads && !self.group.has_replaced(generation, confirmed, MEMBERSHIP_TTL)
+        })
+    }
+
     /// Records how many orders an engine has accepted by its own report.
     pub fn note_engine_state(&mut self, id: &TargetId, engine: &EngineState) {
         if engine.busy {
--- a/crates/banyan-forward/src/peers/digests.rs
+++ b/crates/banyan-forward/src/peers/digests.rs
@@ -16,6 +16,10 @@
 use crate::peers::crash_alerts::suspect_wires;
 use crate::peers::limit_alerts::limit_wires;
 use crate::peers::limit_alerts::merge_limits;
+use crate::peers::members::member_wires;
+use crate::peers::members::merge_members;
+use crate::peers::members::merge_source;
+use crate::peers::members::source_wire;
 use crate::peers::news::activate_peer_configuration;
 use crate::state::ForwardState;
 use crate::store::feeds;
@@ -23,6 +27,7 @@
 use banyan_core::ids::LogOffset;
 use banyan_core::ids::TargetId;
 use banyan_core::pipeline::duties::DutyCapacity;
+use banyan_core::pipeline::duties::is_small_fleet;
 use banyan_core::pipeline::fleet::TargetReport;
 use banyan_core::pipeline::fleet::TargetRow;
 use banyan_core::pipeline::load::TargetLoad;
@@ -41,6 +46,9 @@
 
 /// The age up to which a target's report of its layers is passed on to peers.
 const OBSERVED_TIME: Duration = Duration::from_secs(3);
+/// The largest number of pending orders, and of reported layers, in a digest of a large fleet: 5 kB
+/// each. Thousands would take all of a small machine's link during a start.
+const MAX_LARGE_FLEET_ROWS: usize = 96;
 /// The largest number of suspected traits in a digest.
 const MAX_DIGEST_SUSPECTS: usize = 32;
 
@@ -70,11 +78,26 @@
         limits: limit_wires(tables.limits.all_reports(), now),
         leaving: leaving_wires(&tables, now),
         generation: tables.membership.map_or(0, |membership| membership.generation),
-        leads: tables.membership.is_some_and(|membership| membership.leads),
-        ordered: tables.pending_orders.iter().filter_map(|row| ordered_wire(row, now)).collect(),
+        leads: tables.is_leader(),
+        ordered: ordered_wires(&tables, now),
+        members: member_wires(&settings, &tables, now),
+        follows: source_wire(&tables),
     }
 }
 
+/// The pending orders. In a large fleet only those that make engines unload layers are passed on:
+/// choices of chains need them, and a new leader learns of the others from the engines.
+fn ordered_wires(tables: &ForwardTables, now: Moment) -> Vec<OrderedWire> {
+    let is_small = is_small_fleet(tables.peers_listed);
+    let limit = if is_small { usize::MAX } else { MAX_LARGE_FLEET_ROWS };
+    let unloads = |id: &TargetId| {
+        let row = tables.fleet.rows.get(id);
+        row.is_some_and(|row| row.kept_layers() != row.report.held)
+    };
+    let orders = tables.pending_orders.iter().filter(|(id, _)| is_small || unloads(id));
+    orders.filter_map(|row| ordered_wire(row, now)).take(limit).collect()
+}
+
 fn ordered_wire((id, order): (&TargetId, &PendingOrder), now: Moment) -> Option<OrderedWire> {
     let range = order.range?;
     Some(OrderedWire {
@@ -85,13 +108,19 @@
 }
 
 /// The layers that targets reported to this instance, where they differ from the targets' records.
+/// In a large fleet only the newest are passed on, since the records tell the others soon.
 fn observed_wires(tables: &ForwardTables, now: Moment) -> Vec<ObservedWire> {
     let listed = tables.history.listed();
     let differs_from_record = |(id, row): &(&TargetId, &TargetRow)| {
         listed.get(*id).is_none_or(|report| report.held != row.report.held)
     };
     let rows = tables.fleet.rows.iter().filter(differs_from_record);
-    rows.filter_map(|row| observed_wire(row, now)).collect()
+    let mut wires: Vec<ObservedWire> = rows.filter_map(|row| observed_wire(row, now)).collect();
+    if !is_small_fleet(tables.peers_listed) {
+        wires.sort_by_key(|wire| wire.age_ms);
+        wires.truncate(MAX_LARGE_FLEET_ROWS);
+    }
+    wires
 }
 
 /// The slowdown that an engine reported, if it reported one.
@@ -130,6 +159,7 @@
         return;
     };
     let now = state.now();
+    let settings = state.settings();
     let mut tables = state.tables();
     let read_age = digest.read_age_ms.map(Duration::from_millis);
     let role = match read_age {
@@ -152,8 +182,15 @@
     tables.highest_seen_generation = tables.highest_seen_generation.max(digest.generation);
     if digest.leads {
         tables.leader_seen_at = Some(now);
+        tables.group.note_leader(digest.generation);
         apply_leader_orders(&mut tables, digest.ordered, now);
     }
+    if let Some(source) = digest.follows
+        && digest.zone == settings.zone.as_str()
+    {
+        merge_source(&mut tables, &settings, source, now);
+    }
+    merge_members(&mut tables, &settings.instance, digest.members, now);
     merge_suspects(&mut tables, digest.suspects, now);
     merge_limits(&mut tables, digest.limits, now);
     merge_leaving(&mut tables, digest.leaving, now);
--- a/crates/banyan-wire/src/forward.rs
+++ b/crates/banyan-wire/src/forward.rs
@@ -133,6 +133,42 @@
     pub leads: bool,
     /// The layers that the sender has ordered and that engines may still be loading.
     pub ordered: Vec<OrderedWire>,
+    /// The members of the group that the sender heard of recently, and the sender if it is one.
+    /// Empty in a small fleet.
+    pub members: Vec<MemberWire>,
+    /// The instance of the sender's zone from which the sender gets the platform's data, if it gets
+    /// it from one. Absent in a small fleet.
+    pub follows: Option<SourceWire>,
+}
+
+/// An instance that passes on the platform's data within its zone.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct SourceWire {
+    /// Its instance name.
+    pub instance: SmolStr,
+    /// The address where it answers its peers.
+    pub address: SocketAddr,
+    /// What it can spend on work for others, in thousandths of a processor core.
+    pub capacity_millicores: u32,
+    /// Whether it passes on what an instance of another zone has read.
+    pub relays: bool,
+}
+
+/// What a member of the group states about itself.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct MemberWire {
+    /// The member's instance name.
+    pub instance: SmolStr,
+    /// The member's availability zone.
+    pub zone: SmolStr,
+    /// The generation of the group that it knows.
+    pub generation: u64,
+    /// Whether it leads.
+    pub leads: bool,
+    /// The age of the statement, in milliseconds.
+    pub age_ms: u64,
+    /// The time since the group last answered the member, in milliseconds.
+    pub confirmed_age_ms: u64,
 }
 
 /// What a checker knows about a target.
