--- a/crates/banyan-entry/tests/support/process.rs
+++ b/crates/banyan-entry/tests/support/process.rs
@@ -21,6 +21,7 @@
     child: Child,
     pub caller_address: SocketAddr,
     pub operator_address: SocketAddr,
+    pub peer_address: SocketAddr,
 }
 
 /// A signal that a test sends to an entry process.
@@ -52,6 +53,7 @@
             child,
             caller_address: address("caller_address"),
             operator_address: address("operator_address"),
+            peer_address: address("peer_address"),
         };
         entry.wait_ready().await;
         entry
@@ -63,6 +65,16 @@
         client.get(self.operator_address, "/operator/status").await.ok()
     }
 
+    /// The id of the process.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Whether the process has not ended.
+    pub fn is_running(&mut self) -> bool {
+        self.child.try_wait().unwrap().is_none()
+    }
+
     /// Sends a signal.
     pub fn signal(&self, signal: ProcessSignal) {
         let name = match signal {
