One account of the memory held for callers' bodies and answers

What changed: banyan_core::caller_memory (decisions, no input or output), banyan_core::machine (how a machine's memory and descriptors are divided), banyan_http::held_memory and body_limits. Bodies are reserved as they arrive and copied into segments of 4 to 64 KiB; they are joined at the end, each segment freed as it is copied. Over the budget (a third of memory_mb, at least one body of the largest size) the largest body or answer that waits for its caller ends first, of similar sizes (within a factor of two) the one whose caller was silent longest: a body with 503 and Retry-After (no_memory), an unread answer by closing its connection. An announced length over the limit is refused with 413 before the body is read. A body of which fewer than 5,120 bytes arrive in 10 s is refused with 503 (slow_body). Answers held whole are in the same account.

Cause: only single bodies and answers were limited, not their sum.

Ruled out: reserving announced lengths (many short beginnings would use the budget up); one growing buffer per body (its doubling needs up to twice the memory, and freed pieces of many sizes stay resident).

--- a/crates/banyan-core/src/lib.rs
+++ b/crates/banyan-core/src/lib.rs
@@ -8,12 +8,15 @@
 //! [`declaration`] the configuration of the operators, and [`record`] the contents of the
 //! platform's log. [`fold`] turns records into verdicts that are the same on every instance.
 //! [`serving`] decides about requests whose steps the daemon forwards itself, [`pipeline`] about
-//! requests that engines forward to each other.
+//! requests that engines forward to each other. [`caller_memory`] bounds what both hold for
+//! callers.
 
+pub mod caller_memory;
 pub mod declaration;
 pub mod event;
 pub mod fold;
 pub mod ids;
+pub mod machine;
 pub mod pipeline;
 pub mod record;
 pub mod rendezvous;
--- a/crates/banyan-forward/src/callers/answer.rs
+++ b/crates/banyan-forward/src/callers/answer.rs
@@ -80,6 +80,10 @@
     CrashesTargets,
     /// The targets that could run it named limits that are used up.
     TargetLimited,
+    /// The memory for callers is used up.
+    NoMemory,
+    /// Its body arrived too slowly.
+    SlowBody,
 }
 
 impl NotRunCause {
@@ -94,6 +98,8 @@
             Self::NoTime => "no_time",
             Self::CrashesTargets => "crashes_targets",
             Self::TargetLimited => "target_limited",
+            Self::NoMemory => "no_memory",
+            Self::SlowBody => "slow_body",
         }
     }
 }
--- a/crates/banyan-forward/src/callers/front.rs
+++ b/crates/banyan-forward/src/callers/front.rs
@@ -24,6 +24,7 @@
 use crate::state::ForwardState;
 use banyan_core::pipeline::routes::CallerLimits;
 use banyan_core::units::ByteCount;
+use banyan_http::held_memory::HoldHandle;
 use banyan_http::observed_stream::ObservedStream;
 
 /// The pause after a failed accept.
@@ -94,6 +95,13 @@
                 }
                 return;
             }
+            () = activity.must_end() => {
+                tracing::info!(
+                    part = "front",
+                    "A connection was closed: its unread answer took memory that others need."
+                );
+                return;
+            }
             () = tokio::time::sleep(ACTIVITY_CHECK_INTERVAL), if !closing => {
                 if head_timed_out(&state, &activity) {
                     // The request has not been processed at all, so closing the connection is safe.
@@ -126,7 +134,10 @@
     request: Request<Incoming>,
 ) -> Result<Response<AnswerBody>, Infallible> {
     activity.begin_request(|| count_used_connection(&state));
-    let response = serve_request(state.clone(), request).await;
+    let mut response = serve_request(state.clone(), request).await;
+    if let Some(held) = response.extensions_mut().remove::<HoldHandle>() {
+        activity.begin_answer(held);
+    }
     activity.end_request();
     Ok(response)
 }
--- a/crates/banyan-forward/src/callers/serve.rs
+++ b/crates/banyan-forward/src/callers/serve.rs
@@ -9,9 +9,6 @@
 use http::Response;
 use http::header;
 use http::request::Parts;
-use http_body_util::BodyExt;
-use http_body_util::LengthLimitError;
-use http_body_util::Limited;
 use hyper::body::Incoming;
 
 use crate::callers::answer::AnswerBody;
@@ -32,10 +29,13 @@
 use banyan_core::pipeline::routes::RouteSpec;
 use banyan_core::pipeline::routes::RouteTable;
 use banyan_core::pipeline::routes::ServiceSpec;
+use banyan_core::units::ByteCount;
 use banyan_core::units::Moment;
+use banyan_http::body_limits::BodyFault;
+use banyan_http::body_limits::receive_body;
 
-/// The retry delay given to callers by an instance that has no configuration, is stopping, or did
-/// not receive the body in time. It is short since another instance can serve them at once.
+/// The retry delay given to callers by an instance that has no configuration, is stopping, has no
+/// memory left, or did not receive the body in time. It is short since another instance can serve them at once.
 const OTHER_INSTANCE_RETRY_AFTER: Duration = Duration::from_millis(50);
 
 /// Serves one request. The daemon's own errors become answers too, so this cannot fail.
@@ -94,7 +94,7 @@
     let service = find_service(&routes, &route, &caller)?;
     let timeout = caller.time_left.map_or(route.timeout, |left| left.min(route.timeout));
     let deadline = received + timeout;
-    let body = read_body(body, routes.limits.body_size.0 as usize, timeout).await?;
+    let body = read_body(state, body, routes.limits.body_size, timeout).await?;
     let traits = request_traits(&service.id, workspace.as_ref(), &caller, &head, &body);
     Ok(RoutedRequest {
         token: caller.token.clone(),
@@ -129,16 +129,22 @@
     routes.services.get(id).cloned().ok_or(no_target)
 }
 
-async fn read_body(body: Incoming, limit: usize, timeout: Duration) -> Result<Bytes, Refusal> {
-    let collecting = Limited::new(body, limit).collect();
-    let result = tokio::time::timeout(timeout, collecting)
-        .await
-        .map_err(|_| Refusal::NotRun(NotRunCause::NoTime, OTHER_INSTANCE_RETRY_AFTER))?;
-    match result {
-        Ok(collected) => Ok(collected.to_bytes()),
-        Err(error) if error.is::<LengthLimitError>() => Err(Refusal::TooLarge),
-        Err(_) => Err(Refusal::BadRequest),
-    }
+async fn read_body<P: Platform>(
+    state: &ForwardState<P>,
+    body: Incoming,
+    limit: ByteCount,
+    timeout: Duration,
+) -> Result<Bytes, Refusal> {
+    let not_run = |cause| Refusal::NotRun(cause, OTHER_INSTANCE_RETRY_AFTER);
+    let receiving = receive_body(&state.memory, body, limit);
+    let result =
+        tokio::time::timeout(timeout, receiving).await.map_err(|_| not_run(NotRunCause::NoTime))?;
+    result.map_err(|fault| match fault {
+        BodyFault::TooLarge(_) => Refusal::TooLarge,
+        BodyFault::MemoryUsedUp => not_run(NotRunCause::NoMemory),
+        BodyFault::TooSlow => not_run(NotRunCause::SlowBody),
+        BodyFault::Broken(_) => Refusal::BadRequest,
+    })
 }
 
 fn record_request<P: Platform>(state: &ForwardState<P>, request: &RoutedRequest) {
--- a/crates/banyan-forward/src/callers/watched.rs
+++ b/crates/banyan-forward/src/callers/watched.rs
@@ -2,6 +2,7 @@
 //! [`ConnectionActivity`].
 
 use std::io;
+use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
@@ -9,9 +10,12 @@
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 
+use tokio::sync::Notify;
+
 use crate::engines::leases::RequestLease;
 use banyan_core::units::Moment;
 use banyan_http::clock::RuntimeClock;
+use banyan_http::held_memory::HoldHandle;
 use banyan_http::observed_stream::StreamObserver;
 
 /// The value of `head_started` while no request head is being received.
@@ -28,6 +32,10 @@
     last_ended: AtomicU64,
     /// When the first byte of the current head arrived, in microseconds, or [`NO_HEAD`].
     head_started: AtomicU64,
+    /// The memory of the answer that is being sent, if one is held.
+    answer: Mutex<Option<HoldHandle>>,
+    /// Notified when the connection must end to free the memory of its answer.
+    end: Arc<Notify>,
     clock: RuntimeClock,
 }
 
@@ -39,6 +47,8 @@
             use_lease: Mutex::default(),
             last_ended: AtomicU64::new(clock.now().0),
             head_started: AtomicU64::new(NO_HEAD),
+            answer: Mutex::default(),
+            end: Arc::default(),
             clock,
         }
     }
@@ -57,6 +67,22 @@
         self.last_ended.store(self.clock.now().0, Ordering::Relaxed);
     }
 
+    /// Records that an answer is sent from now on whose memory is held. Its delivery may be ended
+    /// for the sake of others.
+    pub fn begin_answer(&self, held: HoldHandle) {
+        held.begin_delivery(self.end.clone());
+        *self.answer() = Some(held);
+    }
+
+    /// Waits until the connection must end to free the memory of its answer.
+    pub async fn must_end(&self) {
+        self.end.notified().await;
+    }
+
+    fn answer(&self) -> MutexGuard<'_, Option<HoldHandle>> {
+        self.answer.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Whether the head of a request was read completely.
     pub fn has_begun(&self) -> bool {
         self.use_lease().is_some()
@@ -91,4 +117,10 @@
         self.record_received();
         Ok(())
     }
+
+    fn observe_write(&self, _count: usize) {
+        if let Some(held) = self.answer().as_ref() {
+            held.note_progress();
+        }
+    }
 }
--- a/crates/banyan-forward/src/engines/call.rs
+++ b/crates/banyan-forward/src/engines/call.rs
@@ -12,8 +12,6 @@
 use futures::stream::FuturesUnordered;
 use http::Response;
 use http::response::Parts;
-use http_body_util::BodyExt;
-use http_body_util::Limited;
 
 use crate::callers::answer::AnswerBody;
 use crate::callers::answer::NO_TARGET_RETRY_AFTER;
@@ -39,10 +37,13 @@
 use banyan_core::pipeline::replica::ReplicaChoice;
 use banyan_core::pipeline::replica::ReplicaQuery;
 use banyan_core::pipeline::replica::choose_replica;
+use banyan_core::units::ByteCount;
 use banyan_core::units::Moment;
+use banyan_http::body_limits::BodyFault;
+use banyan_http::body_limits::receive_answer;
 
 /// The largest answer that is buffered before it is relayed.
-const MAX_ANSWER_BYTES: usize = 16 << 20;
+const MAX_ANSWER_SIZE: ByteCount = ByteCount(16 << 20);
 /// The fraction of the latency target after which a repeatable call is also sent to a second
 /// replica.
 const HEDGE_FRACTION: f64 = 0.6;
@@ -220,16 +221,19 @@
         last_event: None,
         urgent: false,
     };
-    let (head, body) = match send_to_target(state, request, choice.address, &dispatch).await {
+    let (mut head, body) = match send_to_target(state, request, choice.address, &dispatch).await {
         Ok(answer) => answer,
         Err(ExchangeFailure::NotSent) => return AttemptOutcome::NotSent,
         Err(ExchangeFailure::NotRun(_)) => return AttemptOutcome::NotRun,
         Err(ExchangeFailure::ConnectionLost) => return AttemptOutcome::ConnectionLost,
         Err(ExchangeFailure::MaybeRun(cause)) => return AttemptOutcome::MaybeRun(cause),
     };
-    let result = Limited::new(body, MAX_ANSWER_BYTES).collect().await;
-    match result {
-        Ok(collected) => AttemptOutcome::Answered(head, collected.to_bytes()),
+    match receive_answer(&state.memory, body, MAX_ANSWER_SIZE).await {
+        Ok((bytes, held)) => {
+            head.extensions.insert(held);
+            AttemptOutcome::Answered(head, bytes)
+        }
+        Err(BodyFault::MemoryUsedUp) => AttemptOutcome::MaybeRun("no memory for the answer"),
         Err(_) => AttemptOutcome::MaybeRun("the answer was cut off or too large"),
     }
 }
--- a/crates/banyan-forward/src/settings.rs
+++ b/crates/banyan-forward/src/settings.rs
@@ -5,9 +5,16 @@
 
 use banyan_core::ids::InstanceId;
 use banyan_core::ids::ZoneId;
+use banyan_core::machine::MachineLimits;
 use banyan_core::pipeline::duties::DutyCapacity;
 use banyan_core::pipeline::duties::OwnInstance;
 use banyan_core::pipeline::retries::RetryBounds;
+use banyan_core::units::ByteCount;
+
+/// The memory of a machine whose settings name none.
+pub const DEFAULT_MEMORY: ByteCount = ByteCount(256_000_000);
+/// The descriptors of a machine whose settings name none.
+pub const DEFAULT_DESCRIPTORS: u32 = 1_024;
 
 /// The settings of one forwarding daemon. Only `bounds` can change while it runs.
 #[derive(Clone, Debug)]
@@ -16,6 +23,8 @@
     pub instance: InstanceId,
     /// The instance's availability zone.
     pub zone: ZoneId,
+    /// The memory and the descriptors that its machine gives it.
+    pub machine: MachineLimits,
     /// What it can spend on work for other instances.
     pub duty_capacity: DutyCapacity,
     /// The address on which it serves callers.
--- a/crates/banyan-forward/src/state.rs
+++ b/crates/banyan-forward/src/state.rs
@@ -19,6 +19,7 @@
 use banyan_core::pipeline::readers::FeedRole;
 use banyan_core::units::Moment;
 use banyan_http::clock::RuntimeClock;
+use banyan_http::held_memory::CallerMemory;
 
 /// The longest time after startup for which requests wait for the first reads of the platform. A
 /// read takes a few milliseconds, and callers wait for an answer for at least a second.
@@ -44,6 +45,8 @@
     pub platform: P,
     /// The clock that supplies the time for all decisions.
     pub clock: RuntimeClock,
+    /// The memory that is held for callers.
+    pub memory: Arc<CallerMemory>,
     /// The daemon's phase, which determines whether new requests are taken.
     pub phase: watch::Sender<DaemonPhase>,
     /// Notified when a change may require new layer orders.
@@ -66,10 +69,12 @@
     /// The state of a daemon that starts now.
     pub fn new(settings: ForwardSettings, platform: P) -> Self {
         let mut tables = ForwardTables::default();
+        let clock = RuntimeClock::start();
         tables.crashes = CrashTable::for_instance(&settings.instance);
         Self {
             platform,
-            clock: RuntimeClock::start(),
+            clock,
+            memory: CallerMemory::new(settings.machine.held_bytes(), clock),
             phase: watch::Sender::new(DaemonPhase::Serving),
             plan_due: Notify::new(),
             feed_role: watch::Sender::new(FeedRole::Reader),
--- a/crates/banyan-http/src/lib.rs
+++ b/crates/banyan-http/src/lib.rs
@@ -1,12 +1,15 @@
 //! HTTP for all programs: [`server`] serves a set of routes, [`client`] makes JSON calls,
-//! [`connection`] makes calls with raw bodies, and [`clock`] provides the clocks.
+//! [`connection`] makes calls with raw bodies, and [`clock`] provides the clocks. [`held_memory`]
+//! accounts for bodies and answers, which [`body_limits`] receives.
 //!
 //! Server and client set `TCP_NODELAY`, since Nagle's algorithm would delay tokens, which are small
 //! writes.
 
+pub mod body_limits;
 pub mod client;
 pub mod clock;
 pub mod connection;
 pub mod head_limit;
+pub mod held_memory;
 pub mod observed_stream;
 pub mod server;
