Limits on connections at all addresses, and banyan-entry within the same account

What changed: banyan_http::connection_slots limits the connections of each listener: callers a third of max_fds without the 200 for files (and of a quarter of the memory at 48 KiB each), peers a sixth, readiness and metrics a twenty-fourth each; the rest is for the store, peers and targets. Over the limit a new connection takes the place of one without a request in progress (first one that never sent a whole request, oldest first), or of the request whose caller was silent longest, for at least 2 s. Incomplete messages of peers are counted; over a quarter of the memory the largest ends. Heads at readiness and metrics are limited to 16 KiB, at banyan-entry to 64 KiB. banyan-entry receives bodies and answers of services in the account: 128 MB and 1,024 descriptors; a body over its 1 MiB is still refused with 400 and over the budget with 429, as its table of refusals says for limits.

--- a/crates/banyan-core/src/caller_memory.rs
+++ b/crates/banyan-core/src/caller_memory.rs
@@ -6,6 +6,7 @@
 //! Callers with small bodies are therefore served while others hold large bodies back.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use crate::units::ByteCount;
 use crate::units::Moment;
@@ -165,6 +166,16 @@
         None
     }
 
+    /// Ends the hold whose caller was silent the longest, if for at least `silence`.
+    pub fn end_slowest(&mut self, silence: Duration, now: Moment) -> Option<HoldId> {
+        let waiting = self.holds.iter().filter(|(_, hold)| {
+            !hold.ended && hold.holds_for.waits_for_caller() && now.since(hold.progress) >= silence
+        });
+        let id = waiting.min_by_key(|(_, hold)| hold.progress).map(|(id, _)| *id)?;
+        self.end(id);
+        Some(id)
+    }
+
     /// Marks a hold as told to end. It gets no more bytes.
     pub fn end(&mut self, id: HoldId) {
         if let Some(hold) = self.holds.get_mut(&id).filter(|hold| !hold.ended) {
--- a/crates/banyan-core/src/machine.rs
+++ b/crates/banyan-core/src/machine.rs
@@ -13,7 +13,7 @@
 /// and writing, and the state of its task.
 const CONNECTION_BYTES: u64 = 48 << 10;
 /// The part of the sockets for callers, as a divisor. Each request needs one more for its target.
-const CALLER_DIVISOR: u32 = 2;
+const CALLER_DIVISOR: u32 = 3;
 /// The part of the sockets for connections from peers, as a divisor.
 const PEER_DIVISOR: u32 = 6;
 /// The part of the sockets for each page (readiness, metrics), as a divisor.
--- a/crates/banyan-entry/src/caller.rs
+++ b/crates/banyan-entry/src/caller.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Buf;
 use bytes::Bytes;
 use futures::StreamExt;
 use futures::stream;
@@ -11,8 +12,11 @@
 use http::HeaderValue;
 use http::StatusCode;
 use http::header::AUTHORIZATION;
+use http::header::CONTENT_LENGTH;
 use http::header::CONTENT_TYPE;
 use http::header::RETRY_AFTER;
+use http_body_util::StreamBody;
+use hyper::body::Frame;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use serde_json::json;
@@ -45,7 +49,10 @@
 use banyan_core::ids::ServiceId;
 use banyan_core::ids::WorkspaceId;
 use banyan_core::record::ContentDigest;
+use banyan_core::units::ByteCount;
 use banyan_core::units::Moment;
+use banyan_http::body_limits::BodyFault;
+use banyan_http::body_limits::receive_body;
 use banyan_wire::caller::ChatRequest;
 use banyan_wire::caller::CompletionRequest;
 use banyan_wire::caller::DEADLINE_HEADER;
@@ -57,6 +64,8 @@
 
 /// The maximum size of a request body.
 const BODY_LIMIT_BYTES: u64 = 1 << 20;
+/// The retry delay when the memory for callers is used up. Bodies end within it.
+const NO_MEMORY_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// The maximum deadline that a caller may set; a longer one is shortened to it.
 const DEADLINE_LIMIT: Duration = Duration::from_secs(600);
 
@@ -77,23 +86,24 @@
         .and(warp::header::headers_cloned())
         .and(warp::body::stream());
     let text = warp::path!("v1" / "completions").and(post.clone()).then(
-        |state: Arc<EntryState>, headers, body| async move {
+        |state: Arc<EntryState>, headers: HeaderMap, body| async move {
             let parse =
                 |body: &[u8]| parse_body::<CompletionRequest>(body).map(CompletionFields::from);
-            serve_completion(state, headers, read_body(body).await, CompletionFormat::Text, parse)
-                .await
+            let body = read_body(&state, &headers, body).await;
+            serve_completion(state, headers, body, CompletionFormat::Text, parse).await
         },
     );
     let chat = warp::path!("v1" / "chat" / "completions").and(post.clone()).then(
-        |state: Arc<EntryState>, headers, body| async move {
+        |state: Arc<EntryState>, headers: HeaderMap, body| async move {
             let parse = |body: &[u8]| parse_body::<ChatRequest>(body).map(CompletionFields::from);
-            serve_completion(state, headers, read_body(body).await, CompletionFormat::Chat, parse)
-                .await
+            let body = read_body(&state, &headers, body).await;
+            serve_completion(state, headers, body, CompletionFormat::Chat, parse).await
         },
     );
     let service = warp::path!("v1" / "services" / String / String).and(post).then(
-        |service: String, call: String, state: Arc<EntryState>, headers, body| async move {
-            serve_call(state, headers, read_body(body).await, &service, &call).await
+        |service: String, call: String, state: Arc<EntryState>, headers: HeaderMap, body| async move {
+            let body = read_body(&state, &headers, body).await;
+            serve_call(state, headers, body, &service, &call).await
         },
     );
     let live = warp::path!("live").and(warp::get()).map(|| "live\n".into_response());
@@ -141,23 +151,26 @@
         .map_err(|error| Refusal::Malformed(format!("the body is not understood: {error}")))
 }
 
-async fn read_body<S, B>(body: S) -> Result<Bytes, Refusal>
+async fn read_body<S, B>(state: &EntryState, headers: &HeaderMap, body: S) -> Result<Bytes, Refusal>
 where
-    S: futures::Stream<Item = Result<B, warp::Error>>,
-    B: bytes::Buf,
+    S: futures::Stream<Item = Result<B, warp::Error>> + Send,
+    B: Buf,
 {
-    let mut bytes = Vec::new();
-    futures::pin_mut!(body);
-    while let Some(part) = body.next().await {
-        let mut part =
-            part.map_err(|error| Refusal::Malformed(format!("the body did not arrive: {error}")))?;
-        if bytes.len() + part.remaining() > BODY_LIMIT_BYTES as usize {
-            let limit = BODY_LIMIT_BYTES;
-            return Err(Refusal::Malformed(format!("the body is over {limit} bytes: shorten it")));
-        }
-        bytes.extend_from_slice(&part.copy_to_bytes(part.remaining()));
+    let limit = BODY_LIMIT_BYTES;
+    let too_large = || Refusal::Malformed(format!("the body is over {limit} bytes: shorten it"));
+    // The routes' stream has no length, so the announced one is read from the header.
+    let announced = headers.get(CONTENT_LENGTH).and_then(|value| value.to_str().ok());
+    let announced = announced.and_then(|text| text.parse::<u64>().ok());
+    if announced.is_some_and(|length| length > limit) {
+        return Err(too_large());
     }
-    Ok(Bytes::from(bytes))
+    let body = Box::pin(StreamBody::new(body.map(|part| part.map(Frame::data))));
+    let received = receive_body(&state.memory, body, ByteCount(limit)).await;
+    received.map_err(|fault| match fault {
+        BodyFault::TooLarge(_) => too_large(),
+        BodyFault::MemoryUsedUp => Refusal::Overloaded { retry_after: NO_MEMORY_RETRY_AFTER },
+        BodyFault::TooSlow | BodyFault::Broken(_) => Refusal::Malformed(fault.to_string()),
+    })
 }
 
 /// Refuses new requests while the instance is stopping, has no configuration or is isolated.
@@ -403,6 +416,9 @@
     match result {
         Ok(answer) => {
             let mut response = Response::new(answer.body.into());
+            if let Some(held) = answer.held {
+                response.extensions_mut().insert(held);
+            }
             *response.status_mut() =
                 StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY);
             put_header(&mut response, CONTENT_TYPE.as_str(), "application/json");
--- a/crates/banyan-entry/src/peer_server.rs
+++ b/crates/banyan-entry/src/peer_server.rs
@@ -21,11 +21,15 @@
 use crate::exchange::apply_digest;
 use crate::exchange::own_digest;
 use crate::state::EntryState;
+use crate::state::MACHINE;
 use crate::tables::fold_hub::all_streams;
 use crate::tables::peer_links::codec;
 use crate::trials;
 use banyan_core::record::ContentDigest;
 use banyan_core::record::StreamId;
+use banyan_http::connection_slots::ConnectionSlot;
+use banyan_http::connection_slots::ConnectionSlots;
+use banyan_http::observed_stream::ObservedStream;
 use banyan_wire::checkpoint::CheckpointError;
 use banyan_wire::checkpoint::encode_claims;
 use banyan_wire::checkpoint::encode_configuration;
@@ -54,10 +58,13 @@
 /// Accepts connections of peers and serves their calls for as long as the daemon runs.
 pub async fn serve_peers(state: Arc<EntryState>, listener: TcpListener) {
     let mut connections = JoinSet::new();
+    let slots = ConnectionSlots::new("peers", MACHINE.peer_connections(), MACHINE.peer_bytes());
     loop {
         match listener.accept().await {
             Ok((stream, address)) => {
-                connections.spawn(serve_peer(state.clone(), stream, address));
+                if let Some(slot) = slots.admit(|| false).await {
+                    connections.spawn(serve_peer(state.clone(), slot, stream, address));
+                }
             }
             Err(error) => {
                 log::warn!("peers: A connection could not be accepted: {error}.");
@@ -68,18 +75,34 @@
     }
 }
 
-async fn serve_peer(state: Arc<EntryState>, stream: TcpStream, address: SocketAddr) {
+async fn serve_peer(
+    state: Arc<EntryState>,
+    slot: Arc<ConnectionSlot>,
+    stream: TcpStream,
+    address: SocketAddr,
+) {
     if let Err(error) = stream.set_nodelay(true) {
         log::debug!("peers: TCP_NODELAY could not be set for {address}: {error}.");
     }
-    let framed = Framed::new(state.links.count(stream), codec());
+    let observers = Arc::new((state.links.byte_counter(), slot.clone()));
+    let framed = Framed::new(ObservedStream::new(stream, observers), codec());
     let transport = serde_transport::new(framed, Bincode::default());
     let channel = BaseChannel::with_defaults(transport);
     let mut answers = Box::pin(channel.execute(PeerHandler { state }.serve()));
     let mut calls = JoinSet::new();
     // An idle connection is closed here, and its unfinished calls are cancelled.
-    while let Ok(Some(answer)) = tokio::time::timeout(IDLE_TIMEOUT, answers.next()).await {
-        calls.spawn(answer);
+    loop {
+        let answer = tokio::select! {
+            answer = tokio::time::timeout(IDLE_TIMEOUT, answers.next()) => answer,
+            () = slot.must_end() => return,
+        };
+        let Ok(Some(answer)) = answer else { return };
+        slot.begin_request();
+        let slot = slot.clone();
+        calls.spawn(async move {
+            answer.await;
+            slot.end_request();
+        });
         while calls.try_join_next().is_some() {}
     }
 }
--- a/crates/banyan-entry/src/services.rs
+++ b/crates/banyan-entry/src/services.rs
@@ -13,7 +13,6 @@
 use http::Request;
 use http::header::CONTENT_TYPE;
 use http::header::HOST;
-use http_body_util::BodyExt;
 use http_body_util::Full;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
@@ -40,13 +39,19 @@
 use banyan_core::record::CallOutcome;
 use banyan_core::record::ClaimKey;
 use banyan_core::record::ContentDigest;
+use banyan_core::units::ByteCount;
 use banyan_core::units::Moment;
+use banyan_http::body_limits::BodyFault;
+use banyan_http::body_limits::receive_answer;
+use banyan_http::held_memory::HoldHandle;
 use banyan_wire::service::SERVICE_REQUEST_ID_HEADER;
 
 /// The time limit for connecting to a replica.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// The retry delay that callers are told when no replica is usable.
 const NO_REPLICA_PAUSE: Duration = Duration::from_secs(1);
+/// The largest answer of a service.
+const MAX_ANSWER_SIZE: ByteCount = ByteCount(16 << 20);
 
 /// A call as the caller made it.
 #[derive(Clone, Debug)]
@@ -76,6 +81,8 @@
     pub status: u16,
     /// The body, which the caller gets unchanged.
     pub body: Bytes,
+    /// The memory of the body, if it is accounted for.
+    pub held: Option<HoldHandle>,
 }
 
 /// The reason why one try got no answer.
@@ -112,7 +119,7 @@
     match acquire(state, &order.request, &key, call_digest(order), deadline).await? {
         KeyAcquisition::Acquired(claim) => call_once(state, order, Some(claim)).await,
         KeyAcquisition::Ended(CallOutcome::Answered { status, body }) => {
-            Ok(ServiceAnswer { status, body: Bytes::from(body) })
+            Ok(ServiceAnswer { status, body: Bytes::from(body), held: None })
         }
         KeyAcquisition::Ended(CallOutcome::Unknown) => Err(Refusal::CallUnknown),
     }
@@ -261,10 +268,14 @@
     state.journal.record(EventKind::Dispatched, &name, target.as_str(), order.call.as_str());
     let connection = tokio::spawn(connection);
     let answer = async {
-        let response = sender.send_request(request).await?;
+        let response = sender
+            .send_request(request)
+            .await
+            .map_err(|error| BodyFault::Broken(error.to_string()))?;
         let status = response.status().as_u16();
-        let body = response.into_body().collect().await?.to_bytes();
-        Ok::<_, hyper::Error>(ServiceAnswer { status, body })
+        let (body, held) =
+            receive_answer(&state.memory, response.into_body(), MAX_ANSWER_SIZE).await?;
+        Ok::<_, BodyFault>(ServiceAnswer { status, body, held: Some(held) })
     };
     let result = tokio::time::timeout_at(until, answer).await;
     connection.abort();
--- a/crates/banyan-entry/src/state.rs
+++ b/crates/banyan-entry/src/state.rs
@@ -37,6 +37,7 @@
 use banyan_core::ids::Revision;
 use banyan_core::ids::TargetId;
 use banyan_core::ids::WorkspaceId;
+use banyan_core::machine::MachineLimits;
 use banyan_core::record::ContentDigest;
 use banyan_core::serving::budget::RetryBudget;
 use banyan_core::serving::decisions::DecisionSet;
@@ -45,8 +46,14 @@
 use banyan_core::serving::poison::SuspectTable;
 use banyan_core::serving::ring::InstanceRing;
 use banyan_core::serving::targets::TargetTable;
+use banyan_core::units::ByteCount;
 use banyan_core::units::Moment;
 use banyan_http::clock::RuntimeClock;
+use banyan_http::held_memory::CallerMemory;
+
+/// The memory and the descriptors that an entry takes for its clients.
+pub const MACHINE: MachineLimits =
+    MachineLimits { memory: ByteCount(128_000_000), descriptors: 1_024 };
 
 /// Whether the instance accepts new requests.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -73,6 +80,8 @@
     pub decisions: DecisionSet,
     /// The clock for decisions.
     pub clock: RuntimeClock,
+    /// The memory that is held for callers.
+    pub memory: Arc<CallerMemory>,
     /// The events that operators read as a timeline.
     pub journal: EventJournal,
     /// The client of the platform's log and instance list.
@@ -160,6 +169,7 @@
 impl EntryState {
     /// The initial state of a daemon with a new incarnation.
     pub fn new(settings: EntrySettings, decisions: DecisionSet) -> Self {
+        let clock = RuntimeClock::start();
         let token = uuid::Uuid::new_v4().simple().to_string();
         let name = format!("{}@{}", settings.instance, &token[..12]);
         let incarnation = name.parse().unwrap_or_else(|_| fallback_incarnation());
@@ -168,7 +178,8 @@
         Self {
             incarnation,
             decisions,
-            clock: RuntimeClock::start(),
+            clock,
+            memory: CallerMemory::new(MACHINE.held_bytes(), clock),
             journal: EventJournal::default(),
             writer: LogWriter::new(platform.clone()),
             platform,
--- a/crates/banyan-entry/src/tables/peer_links.rs
+++ b/crates/banyan-entry/src/tables/peer_links.rs
@@ -58,7 +58,7 @@
         let connect = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
         let stream = connect.await.map_err(io::Error::other)??;
         stream.set_nodelay(true)?;
-        let framed = Framed::new(self.count(stream), codec());
+        let framed = Framed::new(ObservedStream::new(stream, self.byte_counter()), codec());
         let transport = serde_transport::new(framed, Bincode::default());
         let client = PeerServiceClient::new(client::Config::default(), transport).spawn();
         let number = self.opened.fetch_add(1, Ordering::Relaxed);
@@ -77,9 +77,9 @@
         self.bytes.load(Ordering::Relaxed)
     }
 
-    /// Wraps a connection so that its bytes are counted.
-    pub fn count(&self, stream: TcpStream) -> ObservedStream<AtomicU64> {
-        ObservedStream::new(stream, self.bytes.clone())
+    /// Counts the bytes of the connections that it observes.
+    pub fn byte_counter(&self) -> Arc<AtomicU64> {
+        self.bytes.clone()
     }
 
     pub(crate) fn drop_link(&self, address: SocketAddr, number: u64) {
--- a/crates/banyan-forward/src/callers/front.rs
+++ b/crates/banyan-forward/src/callers/front.rs
@@ -24,6 +24,8 @@
 use crate::state::ForwardState;
 use banyan_core::pipeline::routes::CallerLimits;
 use banyan_core::units::ByteCount;
+use banyan_http::connection_slots::ConnectionSlot;
+use banyan_http::connection_slots::ConnectionSlots;
 use banyan_http::held_memory::HoldHandle;
 use banyan_http::observed_stream::ObservedStream;
 
@@ -46,6 +48,8 @@
 /// Accepts callers' connections until the daemon closes. Connections that the operating system has
 /// accepted by then are served too, since their callers may have sent requests.
 pub async fn serve_callers<P: Platform>(state: Arc<ForwardState<P>>, listener: TcpListener) {
+    let limit = state.settings().machine.caller_connections();
+    let slots = ConnectionSlots::new("callers", limit, ByteCount(u64::MAX));
     let mut phase = state.phase.subscribe();
     loop {
         let accepted = tokio::select! {
@@ -54,7 +58,9 @@
         };
         match accepted {
             Ok((stream, _)) => {
-                tokio::spawn(serve_connection(state.clone(), stream));
+                if let Some(slot) = slots.admit(|| state.memory.end_slowest()).await {
+                    tokio::spawn(serve_connection(state.clone(), slot, stream));
+                }
             }
             Err(error) => {
                 tracing::warn!(part = "front", %error, "Accepting a connection failed.");
@@ -63,11 +69,17 @@
         }
     }
     while let Some(Ok((stream, _))) = listener.accept().now_or_never() {
-        tokio::spawn(serve_connection(state.clone(), stream));
+        if let Some(slot) = slots.admit(|| false).await {
+            tokio::spawn(serve_connection(state.clone(), slot, stream));
+        }
     }
 }
 
-async fn serve_connection<P: Platform>(state: Arc<ForwardState<P>>, stream: TcpStream) {
+async fn serve_connection<P: Platform>(
+    state: Arc<ForwardState<P>>,
+    slot: Arc<ConnectionSlot>,
+    stream: TcpStream,
+) {
     if let Err(error) = stream.set_nodelay(true) {
         tracing::debug!(part = "front", %error, "Setting TCP_NODELAY failed.");
     }
@@ -77,7 +89,10 @@
     let service = {
         let state = state.clone();
         let activity = activity.clone();
-        service_fn(move |request| serve_tracked(state.clone(), activity.clone(), request))
+        let slot = slot.clone();
+        service_fn(move |request| {
+            serve_tracked(state.clone(), activity.clone(), slot.clone(), request)
+        })
     };
     let connection = http1::Builder::new()
         .keep_alive(true)
@@ -95,6 +110,7 @@
                 }
                 return;
             }
+            () = slot.must_end() => return,
             () = activity.must_end() => {
                 tracing::info!(
                     part = "front",
@@ -131,14 +147,17 @@
 async fn serve_tracked<P: Platform>(
     state: Arc<ForwardState<P>>,
     activity: Arc<ConnectionActivity>,
+    slot: Arc<ConnectionSlot>,
     request: Request<Incoming>,
 ) -> Result<Response<AnswerBody>, Infallible> {
     activity.begin_request(|| count_used_connection(&state));
+    slot.begin_request();
     let mut response = serve_request(state.clone(), request).await;
     if let Some(held) = response.extensions_mut().remove::<HoldHandle>() {
         activity.begin_answer(held);
     }
     activity.end_request();
+    slot.end_request();
     Ok(response)
 }
 
--- a/crates/banyan-forward/src/callers/readiness.rs
+++ b/crates/banyan-forward/src/callers/readiness.rs
@@ -3,12 +3,14 @@
 
 use std::convert::Infallible;
 use std::sync::Arc;
+use std::time::Duration;
 
 use http::Response;
 use http::StatusCode;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
+use hyper_util::rt::TokioTimer;
 use metrics_exporter_prometheus::PrometheusHandle;
 use tokio::net::TcpListener;
 
@@ -17,6 +19,16 @@
 use crate::edges::Platform;
 use crate::state::DaemonPhase;
 use crate::state::ForwardState;
+use banyan_core::machine::MachineLimits;
+use banyan_core::units::ByteCount;
+use banyan_http::connection_slots::ConnectionSlots;
+
+/// The time within which the head of a request for a page arrives, from the end of the request
+/// before. It is longer than the interval between two checks of a load balancer.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(60);
+/// The largest head of a request for a page, and the largest part of a page that is buffered for
+/// sending.
+const HEAD_BUFFER_BYTES: usize = 16_384;
 
 /// The reason why the instance is not ready for new connections, or `None` if it is ready.
 pub fn unready_cause<P>(state: &ForwardState<P>) -> Option<&'static str> {
@@ -35,7 +47,8 @@
 
 /// Answers the load balancer's readiness checks until the daemon stops.
 pub async fn serve_readiness<P: Platform>(state: Arc<ForwardState<P>>, listener: TcpListener) {
-    serve_pages(listener, move || match unready_cause(&state) {
+    let slots = page_slots("readiness", state.settings().machine);
+    serve_pages(listener, slots, move || match unready_cause(&state) {
         None => page(StatusCode::OK, "ready\n".to_owned()),
         Some(cause) => page(StatusCode::SERVICE_UNAVAILABLE, format!("{cause}\n")),
     })
@@ -43,12 +56,23 @@
 }
 
 /// Serves the metrics page until the daemon stops.
-pub async fn serve_metrics(handle: PrometheusHandle, listener: TcpListener) {
-    serve_pages(listener, move || page(StatusCode::OK, handle.render())).await;
+pub async fn serve_metrics(
+    handle: PrometheusHandle,
+    machine: MachineLimits,
+    listener: TcpListener,
+) {
+    serve_pages(listener, page_slots("metrics", machine), move || {
+        page(StatusCode::OK, handle.render())
+    })
+    .await;
 }
 
 /// Answers every request on `listener` with the response of `answer`, whatever its path.
-async fn serve_pages<F>(listener: TcpListener, answer: F)
+fn page_slots(name: &'static str, machine: MachineLimits) -> Arc<ConnectionSlots> {
+    ConnectionSlots::new(name, machine.page_connections(), ByteCount(u64::MAX))
+}
+
+async fn serve_pages<F>(listener: TcpListener, slots: Arc<ConnectionSlots>, answer: F)
 where
     F: Fn() -> Response<AnswerBody> + Clone + Send + 'static,
 {
@@ -61,15 +85,27 @@
                 continue;
             }
         };
+        let Some(slot) = slots.admit(|| false).await else { continue };
         let answer = answer.clone();
+        let service_slot = slot.clone();
+        // The answer is ready at once, so the connection only counts as one that sent a request.
         let service = service_fn(move |_| {
+            service_slot.begin_request();
             let response = answer();
+            service_slot.end_request();
             async move { Ok::<_, Infallible>(response) }
         });
-        let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+        let connection = http1::Builder::new()
+            .timer(TokioTimer::new())
+            .header_read_timeout(HEAD_TIMEOUT)
+            .max_buf_size(HEAD_BUFFER_BYTES)
+            .serve_connection(TokioIo::new(stream), service);
         tokio::spawn(async move {
-            if let Err(error) = connection.await {
-                tracing::debug!(part = "readiness", %error, "A client's connection failed.");
+            tokio::select! {
+                result = connection => if let Err(error) = result {
+                    tracing::debug!(part = "readiness", %error, "A client's connection failed.");
+                },
+                () = slot.must_end() => {}
             }
         });
     }
--- a/crates/banyan-forward/src/daemon.rs
+++ b/crates/banyan-forward/src/daemon.rs
@@ -68,7 +68,7 @@
     let mut tasks = JoinSet::new();
     if let (Some(address), Some(handle)) = (settings.metrics_address, metrics) {
         let listener = bind(address, "the metrics address").await?;
-        tasks.spawn(readiness::serve_metrics(handle, listener));
+        tasks.spawn(readiness::serve_metrics(handle, settings.machine, listener));
     }
     let instance = settings.instance.clone();
     let state = Arc::new(ForwardState::new(settings, platform));
--- a/crates/banyan-forward/src/peers/answers.rs
+++ b/crates/banyan-forward/src/peers/answers.rs
@@ -25,6 +25,9 @@
 use crate::peers::peer_link::frame_codec;
 use crate::peers::peer_link::message_format;
 use crate::state::ForwardState;
+use banyan_http::connection_slots::ConnectionSlot;
+use banyan_http::connection_slots::ConnectionSlots;
+use banyan_http::observed_stream::ObservedStream;
 use banyan_wire::forward::CheckWire;
 use banyan_wire::forward::ClearedWire;
 use banyan_wire::forward::FeedPosition;
@@ -80,10 +83,14 @@
 
 /// Accepts and serves connections of peers until the daemon stops.
 pub async fn serve_peers<P: Platform>(state: Arc<ForwardState<P>>, listener: TcpListener) {
+    let machine = state.settings().machine;
+    let slots = ConnectionSlots::new("peers", machine.peer_connections(), machine.peer_bytes());
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                tokio::spawn(serve_peer(state.clone(), stream));
+                if let Some(slot) = slots.admit(|| false).await {
+                    tokio::spawn(serve_peer(state.clone(), slot, stream));
+                }
             }
             Err(error) => {
                 tracing::warn!(part = "peers", %error, "Accepting a connection failed.");
@@ -93,13 +100,28 @@
     }
 }
 
-async fn serve_peer<P: Platform>(state: Arc<ForwardState<P>>, stream: TcpStream) {
+async fn serve_peer<P: Platform>(
+    state: Arc<ForwardState<P>>,
+    slot: Arc<ConnectionSlot>,
+    stream: TcpStream,
+) {
     if let Err(error) = stream.set_nodelay(true) {
         tracing::debug!(part = "peers", %error, "Setting TCP_NODELAY failed.");
     }
     set_unacknowledged_timeout(&stream, UNACKNOWLEDGED_TIMEOUT);
+    let stream = ObservedStream::new(stream, slot.clone());
     let transport = serde_transport::new(Framed::new(stream, frame_codec()), message_format());
     let channel = BaseChannel::with_defaults(transport);
     let answers = channel.execute(PeerService { state }.serve());
-    answers.for_each_concurrent(None, |answer| answer).await;
+    let serving = answers.for_each_concurrent(None, |answer| {
+        slot.begin_request();
+        async {
+            answer.await;
+            slot.end_request();
+        }
+    });
+    tokio::select! {
+        () = serving => {}
+        () = slot.must_end() => {}
+    }
 }
--- a/crates/banyan-http/src/held_memory.rs
+++ b/crates/banyan-http/src/held_memory.rs
@@ -24,6 +24,10 @@
 /// it as soon as they run.
 const RELEASE_WAIT: Duration = Duration::from_secs(1);
 
+/// How long a caller must have been silent before its request ends for the sake of new connections.
+/// Segments lost on an honest link are sent again sooner.
+const SLOWEST_SILENCE: Duration = Duration::from_secs(2);
+
 /// A hold was ended, or got no memory, in favour of others.
 #[derive(Clone, Copy, Debug, Error)]
 #[error("the memory for callers is used up: send the request again later")]
@@ -74,6 +78,18 @@
         self.shared().account.limit()
     }
 
+    /// Ends the body or answer whose caller was silent the longest, if for some time. Its connection
+    /// closes then. Returns whether there is one.
+    pub fn end_slowest(&self) -> bool {
+        let now = self.clock.now();
+        let mut shared = self.shared();
+        let Some(id) = shared.account.end_slowest(SLOWEST_SILENCE, now) else { return false };
+        if let Some(end) = shared.ends.get(&id) {
+            end.notify_one();
+        }
+        true
+    }
+
     /// The bytes held for one use.
     pub fn used_for(&self, holds_for: HoldUse) -> ByteCount {
         self.shared().account.used_for(holds_for)
--- a/crates/banyan-http/src/observed_stream.rs
+++ b/crates/banyan-http/src/observed_stream.rs
@@ -34,6 +34,19 @@
     }
 }
 
+/// Two observers of one connection.
+impl<A: StreamObserver, B: StreamObserver> StreamObserver for (Arc<A>, Arc<B>) {
+    fn observe_read(&self, count: usize) -> io::Result<()> {
+        self.0.observe_read(count)?;
+        self.1.observe_read(count)
+    }
+
+    fn observe_write(&self, count: usize) {
+        self.0.observe_write(count);
+        self.1.observe_write(count);
+    }
+}
+
 /// A connection whose bytes are observed.
 #[derive(Debug)]
 pub struct ObservedStream<O> {
