--- a/crates/banyan-forward/tests/admission.rs
+++ b/crates/banyan-forward/tests/admission.rs
@@ -9,6 +9,7 @@
 use banyan_core::ids::LayerRange;
 use banyan_core::ids::ServiceId;
 use banyan_core::ids::TargetId;
+use banyan_core::machine::MachineLimits;
 use banyan_core::pipeline::chain::ChainChoice;
 use banyan_core::pipeline::chain::RequestSize;
 use banyan_core::pipeline::duties::DutyCapacity;
@@ -56,6 +57,7 @@
         instance: "i1".parse().expect("a name"),
         zone: "a".parse().expect("a name"),
         duty_capacity: DutyCapacity::default(),
+        machine: MachineLimits { memory: ByteCount(256 << 20), descriptors: 1_024 },
         caller_address: address,
         ready_address: address,
         peer_address: address,
--- a/crates/banyan-forward/tests/room.rs
+++ b/crates/banyan-forward/tests/room.rs
@@ -10,6 +10,7 @@
 use banyan_core::ids::LayerRange;
 use banyan_core::ids::ServiceId;
 use banyan_core::ids::TargetId;
+use banyan_core::machine::MachineLimits;
 use banyan_core::pipeline::chain::RequestSize;
 use banyan_core::pipeline::duties::DutyCapacity;
 use banyan_core::pipeline::fleet::FleetChange;
@@ -76,6 +77,7 @@
         instance: "i1".parse().expect("a name"),
         zone: "a".parse().expect("a name"),
         duty_capacity: DutyCapacity(100),
+        machine: MachineLimits { memory: ByteCount(256 << 20), descriptors: 1_024 },
         caller_address: address,
         ready_address: address,
         peer_address: address,
