Metrics, operators' page and capacity of the memory for clients; incomplete messages of peers

Incomplete messages of peers may take an eighth of the memory (a quarter before); a connection that exceeds this by a quarter while the largest one still ends is closed itself.

--- a/crates/banyan-core/src/machine.rs
+++ b/crates/banyan-core/src/machine.rs
@@ -9,6 +9,8 @@
 const HELD_DIVISOR: u64 = 3;
 /// The part of the memory for connections of callers, as a divisor.
 const CONNECTIONS_DIVISOR: u64 = 4;
+/// The part of the memory for incomplete messages of peers, as a divisor.
+const PEER_BYTES_DIVISOR: u64 = 8;
 /// What a caller's connection takes beside its body: the buffers of the HTTP library for reading
 /// and writing, and the state of its task.
 const CONNECTION_BYTES: u64 = 48 << 10;
@@ -55,7 +57,7 @@
 
     /// The memory for messages that are being received from peers.
     pub fn peer_bytes(&self) -> ByteCount {
-        ByteCount(self.memory.0 / CONNECTIONS_DIVISOR)
+        ByteCount(self.memory.0 / PEER_BYTES_DIVISOR)
     }
 
     fn share(&self, divisor: u32) -> usize {
--- a/crates/banyan-forward/src/callers/front.rs
+++ b/crates/banyan-forward/src/callers/front.rs
@@ -112,6 +112,7 @@
             }
             () = slot.must_end() => return,
             () = activity.must_end() => {
+                metrics::counter!("banyan_unread_answers_closed_total").increment(1);
                 tracing::info!(
                     part = "front",
                     "A connection was closed: its unread answer took memory that others need."
--- a/crates/banyan-forward/src/callers/readiness.rs
+++ b/crates/banyan-forward/src/callers/readiness.rs
@@ -17,6 +17,7 @@
 use crate::callers::answer::AnswerBody;
 use crate::callers::answer::whole_body;
 use crate::edges::Platform;
+use crate::metric;
 use crate::state::DaemonPhase;
 use crate::state::ForwardState;
 use banyan_core::machine::MachineLimits;
@@ -56,12 +57,14 @@
 }
 
 /// Serves the metrics page until the daemon stops.
-pub async fn serve_metrics(
+pub async fn serve_metrics<P: Platform>(
+    state: Arc<ForwardState<P>>,
     handle: PrometheusHandle,
-    machine: MachineLimits,
     listener: TcpListener,
 ) {
-    serve_pages(listener, page_slots("metrics", machine), move || {
+    let slots = page_slots("metrics", state.settings().machine);
+    serve_pages(listener, slots, move || {
+        metric::set_held_bytes(&state.memory);
         page(StatusCode::OK, handle.render())
     })
     .await;
--- a/crates/banyan-forward/src/daemon.rs
+++ b/crates/banyan-forward/src/daemon.rs
@@ -66,12 +66,17 @@
     // The bound address is announced to peers, since the settings may have port 0.
     settings.peer_address = peer_listener.local_addr()?;
     let mut tasks = JoinSet::new();
-    if let (Some(address), Some(handle)) = (settings.metrics_address, metrics) {
-        let listener = bind(address, "the metrics address").await?;
-        tasks.spawn(readiness::serve_metrics(handle, settings.machine, listener));
-    }
+    let metrics = match (settings.metrics_address, metrics) {
+        (Some(address), Some(handle)) => {
+            Some((bind(address, "the metrics address").await?, handle))
+        }
+        _ => None,
+    };
     let instance = settings.instance.clone();
     let state = Arc::new(ForwardState::new(settings, platform));
+    if let Some((listener, handle)) = metrics {
+        tasks.spawn(readiness::serve_metrics(state.clone(), handle, listener));
+    }
     tasks.spawn(feeds::follow_configuration(state.clone()));
     tasks.spawn(feeds::follow_fleet(state.clone()));
     tasks.spawn(news::run_source(state.clone()));
--- a/crates/banyan-forward/src/metric.rs
+++ b/crates/banyan-forward/src/metric.rs
@@ -6,9 +6,13 @@
 use metrics::describe_counter;
 use metrics::describe_gauge;
 use metrics::describe_histogram;
+use metrics::gauge;
 use metrics_exporter_prometheus::BuildError;
 use metrics_exporter_prometheus::PrometheusBuilder;
 
+use banyan_core::caller_memory::HoldUse;
+use banyan_http::held_memory::CallerMemory;
+
 /// The upper bounds of the histogram buckets, in seconds.
 const TIME_BUCKETS: [f64; 13] =
     [0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.75, 1.0, 2.0, 5.0, 20.0];
@@ -18,6 +22,15 @@
     builder.set_buckets(&TIME_BUCKETS)
 }
 
+/// Sets the gauges of the memory that is held for callers.
+pub fn set_held_bytes(memory: &CallerMemory) {
+    for holds_for in HoldUse::ALL {
+        let held = memory.used_for(holds_for).0 as f64;
+        gauge!("banyan_held_bytes", "use" => holds_for.as_str()).set(held);
+    }
+    gauge!("banyan_held_bytes_limit").set(memory.limit().0 as f64);
+}
+
 /// Registers the description of every metric. Called once at startup.
 pub fn describe() {
     let count = Unit::Count;
@@ -60,6 +73,13 @@
         "Peers that read the store for this instance and gave no news."
     );
     describe_counter!("banyan_log_lines_dropped_total", count, "Log lines that were left out.");
+    describe_gauge!("banyan_held_bytes", Unit::Bytes, "Memory held for callers, by use.");
+    describe_gauge!("banyan_held_bytes_limit", Unit::Bytes, "The limit of that memory.");
+    describe_counter!(
+        "banyan_unread_answers_closed_total",
+        count,
+        "Connections closed since their unread answers took memory that others needed."
+    );
     describe_gauge!("banyan_configuration_version", count, "The configuration version in force.");
     describe_histogram!("banyan_answer_seconds", seconds, "Time from a head to the whole answer.");
     describe_histogram!(
--- a/crates/banyan-http/src/connection_slots.rs
+++ b/crates/banyan-http/src/connection_slots.rs
@@ -192,9 +192,12 @@
         if open.pending <= self.slots.max_pending {
             return Ok(());
         }
-        let largest = open.connections.iter().max_by_key(|(_, connection)| connection.pending);
+        let living = open.connections.iter().filter(|(_, connection)| !connection.ended);
+        let largest = living.max_by_key(|(_, connection)| connection.pending);
         let Some(id) = largest.map(|(id, _)| *id) else { return Ok(()) };
-        if id == self.id {
+        // The connections that were told to end take memory until their tasks run.
+        let far_over = open.pending > self.slots.max_pending / 4 * 5;
+        if id == self.id || far_over {
             return Err(io::Error::new(io::ErrorKind::InvalidData, "the message is too large"));
         }
         if let Some(connection) = open.connections.get_mut(&id) {
