Streams wait for room that becomes free within their latency target

Cause: a stream without room was refused at once, also when a running one was about to end.

Where a service ranks its requests, a first attempt without room is queued if twice the estimated wait and the time to the first event meet the latency target. Released room is reserved at once for the first that fits; a dropped future gives up its place or room.

A daemon with room for two large streams serves a third that waits; with queueing switched off (trial) the same test gets 503. Intervals over 5 s between ends no longer count: after an idle time all waits were too long.

Ruled out: waking all that wait (the late ones were held for nothing); a second queue. banyan-core, banyan-forward and banyan-entry tests pass, of platform/tests/system only streams, calls and waiting were run.

--- a/crates/banyan-core/src/pipeline/retry_after.rs
+++ b/crates/banyan-core/src/pipeline/retry_after.rs
@@ -21,6 +21,9 @@
 
 /// The number of samples over which the interval between two ends of requests is averaged.
 const RELEASE_SAMPLES: u32 = 32;
+/// The longest interval between two ends that counts. In a longer one the service was idle, or so
+/// few requests end that callers do not wait for it.
+const MAX_INTERVAL: Duration = Duration::from_secs(5);
 /// The shortest wait that is computed for a refused caller: about the time that a request needs to
 /// return and be read.
 const MIN_WAIT: Duration = Duration::from_millis(50);
@@ -65,8 +68,9 @@
     /// Records that a request ended.
     pub fn note_release(&mut self, service: &ServiceId, now: Moment) {
         let rate = self.services.entry(service.clone()).or_default();
-        if let Some(last) = rate.last {
-            rate.interval.record(now.since(last), RELEASE_SAMPLES);
+        let interval = rate.last.map(|last| now.since(last));
+        if let Some(interval) = interval.filter(|interval| *interval <= MAX_INTERVAL) {
+            rate.interval.record(interval, RELEASE_SAMPLES);
         }
         rate.last = Some(now);
     }
--- a/crates/banyan-core/src/serving/admission.rs
+++ b/crates/banyan-core/src/serving/admission.rs
@@ -38,6 +38,15 @@
     },
 }
 
+/// The expected times of a request.
+#[derive(Clone, Copy, Debug)]
+pub struct TimeEstimates {
+    /// How long it waits for room.
+    pub wait: Duration,
+    /// How long it takes from then to the event that its deadline concerns.
+    pub service: Duration,
+}
+
 /// The waiting requests that one tick admitted or refused.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct AdmissionRound {
@@ -92,11 +101,26 @@
         }
         let service = self.estimates.expected(request.tokens);
         let wait = self.expected_wait(&request.workspace, request.share);
+        let max_waiting = self.max_waiting();
+        self.enqueue(request, TimeEstimates { wait, service }, max_waiting, now)
+    }
+
+    /// Queues a request that has no room now, or refuses it. [`Self::offer`] takes room to be a
+    /// number of places; where it is something else, the user of the queue calls this with its own
+    /// estimates, and [`Self::take_next`] when room may have become free.
+    pub fn enqueue(
+        &mut self,
+        request: AdmissionRequest,
+        estimates: TimeEstimates,
+        max_waiting: u32,
+        now: Moment,
+    ) -> AdmissionVerdict {
+        let TimeEstimates { wait, service } = estimates;
         let retry_after = wait.max(service).max(MIN_RETRY_AFTER);
         if now + wait * WAIT_MARGIN_PERCENT / 100 + service > request.deadline {
             return AdmissionVerdict::Refused { retry_after };
         }
-        if self.waiting.len() as u32 >= self.max_waiting() && !self.displace(&request) {
+        if self.waiting.len() as u32 >= max_waiting && !self.displace(&request) {
             return AdmissionVerdict::Refused { retry_after };
         }
         let slack = request.deadline.since(Moment(0)).saturating_sub(service);
@@ -137,13 +161,22 @@
         while self.has_room() {
             self.turns += 1;
             let by_priority = !self.turns.is_multiple_of(FAIR_TURN_INTERVAL);
-            let Some(request) = self.waiting.pop_next(by_priority, now) else { break };
+            let Some(request) = self.waiting.pop_next(by_priority, now, |_| true) else { break };
             admitted.push(request.request.clone());
             self.activate(request, now);
         }
         AdmissionRound { admitted, refused }
     }
 
+    /// Removes the first waiting request by priority for which `fits` finds room.
+    pub fn take_next(
+        &mut self,
+        now: Moment,
+        fits: impl FnMut(&AdmissionRequest) -> bool,
+    ) -> Option<AdmissionRequest> {
+        self.waiting.pop_next(true, now, fits)
+    }
+
     /// The expected wait of a new request of a workspace. It is the larger of two estimates: the
     /// drain time of the requests ahead of it at its share, and the wait by the measured interval
     /// between the workspace's own turns. The second also reflects other workspaces whose requests
--- a/crates/banyan-core/src/serving/waiting.rs
+++ b/crates/banyan-core/src/serving/waiting.rs
@@ -20,6 +20,10 @@
 /// The number of accounts above which those of idle workspaces are dropped.
 const MAX_IDLE_ACCOUNTS: usize = 16_384;
 
+/// The largest number of queues whose oldest requests are tried at once, which bounds the cost when
+/// none fits.
+const MAX_TRIED_QUEUES: usize = 16;
+
 /// The waiting requests.
 ///
 /// Invariants: `by_tag`, `by_priority_and_tag` and `backlogs` hold each queue once, under its
@@ -121,14 +125,25 @@
         self.remove(&request)
     }
 
-    /// Removes the next request in order and charges its workspace.
-    pub fn pop_next(&mut self, by_priority: bool, now: Moment) -> Option<AdmissionRequest> {
-        let workspace = if by_priority {
-            self.by_priority_and_tag.first()?.2.clone()
+    /// Removes the next request in order and charges its workspace. Requests for which `fits` is
+    /// false are passed over, and with them those of the same workspace that arrived later.
+    pub fn pop_next(
+        &mut self,
+        by_priority: bool,
+        now: Moment,
+        mut fits: impl FnMut(&AdmissionRequest) -> bool,
+    ) -> Option<AdmissionRequest> {
+        let mut first_fitting = |workspace: &WorkspaceId| {
+            let oldest = self.queues.get(workspace)?.requests.values().next()?;
+            fits(oldest).then(|| (workspace.clone(), oldest.request.clone()))
+        };
+        let (workspace, oldest) = if by_priority {
+            let in_order = self.by_priority_and_tag.iter().take(MAX_TRIED_QUEUES);
+            in_order.map(|key| &key.2).find_map(&mut first_fitting)?
         } else {
-            self.by_tag.first()?.1.clone()
+            let in_order = self.by_tag.iter().take(MAX_TRIED_QUEUES);
+            in_order.map(|key| &key.1).find_map(&mut first_fitting)?
         };
-        let oldest = self.queues.get(&workspace)?.requests.values().next()?.request.clone();
         // The lowest tag of all queues is a lower bound of the virtual time. The tag of the queue
         // with the highest priority may be far ahead of it.
         self.virtual_time = self.virtual_time.max(self.by_tag.first()?.0);
@@ -155,6 +170,34 @@
         self.remove(&newest)
     }
 
+    /// Removes the newest request of a queue with the lowest priority of all, if that is below
+    /// `priority`.
+    pub fn pop_below(&mut self, priority: u8) -> Option<AdmissionRequest> {
+        let (_, _, workspace) = self.by_priority_and_tag.last()?;
+        if self.lowest_priority()? >= priority {
+            return None;
+        }
+        let newest = self.queues.get(workspace)?.requests.values().next_back()?.request.clone();
+        self.remove(&newest)
+    }
+
+    /// The lowest priority of all waiting requests.
+    pub fn lowest_priority(&self) -> Option<u8> {
+        self.by_priority_and_tag.last().map(|(inverse, ..)| u8::MAX - inverse)
+    }
+
+    /// The highest priority of all waiting requests.
+    pub fn highest_priority(&self) -> Option<u8> {
+        self.by_priority_and_tag.first().map(|(inverse, ..)| u8::MAX - inverse)
+    }
+
+    /// The number of waiting requests with at least this priority.
+    pub fn count_from(&self, priority: u8) -> usize {
+        let keys = self.by_priority_and_tag.iter();
+        let keys = keys.take_while(|(inverse, ..)| u8::MAX - inverse >= priority);
+        keys.filter_map(|key| self.queues.get(&key.2)).map(|queue| queue.requests.len()).sum()
+    }
+
     /// The expected number of requests that are served before a new one of this workspace: all of
     /// its own, and those of the other workspaces that their shares allow in the meantime.
     pub fn expected_ahead(&self, workspace: &WorkspaceId, share: u32) -> u64 {
--- a/crates/banyan-core/tests/pipeline/returns.rs
+++ b/crates/banyan-core/tests/pipeline/returns.rs
@@ -109,6 +109,9 @@
     assert_eq!(wait(4, 0.0), Duration::from_secs(1));
     assert_eq!(wait(0, 0.5), Duration::from_millis(400));
     assert_eq!(wait(0, 1.0), Duration::from_secs(2), "the least share");
+    // Regression: the time without requests counted, so that all were told to wait for long.
+    table.note_release(&service(), at(100_000));
+    assert_eq!(table.wait(&service(), 0, 0.0), Some(Duration::from_millis(200)));
 }
 
 #[test]
--- a/crates/banyan-forward/src/decisions.rs
+++ b/crates/banyan-forward/src/decisions.rs
@@ -1,9 +1,11 @@
 //! Decisions of the daemon: [`tables`] holds what they are based on, [`leading`] tells whether this
 //! instance leads, [`placement`] plans which engine holds which layers, and [`orders`] sends the
-//! orders for that. [`admission`] admits requests by priority.
+//! orders for that. [`admission`] admits requests by priority, and [`waiting`] holds
+//! those that wait for room.
 
 pub mod admission;
 pub mod leading;
 pub mod orders;
 pub mod placement;
 pub mod tables;
+pub mod waiting;
--- a/crates/banyan-forward/src/decisions/admission.rs
+++ b/crates/banyan-forward/src/decisions/admission.rs
@@ -4,6 +4,7 @@
 
 use crate::callers::answer::NO_ROOM_RETRY_AFTER;
 use crate::decisions::tables::ForwardTables;
+use crate::decisions::waiting::queue_priority;
 use crate::settings::ForwardSettings;
 use banyan_core::ids::ServiceId;
 use banyan_core::ids::TargetId;
@@ -14,6 +15,7 @@
 use banyan_core::pipeline::reservation::UNRESERVED_FULLNESS;
 use banyan_core::pipeline::returning::Arrival;
 use banyan_core::pipeline::returning::RefusedRequest;
+use banyan_core::pipeline::target_chain::TargetChain;
 use banyan_core::record::ContentDigest;
 use banyan_core::units::Moment;
 use banyan_core::units::TokenCount;
@@ -56,6 +58,8 @@
     pub arrival: Arrival,
     /// The fullness up to which it could use a chain.
     pub limit: f64,
+    /// Whether it is exempt from the reservation for more urgent requests.
+    pub is_exempt: bool,
 }
 
 /// When the caller of a refused request returns.
@@ -92,7 +96,13 @@
             Arrival::New | Arrival::Early => self.refused.held_tokens(service, priority, now),
         };
         let needed = RequestSize { total: TokenCount(size.total.0 + held.0), ..size };
-        let choice = self.choose_chain(service, settings, needed, avoided, limit, now);
+        let is_exempt = limit > self.reservations.fullness_limit(service, priority, now);
+        self.admit_waiting(service, settings, now);
+        let queue_priority = queue_priority(priority, arrival, is_exempt);
+        let choice = match self.others_wait_first(service, queue_priority) {
+            true => None,
+            false => self.choose_chain(service, settings, needed, avoided, limit, now),
+        };
         let outcome = match &choice {
             Some(choice) => RoomOutcome::Admitted { least_fullness: choice.least_fullness },
             None => RoomOutcome::Refused,
@@ -102,7 +112,7 @@
             self.reservations.record(service, priority, arrival, outcome, now);
         }
         self.refused.note_returned(content);
-        (choice, Some(AdmissionDecision { rank, arrival, limit }))
+        (choice, Some(AdmissionDecision { rank, arrival, limit, is_exempt }))
     }
 
     /// How long the caller of a request without room is told to wait, and remembers when it
@@ -133,18 +143,40 @@
         PlannedReturn { ahead, estimate, wait }
     }
 
-    /// Records that a request on a chain that begins with this engine released its room.
-    pub fn note_released(&mut self, first: &TargetId, now: Moment) {
-        let Some(row) = self.fleet.rows.get(first) else { return };
+    /// Counts a request on all engines of a chain.
+    pub fn add_chain_load(&mut self, chain: &TargetChain, tokens: TokenCount) {
+        for (index, part) in chain.parts.iter().enumerate() {
+            self.loads.add(&part.target, tokens, part.range.count(), index == 0);
+        }
+    }
+
+    /// Removes a request from all engines of a chain.
+    pub(super) fn remove_chain_load(&mut self, chain: &TargetChain, tokens: TokenCount) {
+        for (index, part) in chain.parts.iter().enumerate() {
+            self.loads.remove(&part.target, tokens, part.range.count(), index == 0);
+        }
+    }
+
+    /// Removes a request from all engines of a chain, and admits waiting ones to the room.
+    pub fn release_chain(
+        &mut self,
+        chain: &TargetChain,
+        tokens: TokenCount,
+        settings: &ForwardSettings,
+        now: Moment,
+    ) {
+        self.remove_chain_load(chain, tokens);
+        let Some(row) = self.fleet.rows.get(&chain.parts[0].target) else { return };
         let service = row.report.service.clone();
         if self.ranks_requests(&service) {
             self.releases.note_release(&service, now);
         }
+        self.admit_waiting(&service, settings, now);
     }
 
     /// Whether requests of a service can differ in priority. If not, what was learned about it
     /// under an earlier configuration is dropped.
-    fn ranks_requests(&mut self, service: &ServiceId) -> bool {
+    pub(super) fn ranks_requests(&mut self, service: &ServiceId) -> bool {
         let ranks = self.route_table().is_some_and(|routes| routes.ranks_requests(service));
         if !ranks {
             self.reservations.forget(service);
--- a/crates/banyan-forward/src/decisions/tables.rs
+++ b/crates/banyan-forward/src/decisions/tables.rs
@@ -8,6 +8,7 @@
 use crate::callers::answer::NO_ROOM_RETRY_AFTER;
 use crate::callers::answer::NotRunCause;
 use crate::callers::answer::Refusal;
+use crate::decisions::waiting::WaitingStreams;
 use crate::edges::ConfigurationRecord;
 use crate::edges::Membership;
 use crate::logs;
@@ -107,6 +108,8 @@
     pub reservations: ReservationTable,
     /// The requests that were refused and may be repeated, of services that rank them.
     pub refused: RefusedTable,
+    /// The requests that wait for room, of services that rank them.
+    pub waiting: BTreeMap<ServiceId, WaitingStreams>,
     /// How often requests end, of services that rank them.
     pub releases: ReleaseTable,
     /// This instance's share of the retry budget.
--- a/crates/banyan-forward/src/engines.rs
+++ b/crates/banyan-forward/src/engines.rs
@@ -1,5 +1,5 @@
 //! The targets' side: [`stream`] relays the events of a chain of engines, which [`stream_opener`]
-//! starts with a [`chain_attempt`], and [`call`] relays the answer of one replica. Both use
+//! starts with a [`chain_attempt`] after waiting for room in [`queueing`], and [`call`] relays the answer of one replica. Both use
 //! [`exchange`] on connections from [`link`], and [`crash_watch`] to recognise requests that crash
 //! targets.
 
@@ -13,5 +13,6 @@
 pub mod leaving;
 pub mod link;
 pub mod probes;
+pub mod queueing;
 pub mod stream;
 pub mod stream_opener;
--- a/crates/banyan-forward/src/engines/leases.rs
+++ b/crates/banyan-forward/src/engines/leases.rs
@@ -56,22 +56,25 @@
     chain: &Arc<TargetChain>,
     tokens: TokenCount,
 ) -> RequestLease {
-    let mut tables = state.tables();
-    for (index, part) in chain.parts.iter().enumerate() {
-        tables.loads.add(&part.target, tokens, part.range.count(), index == 0);
-    }
-    drop(tables);
+    state.tables().add_chain_load(chain, tokens);
+    lease_reserved_chain(state, chain, tokens)
+}
+
+/// A lease on capacity that has already been reserved with [`ForwardTables::add_chain_load`].
+///
+/// [`ForwardTables::add_chain_load`]: crate::decisions::tables::ForwardTables::add_chain_load
+pub fn lease_reserved_chain<P: Send + Sync + 'static>(
+    state: &Arc<ForwardState<P>>,
+    chain: &Arc<TargetChain>,
+    tokens: TokenCount,
+) -> RequestLease {
     let state = state.clone();
     let chain = chain.clone();
-    let release = move || {
+    RequestLease::new(move || {
+        let settings = state.settings();
         let now = state.now();
-        let mut tables = state.tables();
-        for (index, part) in chain.parts.iter().enumerate() {
-            tables.loads.remove(&part.target, tokens, part.range.count(), index == 0);
-        }
-        tables.note_released(&chain.parts[0].target, now);
-    };
-    RequestLease::new(release)
+        state.tables().release_chain(&chain, tokens, &settings, now);
+    })
 }
 
 /// Counts the prefill of a prompt as pending on all engines of a chain until the lease is dropped,
--- a/crates/banyan-forward/src/engines/stream_opener.rs
+++ b/crates/banyan-forward/src/engines/stream_opener.rs
@@ -15,7 +15,9 @@
 use crate::callers::answer::NotRunCause;
 use crate::callers::answer::Refusal;
 use crate::callers::routed_request::RoutedRequest;
+use crate::decisions::admission::AdmissionDecision;
 use crate::decisions::admission::RoomQuery;
+use crate::decisions::tables::ForwardTables;
 use crate::edges::OrderAnswer;
 use crate::edges::OrderOutcome;
 use crate::edges::Platform;
@@ -33,9 +35,11 @@
 use crate::engines::leases::lease_prefill;
 use crate::engines::leaving;
 use crate::engines::probes::probe_targets;
+use crate::engines::queueing::QueuedStream;
 use crate::logs;
 use crate::state::ForwardState;
 use banyan_core::ids::TargetId;
+use banyan_core::pipeline::chain::ChainChoice;
 use banyan_core::pipeline::chain::RequestSize;
 use banyan_core::pipeline::target_chain::TargetChain;
 use banyan_core::units::Moment;
@@ -205,7 +209,7 @@
     /// Opens a stream and waits for its first event. Makes further attempts after failed ones, if
     /// the route and the retry budget allow it.
     pub async fn open(&mut self) -> Result<OpenedStream, Refusal> {
-        self.start()?;
+        self.start_first().await?;
         let deadline = self.state.clock.instant(self.request.deadline);
         let check_after = self.request.route.latency_target.mul_f64(FIRST_CHECK_FRACTION);
         let started = Instant::now();
@@ -269,8 +273,31 @@
         self.attempts == 0 && self.avoided.is_empty() && !self.resuming && self.last_event.is_none()
     }
 
+    /// Starts an attempt on the best chain. The first one of a request may wait for room.
+    async fn start_first(&mut self) -> Result<(), Refusal> {
+        let may_queue = self.is_first_attempt();
+        let Some((queued, decision)) = self.start_or_queue(may_queue)? else { return Ok(()) };
+        logs::admission_queued(&self.request, &decision, &queued.place);
+        if let Some((choice, lease)) = queued.wait().await {
+            logs::admitted(&self.request, &decision, self.state.now());
+            self.start_on(choice, lease);
+            return Ok(());
+        }
+        let now = self.state.now();
+        Err(self.refuse_without_room(&mut self.state.tables(), &decision, now))
+    }
+
     /// Starts an attempt on the best chain without avoided engines.
     fn start(&mut self) -> Result<(), Refusal> {
+        self.start_or_queue(false).map(|_| ())
+    }
+
+    /// Like [`Self::start`], but a request without room is queued if `may_queue` and if it can still
+    /// be on time.
+    fn start_or_queue(
+        &mut self,
+        may_queue: bool,
+    ) -> Result<Option<(QueuedStream<P>, AdmissionDecision)>, Refusal> {
         refuse_if_blocked(&self.state, &self.request, self.admitted)
             .map_err(|refusal| self.refusal_for(refusal))?;
         self.admitted = true;
@@ -290,15 +317,21 @@
                 Some(wait) => (NotRunCause::TargetLimited, wait),
                 None => (NotRunCause::NoRoom, NO_ROOM_RETRY_AFTER),
             };
-            let refusal = match decision {
-                Some(decision) if cause == NotRunCause::NoRoom => {
-                    let time_left = self.request.deadline.since(now);
-                    let planned = tables.plan_return(&query, &decision, time_left, now);
-                    logs::admission_refused(&self.request, &decision, &planned);
-                    Refusal::NotRun(cause, planned.wait)
+            if let Some(decision) = decision.filter(|_| cause == NotRunCause::NoRoom) {
+                let workspace = self.request.workspace.as_ref();
+                let due = self.request.received + self.request.route.latency_target;
+                let due = due.min(self.request.deadline);
+                if may_queue
+                    && let Some(place) =
+                        tables.queue_stream(&query, workspace, &decision, due, &settings, now)
+                {
+                    let (state, service) = (self.state.clone(), service.clone());
+                    let queued = QueuedStream { state, service, place, tokens: size.total };
+                    return Ok(Some((queued, decision)));
                 }
-                _ => tables.not_run_refusal(cause, wait, now),
-            };
+                return Err(self.refuse_without_room(&mut tables, &decision, now));
+            }
+            let refusal = tables.not_run_refusal(cause, wait, now);
             drop(tables);
             return Err(self.refusal_for(refusal));
         };
@@ -308,17 +341,40 @@
             drop(tables);
             return Err(self.refusal_for(refusal));
         }
-        tables.limits.note_sent(&choice.chain.parts[0].target);
         drop(tables);
         if let Some(decision) = &decision {
-            logs::admitted(&self.request, decision);
+            logs::admitted(&self.request, decision, now);
         }
+        let lease = lease_chain(&self.state, &choice.chain, size.total);
+        self.start_on(choice, lease);
+        Ok(None)
+    }
+
+    /// The refusal of a request for which no chain had room, with the time of its return.
+    fn refuse_without_room(
+        &self,
+        tables: &mut ForwardTables,
+        decision: &AdmissionDecision,
+        now: Moment,
+    ) -> Refusal {
+        let service = &self.request.service.id;
+        let rank = Some(decision.rank);
+        let query = RoomQuery { service, size: self.size(), avoided: &self.avoided, rank };
+        let time_left = self.request.deadline.since(now);
+        let planned = tables.plan_return(&query, decision, time_left, now);
+        logs::admission_refused(&self.request, decision, &planned, now);
+        self.refusal_for(Refusal::NotRun(NotRunCause::NoRoom, planned.wait))
+    }
+
+    /// Starts an attempt on a chain at which `lease` reserves room.
+    fn start_on(&mut self, choice: ChainChoice, lease: RequestLease) {
+        let now = self.state.now();
+        self.state.tables().limits.note_sent(&choice.chain.parts[0].target);
         logs::chain_chosen(&self.request.token, &choice, self.attempts, self.last_event);
         let chain = choice.chain;
         self.attempts += 1;
         self.running_chains.push(chain.clone());
-        let lease = lease_chain(&self.state, &chain, size.total);
-        let prefill_lease = lease_prefill(&self.state, &chain, size.prompt);
+        let prefill_lease = lease_prefill(&self.state, &chain, self.size().prompt);
         let opening = open_chain(
             self.state.clone(),
             self.request.clone(),
@@ -333,7 +389,6 @@
             drop(prefill_lease);
             (attempt, result)
         }));
-        Ok(())
     }
 
     /// Starts the next attempt after all earlier ones have failed, if another is allowed.
--- a/crates/banyan-forward/src/logs.rs
+++ b/crates/banyan-forward/src/logs.rs
@@ -22,6 +22,7 @@
 use crate::callers::routed_request::RoutedRequest;
 use crate::decisions::admission::AdmissionDecision;
 use crate::decisions::admission::PlannedReturn;
+use crate::decisions::waiting::QueuePlace;
 use crate::edges::OrderError;
 use crate::edges::OrderOutcome;
 use crate::edges::RequestToken;
@@ -33,6 +34,7 @@
 use banyan_core::pipeline::chain::ChainChoice;
 use banyan_core::pipeline::target_chain::TargetChain;
 use banyan_core::pipeline::target_limits::TargetLimit;
+use banyan_core::units::Moment;
 use banyan_http::clock::RuntimeClock;
 
 /// The largest number of lines that wait to be written.
@@ -184,8 +186,23 @@
     );
 }
 
+/// Logs that a request waits for room.
+pub fn admission_queued(request: &RoutedRequest, decision: &AdmissionDecision, place: &QueuePlace) {
+    count_admission(request, decision, "queued");
+    tracing::info!(
+        target: ROUTINE,
+        part = "request",
+        request = %request.token,
+        priority = decision.rank.priority.0,
+        arrival = ?decision.arrival,
+        ahead = place.ahead,
+        estimate_ms = place.estimate.as_millis() as u64,
+        "Waits for room."
+    );
+}
+
 /// Logs that a request was admitted to a chain by its priority.
-pub fn admitted(request: &RoutedRequest, decision: &AdmissionDecision) {
+pub fn admitted(request: &RoutedRequest, decision: &AdmissionDecision, now: Moment) {
     count_admission(request, decision, "admitted");
     tracing::info!(
         target: ROUTINE,
@@ -194,6 +211,7 @@
         priority = decision.rank.priority.0,
         arrival = ?decision.arrival,
         limit = (decision.limit * 100.0).round() / 100.0,
+        held_ms = now.since(request.received).as_millis() as u64,
         "Admitted by priority."
     );
 }
@@ -203,6 +221,7 @@
     request: &RoutedRequest,
     decision: &AdmissionDecision,
     planned: &PlannedReturn,
+    now: Moment,
 ) {
     count_admission(request, decision, "no_room");
     tracing::info!(
@@ -214,6 +233,7 @@
         ahead = planned.ahead,
         estimate_ms = planned.estimate.map(|estimate| estimate.as_millis() as u64),
         after_ms = planned.wait.as_millis() as u64,
+        held_ms = now.since(request.received).as_millis() as u64,
         "No room for its priority."
     );
 }
--- a/crates/banyan-forward/tests/admission.rs
+++ b/crates/banyan-forward/tests/admission/support.rs
@@ -1,4 +1,4 @@
-//! Tests of the admission of streams by priority.
+//! Tables with one engine, and requests that ask for room at it.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -20,7 +20,6 @@
 use banyan_core::pipeline::model::PipelineModel;
 use banyan_core::pipeline::priority::EffectivePriority;
 use banyan_core::pipeline::report_stamp::ReportStamp;
-use banyan_core::pipeline::reservation::UNRESERVED_FULLNESS;
 use banyan_core::pipeline::retries::RetryBounds;
 use banyan_core::pipeline::routes::CallerLimits;
 use banyan_core::pipeline::routes::RouteKind;
@@ -39,18 +38,23 @@
 use banyan_forward::settings::ForwardSettings;
 use banyan_forward::settings::ServiceBounds;
 
-const SIZE: RequestSize = RequestSize { prompt: TokenCount(800), total: TokenCount(1_000) };
-const LAYERS: LayerRange = LayerRange { first: 0, end: 10 };
+/// The size of each request.
+pub const SIZE: RequestSize = RequestSize { prompt: TokenCount(800), total: TokenCount(1_000) };
+/// The layers of the model.
+pub const LAYERS: LayerRange = LayerRange { first: 0, end: 10 };
 
-fn service() -> ServiceId {
+/// The service of the engine.
+pub fn service() -> ServiceId {
     "engines".parse().expect("a name")
 }
 
-fn engine() -> TargetId {
+/// The engine.
+pub fn engine() -> TargetId {
     "e1".parse().expect("a name")
 }
 
-fn settings() -> ForwardSettings {
+/// The settings of the instance.
+pub fn settings() -> ForwardSettings {
     let address = "127.0.0.1:0".parse().expect("an address");
     ForwardSettings {
         instance: "i1".parse().expect("a name"),
@@ -72,7 +76,7 @@
     }
 }
 
-fn model() -> PipelineModel {
+pub fn model() -> PipelineModel {
     let kind = AcceleratorKind {
         memory: ByteCount(40_000_000_000),
         step_factor: 1.0,
@@ -100,7 +104,7 @@
     }
 }
 
-fn route(prefix: &str, priority: u8) -> RouteSpec {
+pub fn route(prefix: &str, priority: u8) -> RouteSpec {
     RouteSpec {
         name: SmolStr::new(prefix),
         host: SmolStr::new("h"),
@@ -117,7 +121,7 @@
 }
 
 /// Tables with one engine that holds all layers, and routes of these priorities.
-fn tables(priorities: &[u8]) -> ForwardTables {
+pub fn tables(priorities: &[u8]) -> ForwardTables {
     let routes = priorities.iter().enumerate();
     let routes = routes.map(|(index, priority)| route(&format!("/{index}/"), *priority)).collect();
     let spec = ServiceSpec { id: service(), model: Some(Arc::new(model())) };
@@ -144,7 +148,8 @@
     tables
 }
 
-fn admit(
+/// Asks for room.
+pub fn admit(
     tables: &mut ForwardTables,
     rank: Option<RequestRank>,
     now: Moment,
@@ -154,42 +159,8 @@
     tables.admit_to_chain(&query, &settings(), now).0
 }
 
-fn rank(priority: u8, content: u64) -> Option<RequestRank> {
+/// A request of a priority and with a content.
+pub fn rank(priority: u8, content: u64) -> Option<RequestRank> {
     let content = ContentDigest(content);
     Some(RequestRank { priority: EffectivePriority(priority), content })
 }
-
-/// Offers requests of priorities 0 and 1 in turn, which never end. Returns which are admitted.
-fn admitted(tables: &mut ForwardTables, ranked: bool) -> Vec<bool> {
-    let offer = |index: u64| {
-        let now = Moment(index * 10_000);
-        let rank = if ranked { rank((index % 2) as u8, index) } else { None };
-        let choice = admit(tables, rank, now);
-        if choice.is_some() {
-            tables.loads.add(&engine(), SIZE.total, LAYERS.count(), true);
-        }
-        choice.is_some()
-    };
-    (0..1_000).map(offer).collect()
-}
-
-#[test]
-fn requests_of_one_priority_are_admitted_as_without_priorities() {
-    // Guards against changed decisions where the configuration ranks nothing.
-    let uniform = admitted(&mut tables(&[1, 1]), true);
-    assert_eq!(uniform, admitted(&mut tables(&[1, 1]), false));
-    assert!(uniform.contains(&true) && uniform.contains(&false), "the engine fills up");
-}
-
-#[test]
-fn the_last_room_is_kept_for_urgent_requests_and_further_attempts() {
-    let mut tables = tables(&[0, 1]);
-    let admitted = admitted(&mut tables, true);
-    let count = |odd| admitted.iter().skip(odd).step_by(2).filter(|is| **is).count();
-    assert!(count(0) > count(1), "{} and {}", count(0), count(1));
-    tables.loads.remove(&engine(), SIZE.total, LAYERS.count(), true);
-    let now = Moment(10_000_000);
-    assert!(admit(&mut tables, rank(1, 2_000), now).is_none());
-    let retried = admit(&mut tables, None, now).expect("room for a further attempt");
-    assert!(retried.fullness <= UNRESERVED_FULLNESS);
-}
