--- a/crates/banyan-core/src/pipeline/reservation.rs
+++ b/crates/banyan-core/src/pipeline/reservation.rs
@@ -5,11 +5,10 @@
 //! are such requests, the rest as far as they found no room, or hardly any. Without more urgent
 //! requests nothing is reserved, and every priority may use all room.
 //!
-//! Every [`FULL_LIMIT_INTERVAL`]th new request for which the reservation leaves no room may use as
-//! much as the most urgent ones, so that no priority starves. Since the others of its priority may
-//! use less, a less urgent priority is still served less often. A repeated request counts only
-//! once; otherwise callers that retry often would have more exemptions and a larger share of the
-//! demand.
+//! Every tenth new request against which room is reserved may use as much as the most urgent ones,
+//! so that no priority starves. Since the others of its priority may use less, a less urgent
+//! priority is still served less often. A repeated request counts only once; otherwise callers that
+//! retry often would have more exemptions and a larger share of the demand.
 
 use std::collections::BTreeMap;
 
