--- a/crates/banyan-forward/src/callers/serve.rs
+++ b/crates/banyan-forward/src/callers/serve.rs
@@ -36,7 +36,8 @@
 use banyan_http::body_limits::receive_body;
 
 /// The retry delay given to callers by an instance that has no configuration, is stopping, has no
-/// memory left, or did not receive the body in time. It is short since another instance can serve them at once.
+/// memory left, or did not receive the body in time. It is short since another instance can serve
+/// them at once.
 const OTHER_INSTANCE_RETRY_AFTER: Duration = Duration::from_millis(50);
 
 /// Serves one request. The daemon's own errors become answers too, so this cannot fail.
--- a/crates/banyan-forward/src/decisions/tables.rs
+++ b/crates/banyan-forward/src/decisions/tables.rs
@@ -84,6 +84,15 @@
     pub taken_at: Option<Moment>,
 }
 
+/// How much room of a service's engines a request may use.
+#[derive(Clone, Copy, Debug)]
+struct RoomBounds {
+    /// How room is accounted for among all instances, if it is.
+    rule: Option<RoomRule>,
+    /// The highest fullness that a chain may have with the request.
+    max_fullness: f64,
+}
+
 /// The tables on which routing and placement decisions are based.
 #[derive(Debug, Default)]
 pub struct ForwardTables {
@@ -351,7 +360,8 @@
     ) -> Option<ChainChoice> {
         let routes = self.route_table()?;
         let rule = self.room_rule(&routes, service, now);
-        self.choose_chain_by(rule, service, settings, size, avoided, max_fullness, now)
+        let bounds = RoomBounds { rule, max_fullness };
+        self.choose_chain_within(bounds, service, settings, size, avoided, now)
     }
 
     /// Chooses a chain for a stream whose caller already has part of the answer. It may use engines
@@ -364,19 +374,19 @@
         avoided: &[TargetId],
         now: Moment,
     ) -> Option<ChainChoice> {
-        let limit = UNRESERVED_FULLNESS;
-        let choice = self.choose_chain(service, settings, size, avoided, limit, now);
-        choice.or_else(|| self.choose_chain_by(None, service, settings, size, avoided, limit, now))
+        let max_fullness = UNRESERVED_FULLNESS;
+        let choice = self.choose_chain(service, settings, size, avoided, max_fullness, now);
+        let bounds = RoomBounds { rule: None, max_fullness };
+        choice.or_else(|| self.choose_chain_within(bounds, service, settings, size, avoided, now))
     }
 
-    fn choose_chain_by(
+    fn choose_chain_within(
         &mut self,
-        room_rule: Option<RoomRule>,
+        bounds: RoomBounds,
         service: &ServiceId,
         settings: &ForwardSettings,
         size: RequestSize,
         avoided: &[TargetId],
-        max_fullness: f64,
         now: Moment,
     ) -> Option<ChainChoice> {
         let routes = self.route_table()?;
@@ -390,10 +400,11 @@
         if pool.refresh(&model, service, version, &self.fleet, &self.suspicions, now) {
             logs::chains_changed(service, pool.chains(), self.fleet.revision);
         }
-        pool.set_room_rule(room_rule);
+        pool.set_room_rule(bounds.rule);
         pool.prompts.set_policy(routes.prompt_policy(service));
         let loads = LoadView { own: &self.loads, peers: &self.peer_loads, peer_scale };
         let live_peers = self.peer_loads.live_peer_count(now);
+        let max_fullness = bounds.max_fullness;
         let filter = ChainFilter { avoided: &avoided, closed: &closed, max_fullness };
         pool.choose(&loads, &settings.zone, size, live_peers, filter)
     }
