--- a/crates/banyan-core/src/caller_memory.rs
+++ b/crates/banyan-core/src/caller_memory.rs
@@ -64,7 +64,7 @@
 #[derive(Clone, Copy, Debug)]
 struct Hold {
     bytes: u64,
-    holds_for: HoldUse,
+    hold_use: HoldUse,
     /// When the caller last sent or read something.
     progress: Moment,
     /// Whether it was told to end. Its bytes count until it is released.
@@ -90,7 +90,8 @@
         Self { limit: limit.0, used: 0, ending: 0, next: 0, holds: BTreeMap::new() }
     }
 
-    /// Raises the limit to `least`, so that a single request of this size is always served.
+    /// Raises the limit to at least `least`, so that a request of this size fits when nothing else is
+    /// held.
     pub fn ensure_limit(&mut self, least: ByteCount) {
         self.limit = self.limit.max(least.0);
     }
@@ -106,16 +107,16 @@
     }
 
     /// The bytes held for one use.
-    pub fn used_for(&self, holds_for: HoldUse) -> ByteCount {
-        let holds = self.holds.values().filter(|hold| hold.holds_for == holds_for);
+    pub fn used_for(&self, hold_use: HoldUse) -> ByteCount {
+        let holds = self.holds.values().filter(|hold| hold.hold_use == hold_use);
         ByteCount(holds.map(|hold| hold.bytes).sum())
     }
 
     /// Opens a hold without bytes.
-    pub fn open(&mut self, holds_for: HoldUse, now: Moment) -> HoldId {
+    pub fn open(&mut self, hold_use: HoldUse, now: Moment) -> HoldId {
         let id = HoldId(self.next);
         self.next += 1;
-        self.holds.insert(id, Hold { bytes: 0, holds_for, progress: now, ended: false });
+        self.holds.insert(id, Hold { bytes: 0, hold_use, progress: now, ended: false });
         id
     }
 
@@ -150,7 +151,7 @@
         let waiting = self
             .holds
             .iter()
-            .filter(|(_, hold)| !hold.ended && hold.bytes > 0 && hold.holds_for.waits_for_caller());
+            .filter(|(_, hold)| !hold.ended && hold.bytes > 0 && hold.hold_use.waits_for_caller());
         let mut order: Vec<(HoldId, Hold)> = waiting.map(|(id, hold)| (*id, *hold)).collect();
         order.sort_by_key(|(_, hold)| (std::cmp::Reverse(size_class(hold.bytes)), hold.progress));
         for (id, hold) in order {
@@ -169,7 +170,7 @@
     /// Ends the hold whose caller was silent the longest, if for at least `silence`.
     pub fn end_slowest(&mut self, silence: Duration, now: Moment) -> Option<HoldId> {
         let waiting = self.holds.iter().filter(|(_, hold)| {
-            !hold.ended && hold.holds_for.waits_for_caller() && now.since(hold.progress) >= silence
+            !hold.ended && hold.hold_use.waits_for_caller() && now.since(hold.progress) >= silence
         });
         let id = waiting.min_by_key(|(_, hold)| hold.progress).map(|(id, _)| *id)?;
         self.end(id);
@@ -197,7 +198,7 @@
         let Some(hold) = self.holds.get_mut(&id).filter(|hold| !hold.ended) else { return false };
         let kept = hold.bytes.min(bytes.0);
         self.used -= hold.bytes - kept;
-        *hold = Hold { bytes: kept, holds_for: to, progress: now, ended: false };
+        *hold = Hold { bytes: kept, hold_use: to, progress: now, ended: false };
         true
     }
 
--- a/crates/banyan-core/src/pipeline/chain.rs
+++ b/crates/banyan-core/src/pipeline/chain.rs
@@ -21,7 +21,7 @@
 use crate::pipeline::prompt_order::PromptMix;
 use crate::pipeline::search;
 use crate::pipeline::suspicion::SuspicionTable;
-use crate::pipeline::target_chain::RoomRule;
+use crate::pipeline::target_chain::RejectionRule;
 use crate::pipeline::target_chain::TargetChain;
 use crate::units::Moment;
 use crate::units::TokenCount;
@@ -86,8 +86,8 @@
     /// Start of the window of chains to score. It moves with each choice, so that consecutive
     /// choices among many chains score different ones.
     rotation: usize,
-    /// How room is accounted for among all instances, if it is.
-    room_rule: Option<RoomRule>,
+    /// Whether targets that recently rejected a request are skipped.
+    rejection_rule: Option<RejectionRule>,
     /// The usual prompts of the service, against which a prompt is long.
     pub prompts: PromptMix,
 }
@@ -179,15 +179,15 @@
         choice.map(|choice| ChainChoice { least_fullness, ..choice })
     }
 
-    /// Sets whether and how the next choices account for room among all instances.
-    pub fn set_room_rule(&mut self, rule: Option<RoomRule>) {
-        self.room_rule = rule;
+    /// Sets whether the next choices skip targets that recently rejected a request.
+    pub fn set_rejection_rule(&mut self, rule: Option<RejectionRule>) {
+        self.rejection_rule = rule;
     }
 
     /// The fullness of a chain with `tokens` more, by the pool's rule.
     fn fullness(&self, chain: &TargetChain, loads: &LoadView<'_>, tokens: TokenCount) -> f64 {
-        match self.room_rule {
-            Some(rule) => chain.accounted_fullness(loads, tokens, rule),
+        match self.rejection_rule {
+            Some(rule) => chain.fullness_unless_rejected(loads, tokens, rule),
             None => chain.fullness(loads, tokens),
         }
     }
--- a/crates/banyan-core/src/pipeline/group.rs
+++ b/crates/banyan-core/src/pipeline/group.rs
@@ -5,7 +5,7 @@
 //! of hundreds of instances must not make all of them join. All instances order the announced names
 //! alike, by a hash, which spreads the first ones over zones. What members state about themselves
 //! spreads in digests, from instance to instance. Members are missing if fewer than
-//! [`WANTED_MEMBERS`] have been heard of recently. The first names join then, and each further one
+//! [`MIN_MEMBERS`] have been heard of recently. The first names join then, and each further one
 //! waits longer, so that it hears of those that joined before it.
 
 use std::collections::BTreeMap;
@@ -18,11 +18,11 @@
 use crate::units::Moment;
 
 /// The number of members below which others join. Several survive the loss of a zone or a rack.
-pub const WANTED_MEMBERS: usize = 6;
+pub const MIN_MEMBERS: usize = 6;
 /// The number of members that come before an instance from which on it leaves. It is well above
-/// [`WANTED_MEMBERS`], so that members that joined at the same time stay.
+/// [`MIN_MEMBERS`], so that members that joined at the same time stay.
 const MAX_EARLIER_MEMBERS: usize = 16;
-/// The largest number of statements in a digest: more than members that are kept.
+/// The largest number of statements in a digest: more than the members that stay.
 pub const MAX_STATEMENTS: usize = 32;
 /// The age from which on a member's statement does not count. A statement reaches 1,000 instances
 /// within five rounds of exchanges, mostly of 400 ms, and at most of 750 ms.
@@ -32,7 +32,7 @@
 /// the group answered the others later.
 const STATEMENT_DELAY: Duration = Duration::from_millis(1_500);
 /// The time for which a member that fell silent is not expected to join again.
-const GONE_MEMORY: Duration = Duration::from_secs(60);
+const SILENT_MEMBER_RETENTION: Duration = Duration::from_secs(60);
 /// How long members must be missing before an instance joins, since a statement may be late.
 const MISSING_TIME: Duration = Duration::from_secs(1);
 /// The time in which the statement of a new member reaches other instances.
@@ -42,7 +42,8 @@
 /// The longest wait, after which an instance joins however many come before it. All of those may
 /// have stopped.
 const MAX_WAIT: Duration = Duration::from_secs(6);
-/// The time for which a zone may be without a member before one of its instances joins.
+/// The time for which a zone may be without a member before one of its instances joins. The last
+/// member's statement has expired by then ([`STATEMENT_VALIDITY`]).
 const ZONE_MISSING_TIME: Duration = Duration::from_secs(4);
 /// The further time that each instance of a zone waits for the one before it.
 const ZONE_WAIT_STEP: Duration = Duration::from_millis(800);
@@ -74,7 +75,9 @@
     first_listed: Option<Moment>,
     is_confirmed: bool,
     members: BTreeMap<InstanceId, MemberStatement>,
-    /// The highest generation under which another instance stated that it leads.
+    /// The highest generation under which another instance stated that it leads. Never lowered:
+    /// generations of the store's group only rise. If the group is created anew, all instances must
+    /// be restarted.
     leading_generation: u64,
     /// Since when members have been missing, or there have been too many.
     missing_since: Option<Moment>,
@@ -93,7 +96,7 @@
     /// Whether this instance needs a second reading of the names, since it is among the first ones
     /// by the only reading. The others need none, which saves calls to the store.
     pub fn needs_confirmation(&self, own: &OwnInstance<'_>) -> bool {
-        !self.is_confirmed && self.position(own, |_| true) < 2 * WANTED_MEMBERS
+        !self.is_confirmed && self.position(own, |_| true) < 2 * MIN_MEMBERS
     }
 
     /// Records what another member states. Older statements are ignored.
@@ -162,7 +165,7 @@
         zone_peers: impl Iterator<Item = &'a InstanceId>,
         now: Moment,
     ) -> bool {
-        self.members.retain(|_, row| now.since(row.stated) < GONE_MEMORY);
+        self.members.retain(|_, row| now.since(row.stated) < SILENT_MEMBER_RETENTION);
         let is_other = |name: &InstanceId| name != own.name;
         let others = self.live_members(now).filter(|(name, _)| is_other(name));
         let members: BTreeMap<InstanceId, ZoneId> =
@@ -209,7 +212,7 @@
         members: &BTreeMap<InstanceId, ZoneId>,
         now: Moment,
     ) -> bool {
-        let missing = WANTED_MEMBERS.saturating_sub(members.len());
+        let missing = MIN_MEMBERS.saturating_sub(members.len());
         if missing == 0 {
             self.missing_since = None;
             return false;
--- a/crates/banyan-core/src/pipeline/order_queue.rs
+++ b/crates/banyan-core/src/pipeline/order_queue.rs
@@ -3,7 +3,7 @@
 //! A leader of thousands of engines that calls all of them at once exceeds its machine: no call
 //! ends within its timeout, and no engine gets an order. At most [`CallLimit`] calls are therefore
 //! in flight, and the other orders wait in the sequence of the plan. Timeouts halve the number of
-//! calls in flight, answers raise it again. An engine whose call timed out is left alone for a time
+//! calls in flight, answers raise it again. An engine whose call timed out gets no calls for a time
 //! that doubles with each timeout in a row.
 
 use std::collections::BTreeMap;
@@ -121,7 +121,7 @@
         self.waiting = orders.into();
     }
 
-    /// Drops the waiting orders, since this instance does not lead any more.
+    /// Drops the waiting orders and the known timeouts, since this instance does not lead any more.
     pub fn clear(&mut self) {
         self.waiting.clear();
         self.timeouts.clear();
--- a/crates/banyan-core/src/pipeline/rejections.rs
+++ b/crates/banyan-core/src/pipeline/rejections.rs
@@ -83,11 +83,6 @@
         self.rows.get(id).is_some_and(|row| now < row.until)
     }
 
-    /// The targets that are skipped now.
-    pub fn full(&self, now: Moment) -> impl Iterator<Item = &TargetId> {
-        self.rows.iter().filter(move |(_, row)| now < row.until).map(|(id, _)| id)
-    }
-
     /// Drops rejections that no longer hold.
     pub fn expire(&mut self, now: Moment) {
         self.rows.retain(|_, row| now < row.until);
--- a/crates/banyan-core/src/pipeline/reservation.rs
+++ b/crates/banyan-core/src/pipeline/reservation.rs
@@ -36,11 +36,11 @@
 /// hundred tokens takes, since room occupied now becomes free within that time.
 const DECAY_SECONDS: f64 = 4.0;
 /// Each n-th request for which room is reserved is exempt from the reservation.
-const FULL_LIMIT_INTERVAL: u32 = 10;
+const EXEMPTION_INTERVAL: u32 = 10;
 /// Added to the demand, so that a single request among few does not reserve most of the room.
 const DEMAND_OFFSET: f64 = 1.0;
 
-/// How a request fared that asked for room for the first time.
+/// The outcome of a request's first query for room.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum RoomOutcome {
     /// It was admitted.
@@ -123,14 +123,14 @@
         }
         let row = self.services.entry(service.clone()).or_default().entry(priority).or_default();
         row.limited += 1;
-        if row.limited < FULL_LIMIT_INTERVAL {
+        if row.limited < EXEMPTION_INTERVAL {
             return limit;
         }
         row.limited = 0;
         UNRESERVED_FULLNESS
     }
 
-    /// Records how a request fared. A repeated request was recorded when it was new, and further
+    /// Records the outcome of a request. A repeated request was recorded when it was new, and further
     /// attempts of this instance are not recorded.
     pub fn record(
         &mut self,
--- a/crates/banyan-core/src/pipeline/retry_after.rs
+++ b/crates/banyan-core/src/pipeline/retry_after.rs
@@ -27,7 +27,8 @@
 /// The shortest wait that is computed for a refused caller: about the time that a request needs to
 /// return and be read.
 const MIN_WAIT: Duration = Duration::from_millis(50);
-/// The smallest share of the released room that a priority is taken to get.
+/// The smallest share of the released room that a priority is taken to get. Requests that are
+/// exempt from the reservation get about as much.
 const MIN_ROOM_SHARE: f64 = 0.1;
 
 /// Assigns retry delays to refused callers.
--- a/crates/banyan-core/src/pipeline/returning.rs
+++ b/crates/banyan-core/src/pipeline/returning.rs
@@ -32,7 +32,7 @@
     New,
     /// It was refused, and is repeated before the time that its caller was given.
     Early,
-    /// It was refused, and is repeated no earlier than its caller was told.
+    /// It was refused, and is repeated no earlier than expected.
     OnTime,
 }
 
@@ -91,6 +91,13 @@
         }
     }
 
+    /// Forgets a request that did not return in time.
+    pub fn forget(&mut self, content: ContentDigest) {
+        if self.remove(content) {
+            self.record_return(0.0);
+        }
+    }
+
     /// The number of refused requests of a service that are expected to return from now on and are
     /// at least as urgent as `priority`.
     pub fn expected_returns(
@@ -138,8 +145,7 @@
             if now <= *time + RETURN_WINDOW {
                 return;
             }
-            self.remove(*content);
-            self.record_return(0.0);
+            self.forget(*content);
         }
     }
 
@@ -147,7 +153,7 @@
     fn drop_first(&mut self) {
         let firsts = self.by_time.values().filter_map(BTreeSet::first);
         if let Some((_, content)) = firsts.min().copied() {
-            self.remove(content);
+            self.forget(content);
         }
     }
 
--- a/crates/banyan-core/src/pipeline/target_chain.rs
+++ b/crates/banyan-core/src/pipeline/target_chain.rs
@@ -18,7 +18,7 @@
 
 /// How the room of a service's engines is accounted for among all instances.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct RoomRule {
+pub struct RejectionRule {
     /// The time of the decision.
     pub now: Moment,
 }
@@ -91,11 +91,11 @@
 
     /// [`Self::fullness`] where room is accounted for among all instances: infinite if an engine
     /// recently rejected a request for lack of room.
-    pub fn accounted_fullness(
+    pub fn fullness_unless_rejected(
         &self,
         loads: &LoadView<'_>,
         tokens: TokenCount,
-        rule: RoomRule,
+        rule: RejectionRule,
     ) -> f64 {
         let is_full = |part: &ChainPart| loads.peers.rejections.is_full(&part.target, rule.now);
         if self.parts.iter().any(is_full) {
--- a/crates/banyan-core/src/serving/admission.rs
+++ b/crates/banyan-core/src/serving/admission.rs
@@ -168,7 +168,8 @@
         AdmissionRound { admitted, refused }
     }
 
-    /// Removes the first waiting request by priority for which `fits` finds room.
+    /// Removes the first waiting request for which `fits` finds room, by priority. Tries only the
+    /// oldest request of each of the first workspaces.
     pub fn take_next(
         &mut self,
         now: Moment,
--- a/crates/banyan-core/tests/pipeline/rejections.rs
+++ b/crates/banyan-core/tests/pipeline/rejections.rs
@@ -20,7 +20,7 @@
 use banyan_core::pipeline::rejections::RoomReport;
 use banyan_core::pipeline::reservation::UNRESERVED_FULLNESS;
 use banyan_core::pipeline::suspicion::SuspicionTable;
-use banyan_core::pipeline::target_chain::RoomRule;
+use banyan_core::pipeline::target_chain::RejectionRule;
 use banyan_core::units::TokenCount;
 
 const WITH_ROOM: RoomReport = RoomReport { used: 0.5, waiting: 0, running: 9 };
@@ -74,21 +74,21 @@
     peers.rejections.note_rejection(&target("later"), at(0));
     let own = LoadTable::default();
     let size = RequestSize { prompt: TokenCount(800), total: TokenCount(950) };
-    let used = |pool: &mut ChainPool, peers: &PeerLoadTable, rule: Option<RoomRule>| {
-        pool.set_room_rule(rule);
+    let used = |pool: &mut ChainPool, peers: &PeerLoadTable, rule: Option<RejectionRule>| {
+        pool.set_rejection_rule(rule);
         let view = LoadView { own: &own, peers, peer_scale: 1.0 };
         let closed = BTreeSet::new();
         let filter =
             ChainFilter { avoided: &[], closed: &closed, max_fullness: UNRESERVED_FULLNESS };
         pool.choose(&view, &zone("a"), size, 0, filter).map(|choice| choice.chain)
     };
-    let rule = Some(RoomRule { now: at(100) });
+    let rule = Some(RejectionRule { now: at(100) });
     let chain = used(&mut pool, &peers, rule).expect("a chain without the full engine");
     assert!(!chain.uses_any(&[target("later")]));
     peers.rejections.note_rejection(&target("other-later"), at(50));
     assert_eq!(used(&mut pool, &peers, rule), None);
     let untouched = used(&mut pool, &PeerLoadTable::default(), None);
     assert_eq!(used(&mut pool, &peers, None), untouched);
-    let later = Some(RoomRule { now: at(600) });
+    let later = Some(RejectionRule { now: at(600) });
     assert_eq!(used(&mut pool, &peers, later), untouched);
 }
--- a/crates/banyan-entry/src/caller.rs
+++ b/crates/banyan-entry/src/caller.rs
@@ -64,7 +64,8 @@
 
 /// The maximum size of a request body.
 const BODY_LIMIT_BYTES: u64 = 1 << 20;
-/// The retry delay when the memory for callers is used up. Bodies end within it.
+/// The retry delay when the memory for callers is used up. Bodies that are told to end release
+/// their memory within it.
 const NO_MEMORY_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// The maximum deadline that a caller may set; a longer one is shortened to it.
 const DEADLINE_LIMIT: Duration = Duration::from_secs(600);
--- a/crates/banyan-entry/src/peer_server.rs
+++ b/crates/banyan-entry/src/peer_server.rs
@@ -29,6 +29,7 @@
 use banyan_core::record::StreamId;
 use banyan_http::connection_slots::ConnectionSlot;
 use banyan_http::connection_slots::ConnectionSlots;
+use banyan_http::connection_slots::RequestGuard;
 use banyan_http::observed_stream::ObservedStream;
 use banyan_wire::checkpoint::CheckpointError;
 use banyan_wire::checkpoint::encode_claims;
@@ -97,11 +98,10 @@
             () = slot.must_end() => return,
         };
         let Ok(Some(answer)) = answer else { return };
-        slot.begin_request();
-        let slot = slot.clone();
+        let request_guard = RequestGuard::begin(slot.clone());
         calls.spawn(async move {
             answer.await;
-            slot.end_request();
+            drop(request_guard);
         });
         while calls.try_join_next().is_some() {}
     }
--- a/crates/banyan-forward/src/callers/front.rs
+++ b/crates/banyan-forward/src/callers/front.rs
@@ -7,6 +7,7 @@
 use futures::FutureExt;
 use http::Request;
 use http::Response;
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -26,8 +27,10 @@
 use banyan_core::units::ByteCount;
 use banyan_http::connection_slots::ConnectionSlot;
 use banyan_http::connection_slots::ConnectionSlots;
+use banyan_http::connection_slots::RequestGuard;
 use banyan_http::held_memory::HoldHandle;
 use banyan_http::observed_stream::ObservedStream;
+use banyan_http::tracked_body::TrackedBody;
 
 /// The pause after a failed accept.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(10);
@@ -152,14 +155,13 @@
     request: Request<Incoming>,
 ) -> Result<Response<AnswerBody>, Infallible> {
     activity.begin_request(|| count_used_connection(&state));
-    slot.begin_request();
+    let request_guard = RequestGuard::begin(slot);
     let mut response = serve_request(state.clone(), request).await;
     if let Some(held) = response.extensions_mut().remove::<HoldHandle>() {
         activity.begin_answer(held);
     }
     activity.end_request();
-    slot.end_request();
-    Ok(response)
+    Ok(response.map(|body| TrackedBody::new(body, Some(request_guard)).boxed_unsync()))
 }
 
 /// Whether a connection has been idle for the configured time. A response that is still being sent
--- a/crates/banyan-forward/src/callers/readiness.rs
+++ b/crates/banyan-forward/src/callers/readiness.rs
@@ -23,6 +23,7 @@
 use banyan_core::machine::MachineLimits;
 use banyan_core::units::ByteCount;
 use banyan_http::connection_slots::ConnectionSlots;
+use banyan_http::connection_slots::RequestGuard;
 
 /// The time within which the head of a request for a page arrives, from the end of the request
 /// before. It is longer than the interval between two checks of a load balancer.
@@ -70,11 +71,12 @@
     .await;
 }
 
-/// Answers every request on `listener` with the response of `answer`, whatever its path.
+/// The connection slots of one page.
 fn page_slots(name: &'static str, machine: MachineLimits) -> Arc<ConnectionSlots> {
     ConnectionSlots::new(name, machine.page_connections(), ByteCount(u64::MAX))
 }
 
+/// Answers every request on `listener` with the response of `answer`, whatever its path.
 async fn serve_pages<F>(listener: TcpListener, slots: Arc<ConnectionSlots>, answer: F)
 where
     F: Fn() -> Response<AnswerBody> + Clone + Send + 'static,
@@ -93,9 +95,8 @@
         let service_slot = slot.clone();
         // The answer is ready at once, so the connection only counts as one that sent a request.
         let service = service_fn(move |_| {
-            service_slot.begin_request();
+            drop(RequestGuard::begin(service_slot.clone()));
             let response = answer();
-            service_slot.end_request();
             async move { Ok::<_, Infallible>(response) }
         });
         let connection = http1::Builder::new()
--- a/crates/banyan-forward/src/callers/serve.rs
+++ b/crates/banyan-forward/src/callers/serve.rs
@@ -147,7 +147,10 @@
         BodyFault::TooLarge(_) => Refusal::TooLarge,
         BodyFault::MemoryUsedUp => not_run(NotRunCause::NoMemory),
         BodyFault::TooSlow => not_run(NotRunCause::SlowBody),
-        BodyFault::Broken(_) => Refusal::BadRequest,
+        BodyFault::Broken(error) => {
+            tracing::debug!(part = "request", %error, "A body could not be read.");
+            Refusal::BadRequest
+        }
     })
 }
 
--- a/crates/banyan-forward/src/callers/watched.rs
+++ b/crates/banyan-forward/src/callers/watched.rs
@@ -58,6 +58,8 @@
     pub fn begin_request(&self, take_lease: impl FnOnce() -> RequestLease) {
         self.head_started.store(NO_HEAD, Ordering::Relaxed);
         self.use_lease().get_or_insert_with(take_lease);
+        // The previous answer was written before this head was read.
+        *self.answer() = None;
         self.in_flight.fetch_add(1, Ordering::Relaxed);
     }
 
@@ -67,7 +69,8 @@
         self.last_ended.store(self.clock.now().0, Ordering::Relaxed);
     }
 
-    /// Records that an answer is sent from now on whose memory is held. Its delivery may be ended
+    /// Records that an answer is sent from now on whose memory is held until its last byte was
+    /// written. Its delivery may be ended
     /// for the sake of others.
     pub fn begin_answer(&self, held: HoldHandle) {
         held.begin_delivery(self.end.clone());
--- a/crates/banyan-forward/src/decisions/admission.rs
+++ b/crates/banyan-forward/src/decisions/admission.rs
@@ -24,8 +24,8 @@
 /// callers similar times.
 const ESTIMATE_SPREAD: f64 = 0.25;
 
-/// The fraction of the time left to them for which callers wait at most before they return.
-const HONOURED_FRACTION: f64 = 1.0 / 3.0;
+/// Callers wait for at most this fraction of the time left to them, even if `Retry-After` is longer.
+const MAX_WAIT_FRACTION: f64 = 1.0 / 3.0;
 
 /// A request that asks for room at a chain.
 #[derive(Clone, Copy, Debug)]
@@ -91,11 +91,7 @@
         let RequestRank { priority, content } = rank;
         let arrival = self.refused.arrival(content, now);
         let limit = self.reservations.next_limit(service, priority, arrival, now);
-        let held = match arrival {
-            Arrival::OnTime => TokenCount(0),
-            Arrival::New | Arrival::Early => self.refused.held_tokens(service, priority, now),
-        };
-        let needed = RequestSize { total: TokenCount(size.total.0 + held.0), ..size };
+        let needed = self.needed_size(service, priority, arrival, size, now);
         let is_exempt = limit > self.reservations.fullness_limit(service, priority, now);
         self.admit_waiting(service, settings, now);
         let queue_priority = queue_priority(priority, arrival, is_exempt);
@@ -111,10 +107,30 @@
         if self.pools.get(service).is_some_and(|pool| !pool.chains().is_empty()) {
             self.reservations.record(service, priority, arrival, outcome, now);
         }
-        self.refused.note_returned(content);
+        match arrival {
+            Arrival::New => self.refused.forget(content),
+            Arrival::Early | Arrival::OnTime => self.refused.note_returned(content),
+        }
         (choice, Some(AdmissionDecision { rank, arrival, limit, is_exempt }))
     }
 
+    /// The room that must be free for a request: its own size, and the room that is held for
+    /// requests that were refused before, unless it is one of them.
+    pub(super) fn needed_size(
+        &self,
+        service: &ServiceId,
+        priority: EffectivePriority,
+        arrival: Arrival,
+        size: RequestSize,
+        now: Moment,
+    ) -> RequestSize {
+        let held = match arrival {
+            Arrival::OnTime => TokenCount(0),
+            Arrival::New | Arrival::Early => self.refused.held_tokens(service, priority, now),
+        };
+        RequestSize { total: TokenCount(size.total.0 + held.0), ..size }
+    }
+
     /// How long the caller of a request without room is told to wait, and remembers when it
     /// returns. `time_left` is how much longer the caller waits for an answer.
     pub fn plan_return(
@@ -137,7 +153,7 @@
             service: service.clone(),
             priority,
             tokens: query.size.total,
-            time: now + wait.min(time_left.mul_f64(HONOURED_FRACTION)),
+            time: now + wait.min(time_left.mul_f64(MAX_WAIT_FRACTION)),
         };
         self.refused.note_refused(content, request, now);
         PlannedReturn { ahead, estimate, wait }
@@ -157,8 +173,9 @@
         }
     }
 
-    /// Removes a request from all engines of a chain, and admits waiting ones to the room.
-    pub fn release_chain(
+    /// Removes a request that did not run from all engines of a chain, and admits waiting ones to
+    /// the room.
+    pub fn cancel_chain(
         &mut self,
         chain: &TargetChain,
         tokens: TokenCount,
@@ -168,14 +185,28 @@
         self.remove_chain_load(chain, tokens);
         let Some(row) = self.fleet.rows.get(&chain.parts[0].target) else { return };
         let service = row.report.service.clone();
-        if self.ranks_requests(&service) {
-            self.releases.note_release(&service, now);
-        }
         self.admit_waiting(&service, settings, now);
     }
 
-    /// Whether requests of a service can differ in priority. If not, what was learned about it
-    /// under an earlier configuration is dropped.
+    /// Removes a request that ran from all engines of a chain, and admits waiting ones to the room.
+    pub fn release_chain(
+        &mut self,
+        chain: &TargetChain,
+        tokens: TokenCount,
+        settings: &ForwardSettings,
+        now: Moment,
+    ) {
+        if let Some(row) = self.fleet.rows.get(&chain.parts[0].target) {
+            let service = row.report.service.clone();
+            if self.ranks_requests(&service) {
+                self.releases.note_release(&service, now);
+            }
+        }
+        self.cancel_chain(chain, tokens, settings, now);
+    }
+
+    /// Whether requests of a service can differ in priority. If not, the demand and the ends of
+    /// requests that were counted under an earlier configuration are dropped.
     pub(super) fn ranks_requests(&mut self, service: &ServiceId) -> bool {
         let ranks =
             self.route_table().is_some_and(|routes| routes.has_competing_priorities(service));
--- a/crates/banyan-forward/src/decisions/placement.rs
+++ b/crates/banyan-forward/src/decisions/placement.rs
@@ -49,7 +49,7 @@
 /// The time between two state requests to an engine that is loading layers.
 const LOAD_CHECK_INTERVAL: Duration = Duration::from_millis(300);
 /// The time between two plans in a large fleet, as a multiple of the time that the last one took.
-/// Planning then takes at most a fifth of the machine, however many engines there are.
+/// Planning then takes at most a fifth of one core's time, however many engines there are.
 const PLAN_PAUSE_FACTOR: u32 = 4;
 
 /// Keeps this instance in the group, and assigns layers to engines while it leads.
@@ -169,7 +169,8 @@
 /// The orders to send now, for all models, in the sequence in which they are sent.
 fn due_orders<P>(state: &ForwardState<P>, generation: u64) -> Vec<QueuedOrder> {
     let mut due = Vec::new();
-    // Planning for thousands of engines takes long, and requests need the tables meanwhile.
+    // The tables are not locked while the planner runs, since planning for thousands of engines
+    // takes long.
     for (model, targets) in plan_inputs(state, generation) {
         let load_times = |order: PlacementOrder| QueuedOrder {
             load_time: model.load_time_of(order.range.count()),
--- a/crates/banyan-forward/src/decisions/tables.rs
+++ b/crates/banyan-forward/src/decisions/tables.rs
@@ -46,7 +46,7 @@
 use banyan_core::pipeline::routes::RouteTable;
 use banyan_core::pipeline::suspicion::SuspicionTable;
 use banyan_core::pipeline::target_chain::ChainPart;
-use banyan_core::pipeline::target_chain::RoomRule;
+use banyan_core::pipeline::target_chain::RejectionRule;
 use banyan_core::pipeline::target_chain::TargetChain;
 use banyan_core::pipeline::target_limits::InstanceRank;
 use banyan_core::pipeline::target_limits::LimitTable;
@@ -87,8 +87,8 @@
 /// How much room of a service's engines a request may use.
 #[derive(Clone, Copy, Debug)]
 struct RoomBounds {
-    /// How room is accounted for among all instances, if it is.
-    rule: Option<RoomRule>,
+    /// Whether targets that recently rejected a request are skipped.
+    rule: Option<RejectionRule>,
     /// The highest fullness that a chain may have with the request.
     max_fullness: f64,
 }
@@ -338,13 +338,19 @@
         self.retries.set_instance_count(count + 1);
     }
 
-    /// How the room of a service's engines is accounted for among all instances. `None` where all
-    /// of its requests are equally urgent, and where the digests of all peers arrive in time.
-    fn room_rule(&self, routes: &RouteTable, service: &ServiceId, now: Moment) -> Option<RoomRule> {
+    /// Whether new requests of a service skip targets that recently rejected one for lack of room.
+    /// `None` where all of its requests are equally urgent, and where the digests of all peers arrive
+    /// in time, so that the room is known.
+    fn rejection_rule(
+        &self,
+        routes: &RouteTable,
+        service: &ServiceId,
+        now: Moment,
+    ) -> Option<RejectionRule> {
         let listed = self.peers_listed.unwrap_or_default();
         let in_effect =
             listed > MAX_FULLY_COVERED_PEERS && routes.has_competing_priorities(service);
-        in_effect.then_some(RoomRule { now })
+        in_effect.then_some(RejectionRule { now })
     }
 
     /// Chooses, for a request, a chain without any of the `avoided` targets that is filled up to at
@@ -359,7 +365,7 @@
         now: Moment,
     ) -> Option<ChainChoice> {
         let routes = self.route_table()?;
-        let rule = self.room_rule(&routes, service, now);
+        let rule = self.rejection_rule(&routes, service, now);
         let bounds = RoomBounds { rule, max_fullness };
         self.choose_chain_within(bounds, service, settings, size, avoided, now)
     }
@@ -400,7 +406,7 @@
         if pool.refresh(&model, service, version, &self.fleet, &self.suspicions, now) {
             logs::chains_changed(service, pool.chains(), self.fleet.revision);
         }
-        pool.set_room_rule(bounds.rule);
+        pool.set_rejection_rule(bounds.rule);
         pool.prompts.set_policy(routes.prompt_policy(service));
         let loads = LoadView { own: &self.loads, peers: &self.peer_loads, peer_scale };
         let live_peers = self.peer_loads.live_peer_count(now);
--- a/crates/banyan-forward/src/decisions/waiting.rs
+++ b/crates/banyan-forward/src/decisions/waiting.rs
@@ -23,8 +23,10 @@
 use banyan_core::serving::admission::TimeEstimates;
 use banyan_core::serving::admission_request::AdmissionRequest;
 use banyan_core::units::Moment;
-use banyan_core::units::TokenCount;
 
+/// The interval at which room is looked for that this instance did not release: engines that became
+/// usable, and requests of other instances that ended.
+pub const RECHECK_INTERVAL: Duration = Duration::from_millis(25);
 /// The largest number of streams of a service that wait. Each keeps its body in memory.
 const MAX_WAITING: u32 = 64;
 
@@ -35,7 +37,10 @@
 pub struct WaitingStreams {
     queue: AdmissionQueue,
     waiters: BTreeMap<RequestId, StreamWaiter>,
-    requests: u64,
+    /// The number of the last request that was queued.
+    last_id: u64,
+    /// When room was last looked for that this instance did not release.
+    rechecked: Moment,
 }
 
 /// A stream that waits.
@@ -43,6 +48,8 @@
 struct StreamWaiter {
     size: RequestSize,
     priority: EffectivePriority,
+    /// Whether it was refused before.
+    arrival: Arrival,
     /// Whether it may use room that is reserved for more urgent requests.
     is_exempt: bool,
     /// Receives the chain, at which the room has been reserved.
@@ -100,8 +107,9 @@
         let ahead = streams.queue.waiting.count_from(priority) + returns;
         let wait = self.releases.wait(service, ahead, urgent_share)?;
         let max_waiting = streams.max_waiting_for(priority)?;
-        streams.requests += 1;
-        let id = RequestId { incarnation: "streams".parse().ok()?, counter: streams.requests };
+        streams.last_id += 1;
+        // The ids of the queue are local to this process, so that the incarnation is constant.
+        let id = RequestId { incarnation: "streams".parse().ok()?, counter: streams.last_id };
         let request = AdmissionRequest {
             request: id.clone(),
             workspace: queue_name(workspace, priority)?,
@@ -117,12 +125,28 @@
             return None;
         }
         let (sender, granted) = oneshot::channel();
-        let waiter = StreamWaiter { size, priority: rank.priority, is_exempt, granted: sender };
+        let priority = rank.priority;
+        let waiter = StreamWaiter { size, priority, arrival, is_exempt, granted: sender };
         streams.waiters.insert(id.clone(), waiter);
         let due = first_event_due.since(Moment(0)).saturating_sub(any.first_event);
         Some(QueuePlace { id, granted, latest: Moment(0) + due, ahead, estimate: wait })
     }
 
+    /// Like [`Self::admit_waiting`], at most once in [`RECHECK_INTERVAL`] for all that wait.
+    pub fn recheck_waiting(
+        &mut self,
+        service: &ServiceId,
+        settings: &ForwardSettings,
+        now: Moment,
+    ) {
+        let Some(streams) = self.waiting.get_mut(service) else { return };
+        if now.since(streams.rechecked) < RECHECK_INTERVAL {
+            return;
+        }
+        streams.rechecked = now;
+        self.admit_waiting(service, settings, now);
+    }
+
     /// Gives free room to the streams that wait, in their order. Room is reserved for each.
     pub fn admit_waiting(&mut self, service: &ServiceId, settings: &ForwardSettings, now: Moment) {
         let is_empty = |streams: &WaitingStreams| streams.queue.waiting.is_empty();
@@ -167,9 +191,7 @@
             true => UNRESERVED_FULLNESS,
             false => self.reservations.fullness_limit(service, priority, now),
         };
-        let held = self.refused.held_tokens(service, priority, now);
-        let total = TokenCount(waiter.size.total.0 + held.0);
-        let needed = RequestSize { total, ..waiter.size };
+        let needed = self.needed_size(service, priority, waiter.arrival, waiter.size, now);
         self.choose_chain(service, settings, needed, &[], limit, now)
     }
 }
--- a/crates/banyan-forward/src/engines/call.rs
+++ b/crates/banyan-forward/src/engines/call.rs
@@ -246,7 +246,8 @@
             AttemptOutcome::Answered(head, bytes)
         }
         Err(BodyFault::MemoryUsedUp) => AttemptOutcome::MaybeRun("no memory for the answer"),
-        Err(_) => AttemptOutcome::MaybeRun("the answer was cut off or too large"),
+        Err(BodyFault::TooLarge(_)) => AttemptOutcome::MaybeRun("the answer is too large"),
+        Err(_) => AttemptOutcome::MaybeRun("the answer was cut off"),
     }
 }
 
--- a/crates/banyan-forward/src/engines/leases.rs
+++ b/crates/banyan-forward/src/engines/leases.rs
@@ -3,12 +3,17 @@
 
 use std::fmt;
 use std::sync::Arc;
+use std::time::Duration;
 
 use crate::state::ForwardState;
 use banyan_core::ids::TargetId;
 use banyan_core::pipeline::target_chain::TargetChain;
 use banyan_core::units::TokenCount;
 
+/// A request that holds room for less time did not run: an engine rejected it, or its attempt was
+/// cancelled. Its end says nothing about how often running requests release room.
+const MIN_RUN_TIME: Duration = Duration::from_millis(50);
+
 /// A resource that a request or a connection holds. Dropping the lease releases it.
 pub struct RequestLease {
     release: Option<Box<dyn FnOnce() + Send>>,
@@ -70,10 +75,16 @@
 ) -> RequestLease {
     let state = state.clone();
     let chain = chain.clone();
+    let taken = state.now();
     RequestLease::new(move || {
         let settings = state.settings();
         let now = state.now();
-        state.tables().release_chain(&chain, tokens, &settings, now);
+        let mut tables = state.tables();
+        if now.since(taken) < MIN_RUN_TIME {
+            tables.cancel_chain(&chain, tokens, &settings, now);
+        } else {
+            tables.release_chain(&chain, tokens, &settings, now);
+        }
     })
 }
 
--- a/crates/banyan-forward/src/engines/queueing.rs
+++ b/crates/banyan-forward/src/engines/queueing.rs
@@ -1,9 +1,9 @@
 //! Waits in the queue for room at a chain: [`QueuedStream`].
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use crate::decisions::waiting::QueuePlace;
+use crate::decisions::waiting::RECHECK_INTERVAL;
 use crate::engines::leases::RequestLease;
 use crate::engines::leases::lease_reserved_chain;
 use crate::state::ForwardState;
@@ -11,10 +11,6 @@
 use banyan_core::pipeline::chain::ChainChoice;
 use banyan_core::units::TokenCount;
 
-/// The interval at which a waiting stream looks for room that was not released by this instance:
-/// engines that became usable, and requests of other instances that ended.
-const RECHECK_INTERVAL: Duration = Duration::from_millis(25);
-
 /// A stream's place in the queue. Dropping it, as when the caller disconnects, gives up the place
 /// and any room that was granted.
 pub struct QueuedStream<P: Send + Sync + 'static> {
@@ -44,7 +40,7 @@
                 () = tokio::time::sleep(RECHECK_INTERVAL) => {
                     let settings = self.state.settings();
                     let now = self.state.now();
-                    self.state.tables().admit_waiting(&self.service, &settings, now);
+                    self.state.tables().recheck_waiting(&self.service, &settings, now);
                 }
             }
         }
--- a/crates/banyan-forward/src/peers/answers.rs
+++ b/crates/banyan-forward/src/peers/answers.rs
@@ -27,6 +27,7 @@
 use crate::state::ForwardState;
 use banyan_http::connection_slots::ConnectionSlot;
 use banyan_http::connection_slots::ConnectionSlots;
+use banyan_http::connection_slots::RequestGuard;
 use banyan_http::observed_stream::ObservedStream;
 use banyan_wire::forward::CheckWire;
 use banyan_wire::forward::ClearedWire;
@@ -114,10 +115,10 @@
     let channel = BaseChannel::with_defaults(transport);
     let answers = channel.execute(PeerService { state }.serve());
     let serving = answers.for_each_concurrent(None, |answer| {
-        slot.begin_request();
+        let request_guard = RequestGuard::begin(slot.clone());
         async {
             answer.await;
-            slot.end_request();
+            drop(request_guard);
         }
     });
     tokio::select! {
--- a/crates/banyan-forward/src/peers/digests.rs
+++ b/crates/banyan-forward/src/peers/digests.rs
@@ -95,7 +95,13 @@
         row.is_some_and(|row| row.kept_layers() != row.report.held)
     };
     let orders = tables.pending_orders.iter().filter(|(id, _)| is_small || unloads(id));
-    orders.filter_map(|row| ordered_wire(row, now)).take(limit).collect()
+    let mut wires: Vec<OrderedWire> = orders.filter_map(|row| ordered_wire(row, now)).collect();
+    if wires.len() > limit {
+        // The newest orders are the ones that peers have not heard of.
+        wires.sort_by_key(|wire| std::cmp::Reverse(wire.left_ms));
+        wires.truncate(limit);
+    }
+    wires
 }
 
 fn ordered_wire((id, order): (&TargetId, &PendingOrder), now: Moment) -> Option<OrderedWire> {
@@ -251,14 +257,12 @@
 /// A snapshot of the configuration and targets that this instance has read.
 pub fn own_snapshot<P>(state: &ForwardState<P>) -> ForwardSnapshot {
     let tables = state.tables();
-    ForwardSnapshot {
-        configuration: tables
-            .configuration
-            .as_ref()
-            .map_or(Vec::new(), |record| record.compressed().to_vec()),
-        fleet_next: tables.history.next().map_or(0, |next| next.0),
-        fleet: tables.history.listed().iter().map(TargetWire::from).collect(),
-    }
+    let record = tables.configuration.clone();
+    let fleet_next = tables.history.next().map_or(0, |next| next.0);
+    let fleet = tables.history.listed().iter().map(TargetWire::from).collect();
+    drop(tables);
+    let configuration = record.map_or(Vec::new(), |record| record.compressed().to_vec());
+    ForwardSnapshot { configuration, fleet_next, fleet }
 }
 
 /// Applies the configuration and targets of a peer's snapshot where they are newer.
@@ -267,7 +271,7 @@
     address: SocketAddr,
     snapshot: ForwardSnapshot,
 ) {
-    activate_peer_configuration(state, &snapshot.configuration);
+    activate_peer_configuration(state, address, &snapshot.configuration);
     let listing: Result<BTreeMap<TargetId, TargetReport>, _> =
         snapshot.fleet.into_iter().map(TryInto::try_into).collect();
     match listing {
--- a/crates/banyan-forward/src/peers/news.rs
+++ b/crates/banyan-forward/src/peers/news.rs
@@ -16,6 +16,7 @@
 use crate::peers::peer_link::call_context;
 use crate::peers::peer_link::connect_or_reuse;
 use crate::state::ForwardState;
+use crate::store::configuration_record::ConfigurationRecord;
 use crate::store::configuration_record::decompress;
 use crate::store::feeds;
 use banyan_core::ids::InstanceId;
@@ -128,7 +129,7 @@
     };
     let answer = tokio::time::timeout(limit, call).await.ok().flatten();
     let (link, update) = answer.ok_or(UpdateError::Silent)?;
-    apply_update(state, update)?;
+    apply_update(state, address, update)?;
     Ok(link)
 }
 
@@ -173,35 +174,40 @@
             FleetUpdate::Listing(tables.history.listed().iter().map(TargetWire::from).collect())
         }
     };
-    let newer = tables
-        .configuration
-        .as_ref()
-        .filter(|record| record.table.version > position.configuration);
+    let is_newer = |record: &&ConfigurationRecord| record.table.version > position.configuration;
+    let newer = tables.configuration.as_ref().filter(is_newer).cloned();
+    let read_age_ms = state.read_age(&tables, now).map(millis);
+    let fleet_next = tables.history.next().map_or(0, |next| next.0);
+    drop(tables);
     FeedUpdate {
         relayed: *state.feed_role.borrow() == FeedRole::Relay,
-        read_age_ms: state.read_age(&tables, now).map(millis),
+        read_age_ms,
         configuration: newer.map_or(Vec::new(), |record| record.compressed().to_vec()),
         fleet,
-        fleet_next: tables.history.next().map_or(0, |next| next.0),
+        fleet_next,
     }
 }
 
 /// Activates the configuration in a peer's message, if it contains one.
-pub(super) fn activate_peer_configuration<P: Platform>(state: &ForwardState<P>, compressed: &[u8]) {
+pub(super) fn activate_peer_configuration<P: Platform>(
+    state: &ForwardState<P>,
+    address: SocketAddr,
+    compressed: &[u8],
+) {
     if compressed.is_empty() {
         return;
     }
     let bytes = match decompress(compressed) {
         Ok(bytes) => bytes,
         Err(error) => {
-            tracing::warn!(part = "configuration", %error, "Ignored a peer's configuration.");
+            tracing::warn!(part = "configuration", %address, %error, "Ignored a peer's configuration.");
             return;
         }
     };
     match state.platform.read_configuration(bytes) {
         Ok(record) => feeds::activate_configuration(state, record),
         Err(error) => {
-            tracing::warn!(part = "configuration", %error, "Ignored a peer's configuration.")
+            tracing::warn!(part = "configuration", %address, %error, "Ignored a peer's configuration.")
         }
     }
 }
@@ -209,6 +215,7 @@
 /// Applies a reader's update, unless its own reads are outdated.
 fn apply_update<P: Platform>(
     state: &ForwardState<P>,
+    address: SocketAddr,
     update: FeedUpdate,
 ) -> Result<(), UpdateError> {
     let now = state.now();
@@ -216,7 +223,7 @@
     let sender_role = if update.relayed { FeedRole::Relay } else { FeedRole::Reader };
     let limit = max_read_age(sender_role).unwrap_or_default();
     let age = age.filter(|age| *age < limit).ok_or(UpdateError::Stale)?;
-    activate_peer_configuration(state, &update.configuration);
+    activate_peer_configuration(state, address, &update.configuration);
     let next = LogOffset(update.fleet_next);
     match update.fleet {
         FleetUpdate::Changes(changes) => {
--- a/crates/banyan-http/src/body_limits.rs
+++ b/crates/banyan-http/src/body_limits.rs
@@ -29,7 +29,7 @@
 /// The time over which the transfer rate of a body is measured.
 const RATE_WINDOW: Duration = Duration::from_secs(10);
 /// The least number of bytes that arrive within [`RATE_WINDOW`]. It is 512 bytes a second, so that
-/// 3,400 callers share a link of 14 Mbit/s before an honest one falls below.
+/// 3,400 callers can share a link of 14 Mbit/s before one of them falls below.
 const MIN_WINDOW_BYTES: usize = 5_120;
 
 /// Why a body was not received.
--- a/crates/banyan-http/src/connection_slots.rs
+++ b/crates/banyan-http/src/connection_slots.rs
@@ -17,17 +17,21 @@
 use crate::observed_stream::StreamObserver;
 use banyan_core::units::ByteCount;
 
-/// How long a new connection waits for the place of another one. Its task releases it as soon as it
+/// How long a new connection waits for the slot of another one. Its task releases it as soon as it
 /// runs.
-const PLACE_WAIT: Duration = Duration::from_millis(500);
+const SLOT_WAIT: Duration = Duration::from_millis(500);
+
+/// The part of the limit on incomplete requests, in percent, above which each connection that
+/// receives more of one is closed.
+const MAX_PENDING_PERCENT: u64 = 125;
 
 /// An open connection.
 #[derive(Debug)]
 struct OpenConnection {
     /// The number of requests in progress.
     requests: u32,
-    /// Whether a whole request ever arrived.
-    proven: bool,
+    /// Whether a whole request, or its head, ever arrived.
+    has_sent_request: bool,
     /// The turn at which it was opened or last became idle.
     idle_turn: u64,
     /// The bytes that arrived of an incomplete request, where they are counted.
@@ -90,9 +94,13 @@
                 released.await;
             }
         };
-        let slot = tokio::time::timeout(PLACE_WAIT, taking).await.ok().flatten();
+        let slot = tokio::time::timeout(SLOT_WAIT, taking).await.ok().flatten();
         if slot.is_none() {
-            tracing::info!(part = "connections", listener = self.name, "Refused a connection.");
+            tracing::info!(
+                part = "connections",
+                listener = self.name,
+                "Refused a connection: all slots are in use."
+            );
         }
         slot
     }
@@ -107,7 +115,7 @@
         let end = Arc::new(Notify::new());
         let connection = OpenConnection {
             requests: 0,
-            proven: false,
+            has_sent_request: false,
             idle_turn: id,
             pending: 0,
             end: end.clone(),
@@ -124,14 +132,17 @@
             return true;
         }
         let idle = open.connections.values_mut().filter(|connection| connection.requests == 0);
-        let Some(victim) = idle.min_by_key(|connection| (connection.proven, connection.idle_turn))
-        else {
-            return false;
-        };
+        let rank =
+            |connection: &&mut OpenConnection| (connection.has_sent_request, connection.idle_turn);
+        let Some(victim) = idle.min_by_key(rank) else { return false };
         victim.ended = true;
         victim.end.notify_one();
         drop(open);
-        tracing::info!(part = "connections", listener = self.name, "Closed one for a new one.");
+        tracing::info!(
+            part = "connections",
+            listener = self.name,
+            "Closed an idle connection to admit a new one."
+        );
         true
     }
 
@@ -140,7 +151,7 @@
     }
 }
 
-/// The place of one connection, which is released when this is dropped.
+/// The slot of one connection, which is released when this is dropped.
 #[derive(Debug)]
 pub struct ConnectionSlot {
     slots: Arc<ConnectionSlots>,
@@ -150,17 +161,17 @@
 
 impl ConnectionSlot {
     /// Records that a whole request, or its head, arrived.
-    pub fn begin_request(&self) {
+    fn begin_request(&self) {
         let mut open = self.slots.open();
         let Some(connection) = open.connections.get_mut(&self.id) else { return };
         connection.requests += 1;
-        connection.proven = true;
+        connection.has_sent_request = true;
         let pending = std::mem::take(&mut connection.pending);
         open.pending -= pending;
     }
 
-    /// Records that the request was answered.
-    pub fn end_request(&self) {
+    /// Records that the answer of a request was sent.
+    fn end_request(&self) {
         let mut open = self.slots.open();
         open.turn += 1;
         let turn = open.turn;
@@ -182,6 +193,26 @@
     }
 }
 
+/// A request in progress. It ends when this is dropped.
+#[derive(Debug)]
+pub struct RequestGuard {
+    slot: Arc<ConnectionSlot>,
+}
+
+impl RequestGuard {
+    /// Records that a whole request, or its head, arrived on a connection.
+    pub fn begin(slot: Arc<ConnectionSlot>) -> Self {
+        slot.begin_request();
+        Self { slot }
+    }
+}
+
+impl Drop for RequestGuard {
+    fn drop(&mut self) {
+        self.slot.end_request();
+    }
+}
+
 /// Counts the bytes of incomplete requests. Over the limit the connection with most of them ends.
 impl StreamObserver for ConnectionSlot {
     fn observe_read(&self, count: usize) -> io::Result<()> {
@@ -195,10 +226,19 @@
         let living = open.connections.iter().filter(|(_, connection)| !connection.ended);
         let largest = living.max_by_key(|(_, connection)| connection.pending);
         let Some(id) = largest.map(|(id, _)| *id) else { return Ok(()) };
-        // The connections that were told to end take memory until their tasks run.
-        let far_over = open.pending > self.slots.max_pending / 4 * 5;
+        // Connections that were told to end hold memory until their tasks run. Far above the limit,
+        // every connection that receives more is closed, whatever its size, so that memory stays
+        // bounded meanwhile.
+        let far_over = open.pending > self.slots.max_pending / 100 * MAX_PENDING_PERCENT;
         if id == self.id || far_over {
-            return Err(io::Error::new(io::ErrorKind::InvalidData, "the message is too large"));
+            drop(open);
+            tracing::info!(
+                part = "connections",
+                listener = self.slots.name,
+                "Closed a connection: incomplete messages exceed the limit."
+            );
+            let cause = "the incomplete messages of all connections exceed the limit";
+            return Err(io::Error::new(io::ErrorKind::InvalidData, cause));
         }
         if let Some(connection) = open.connections.get_mut(&id) {
             connection.ended = true;
--- a/crates/banyan-http/src/held_memory.rs
+++ b/crates/banyan-http/src/held_memory.rs
@@ -25,7 +25,7 @@
 const RELEASE_WAIT: Duration = Duration::from_secs(1);
 
 /// How long a caller must have been silent before its request ends for the sake of new connections.
-/// Segments lost on an honest link are sent again sooner.
+/// Segments lost on a slow link are sent again sooner.
 const SLOWEST_SILENCE: Duration = Duration::from_secs(2);
 
 /// A hold was ended, or got no memory, in favour of others.
@@ -58,17 +58,18 @@
     }
 
     /// Opens a hold without bytes.
-    pub fn open(self: &Arc<Self>, holds_for: HoldUse) -> MemoryHold {
+    pub fn open(self: &Arc<Self>, hold_use: HoldUse) -> MemoryHold {
         let now = self.clock.now();
         let end = Arc::new(Notify::new());
         let mut shared = self.shared();
-        let id = shared.account.open(holds_for, now);
+        let id = shared.account.open(hold_use, now);
         shared.ends.insert(id, end.clone());
         drop(shared);
         MemoryHold { handle: HoldHandle { memory: self.clone(), id }, end }
     }
 
-    /// Raises the limit so that a single request with a body of this size is always served.
+    /// Raises the limit to at least `least`, so that a body of this size fits when nothing else is
+    /// held.
     pub fn ensure_limit(&self, least: ByteCount) {
         self.shared().account.ensure_limit(least);
     }
@@ -91,8 +92,8 @@
     }
 
     /// The bytes held for one use.
-    pub fn used_for(&self, holds_for: HoldUse) -> ByteCount {
-        self.shared().account.used_for(holds_for)
+    pub fn used_for(&self, hold_use: HoldUse) -> ByteCount {
+        self.shared().account.used_for(hold_use)
     }
 
     /// Tries to reserve bytes, and tells the holds that must end for them.
--- a/crates/banyan-http/src/lib.rs
+++ b/crates/banyan-http/src/lib.rs
@@ -1,7 +1,7 @@
 //! HTTP for all programs: [`server`] serves a set of routes, [`client`] makes JSON calls,
 //! [`connection`] makes calls with raw bodies, and [`clock`] provides the clocks. [`held_memory`]
 //! accounts for bodies and answers, which [`body_limits`] receives, and
-//! [`connection_slots`] limits connections.
+//! [`connection_slots`] limits connections. [`tracked_body`] tells when an answer was sent.
 //!
 //! Server and client set `TCP_NODELAY`, since Nagle's algorithm would delay tokens, which are small
 //! writes.
@@ -15,3 +15,4 @@
 pub mod held_memory;
 pub mod observed_stream;
 pub mod server;
+pub mod tracked_body;
--- a/crates/banyan-http/src/server.rs
+++ b/crates/banyan-http/src/server.rs
@@ -20,8 +20,10 @@
 
 use crate::connection_slots::ConnectionSlot;
 use crate::connection_slots::ConnectionSlots;
+use crate::connection_slots::RequestGuard;
 use crate::held_memory::CallerMemory;
 use crate::held_memory::HoldHandle;
+use crate::tracked_body::TrackedBody;
 
 /// The delay after a failed accept before the next attempt.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(10);
@@ -119,20 +121,17 @@
     let service_slot = slot.clone();
     let service = service_fn(move |request| {
         let slot = service_slot.clone();
-        if let Some(slot) = &slot {
-            slot.begin_request();
-        }
+        let request_guard = slot.clone().map(RequestGuard::begin);
         let answering = routes.call(request);
         async move {
             let mut answer = answering.await;
-            let Some(slot) = slot else { return answer };
-            if let Ok(answer) = &mut answer
+            if let Some(slot) = slot
+                && let Ok(answer) = &mut answer
                 && let Some(held) = answer.extensions_mut().remove::<HoldHandle>()
             {
                 slot.begin_delivery(&held);
             }
-            slot.end_request();
-            answer
+            answer.map(|answer| answer.map(|body| TrackedBody::new(body, request_guard)))
         }
     });
     let mut builder = http1::Builder::new();
