Fleets of up to 120 other instances choose their members by capacity, as before

Cause: by the order of names, which ignores capacity, a weak machine may lead; up to that number each instance hears the status of all others while it is valid, so that the former rule holds.

That this rule is the cause is suspected, not shown yet.

--- a/crates/banyan-core/src/pipeline/duties.rs
+++ b/crates/banyan-core/src/pipeline/duties.rs
@@ -23,6 +23,17 @@
     peers.is_some_and(|peers| peers < LARGE_FLEET_PEERS)
 }
 
+/// The largest number of other announced instances with which each hears the status of all others
+/// while it is valid: 15 rounds of 8 exchanges in 6 s.
+const FULLY_HEARD_PEERS: usize = 120;
+
+/// Whether each instance hears the status of all others. It then chooses members of the group by
+/// their capacity. In a larger fleet it does not know all capacities, and only what members state,
+/// which others pass on, reaches it in time.
+pub fn hears_all_peers(peers: usize) -> bool {
+    peers <= FULLY_HEARD_PEERS
+}
+
 /// What an instance can spend on work for others, in thousandths of a processor core.
 #[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
 pub struct DutyCapacity(pub u32);
--- a/crates/banyan-forward/src/decisions/leading.rs
+++ b/crates/banyan-forward/src/decisions/leading.rs
@@ -6,7 +6,6 @@
 use crate::state::ForwardState;
 use crate::store::membership::MEMBERSHIP_TTL;
 use banyan_core::pipeline::duties::LeadershipLease;
-use banyan_core::pipeline::duties::is_small_fleet;
 
 /// The time without a response of the group or a digest of the leader after which a deputy takes
 /// over.
@@ -47,9 +46,9 @@
         return None;
     }
     // In a large fleet only few digests arrive in time, but what members state reaches all.
-    let lowest = match is_small_fleet(tables.peers_listed) {
-        true => tables.peer_loads.lowest_live_peer(now),
-        false => tables.group.lowest_live_member(now),
+    let lowest = match tables.passes_statements_on(now) {
+        true => tables.group.lowest_live_member(now),
+        false => tables.peer_loads.lowest_live_peer(now),
     };
     let is_lowest = lowest.is_none_or(|peer| settings.instance < *peer);
     let own_generation = tables.membership.map_or(0, |membership| membership.generation);
--- a/crates/banyan-forward/src/decisions/tables.rs
+++ b/crates/banyan-forward/src/decisions/tables.rs
@@ -24,6 +24,7 @@
 use banyan_core::pipeline::chain::ChainPool;
 use banyan_core::pipeline::chain::RequestSize;
 use banyan_core::pipeline::crashes::CrashTable;
+use banyan_core::pipeline::duties::hears_all_peers;
 use banyan_core::pipeline::engine_states::EngineStates;
 use banyan_core::pipeline::fleet::FleetTable;
 use banyan_core::pipeline::group::GroupTable;
@@ -225,6 +226,14 @@
         self.store_returned_at.is_some_and(|returned| now.since(returned) < relisting_time)
     }
 
+    /// Whether digests carry what members of the group state, because the fleet is so large that not
+    /// every instance hears each member itself. While the instances could not be listed, those that
+    /// sent digests tell the size.
+    pub fn passes_statements_on(&self, now: Moment) -> bool {
+        let heard = || self.readers.live_peers(now).count();
+        !hears_all_peers(self.peers_listed.unwrap_or_else(heard))
+    }
+
     /// The place of this instance among those that share limits. Instances of which nothing was
     /// heard yet are taken to be spread evenly among the others.
     pub fn instance_rank(&self, settings: &ForwardSettings, now: Moment) -> InstanceRank {
--- a/crates/banyan-forward/src/peers/members.rs
+++ b/crates/banyan-forward/src/peers/members.rs
@@ -28,7 +28,7 @@
     tables: &ForwardTables,
     now: Moment,
 ) -> Vec<MemberWire> {
-    if is_small_fleet(tables.peers_listed) {
+    if !tables.passes_statements_on(now) {
         return Vec::new();
     }
     let own = tables.membership.map(|membership| MemberStatement {
--- a/crates/banyan-forward/src/peers/rounds.rs
+++ b/crates/banyan-forward/src/peers/rounds.rs
@@ -22,7 +22,6 @@
 use crate::state::ForwardState;
 use crate::store::feeds;
 use banyan_core::ids::InstanceId;
-use banyan_core::pipeline::duties::is_small_fleet;
 use banyan_core::pipeline::group::LISTING_CONFIRMATION;
 use banyan_core::units::Moment;
 use banyan_wire::forward::ForwardDigest;
@@ -108,7 +107,7 @@
             let mut tables = state.tables();
             tables.set_peers(peers.addresses.len());
             tables.group.set_announced(names, now);
-            let reads_again = !is_small_fleet(tables.peers_listed)
+            let reads_again = tables.passes_statements_on(now)
                 && tables.group.needs_confirmation(&settings.own_instance());
             let interval = if reads_again { LISTING_CONFIRMATION } else { LISTING_INTERVAL };
             peers.next_listing = now + interval;
--- a/crates/banyan-forward/src/store/membership.rs
+++ b/crates/banyan-forward/src/store/membership.rs
@@ -80,16 +80,15 @@
     }
 }
 
-/// Whether this instance should be a member of the group. In a small fleet the standbys of each
-/// zone are. While the instances could not be listed, those that sent digests tell the size.
+/// Whether this instance should be a member of the group. The standbys of each zone are, unless the
+/// fleet is so large that instances do not hear of all others.
 fn should_be_member<P>(state: &ForwardState<P>) -> bool {
     let settings = state.settings();
     let own = settings.own_instance();
     let now = state.now();
     let mut guard = state.tables();
     let tables = &mut *guard;
-    let heard = tables.readers.live_peers(now).count();
-    if is_small_fleet(tables.peers_listed.or(Some(heard))) {
+    if !tables.passes_statements_on(now) {
         return tables.readers.is_standby(&own, now);
     }
     let zone_peers = tables.readers.live_zone_peers(&own, now);
