The log tells a returned target from a report that was written late

The log showed when a daemon heard of a removal, but not what it knew about the target's reports when a record came back, so a stale count could not be told from a forgotten target or from a new listing.

Each report of a removed target is now logged with its own run and number, and with those of the last report that was known before the removal.

--- a/crates/banyan-core/src/pipeline/history.rs
+++ b/crates/banyan-core/src/pipeline/history.rs
@@ -69,6 +69,14 @@
         &self.listed
     }
 
+    /// The last known report of a target whose record was removed, while it is remembered.
+    pub fn last_before_removal(&self, id: &TargetId) -> Option<ReportStamp> {
+        if self.listed.contains_key(id) {
+            return None;
+        }
+        self.removed.stamps.get(id).copied()
+    }
+
     /// Replaces the state by a full listing that was read up to `next`. Clears the recent changes.
     /// Targets of which a newer report is known keep it.
     pub fn replace(&mut self, listing: BTreeMap<TargetId, TargetReport>, next: LogOffset) {
--- a/crates/banyan-forward/src/store/feeds.rs
+++ b/crates/banyan-forward/src/store/feeds.rs
@@ -13,6 +13,7 @@
 use banyan_core::ids::TargetId;
 use banyan_core::pipeline::fleet::FleetChange;
 use banyan_core::pipeline::fleet::TargetReport;
+use banyan_core::pipeline::history::FleetHistory;
 
 /// The time between two reads of the changes to the targets.
 const FLEET_INTERVAL: Duration = Duration::from_millis(800);
@@ -163,6 +164,7 @@
     if tables.history.next().is_some_and(|known| known > next) {
         return;
     }
+    log_returns(&tables.history, &batch);
     let changes = tables.history.apply(batch, next);
     let has_changes = !changes.is_empty();
     let previous_revision = tables.fleet.revision;
@@ -183,6 +185,24 @@
     }
 }
 
+/// Logs the reports of removed targets, with the last report that was known before the removal. They
+/// tell a target that returned from a report that was written late.
+fn log_returns(history: &FleetHistory, batch: &[FleetChange]) {
+    for change in batch {
+        let FleetChange::Reported(id, report) = change else { continue };
+        let Some(last) = history.last_before_removal(id) else { continue };
+        tracing::info!(
+            part = "targets",
+            target = %id,
+            born = report.stamp.born,
+            sequence = report.stamp.sequence,
+            last_born = last.born,
+            last_sequence = last.sequence,
+            "A removed target's record was written again."
+        );
+    }
+}
+
 /// Removes targets whose records were removed long enough ago, and outdated reports of targets
 /// about their layers and slowdown.
 pub fn expire_fleet_entries<P>(state: &ForwardState<P>) {
