A late report does not bring back a target after its reader has stopped

Cause: a report that the store wrote late is told by its number. An instance that follows a reader gets changes only, so it knew the number of the replica's last change (1), not that of its last report (11). When the reader had ended and the follower read the store itself, it took report 9 for newer than the last one. Ruled out: the removal was forgotten (it was logged with the old number); a new listing (none was read).

Change, all in FleetHistory: - A removal is passed on with the target's last report, so that followers know what the reader knows. - If the reader is lost before the removal, nobody knows the last report. Targets of which another instance may have read newer reports are marked when an instance begins to read; one that is removed before it reports again is listed again at its second report. A late report comes alone. The mark does not apply after an outage in which records may have expired, when returns are expected. - On related paths: a run whose clock was set back was believed by the reader at its second report, but followers got one report alone and went on doubting it. Both are passed on now, and so is the second report of any target that appears.

--- a/crates/banyan-core/src/pipeline.rs
+++ b/crates/banyan-core/src/pipeline.rs
@@ -49,6 +49,7 @@
 pub mod prompt_order;
 pub mod readers;
 pub mod rejections;
+mod removed_targets;
 pub mod replica;
 pub mod report_stamp;
 pub mod reroute;
--- a/crates/banyan-core/src/pipeline/history.rs
+++ b/crates/banyan-core/src/pipeline/history.rs
@@ -3,59 +3,72 @@
 //! An instance that reads the records forwards only actual changes to others, since most records
 //! are heartbeats that repeat the previous state. A report that was written late, after a newer one
 //! of the same target, is ignored.
+//!
+//! An instance that begins to read after it followed another one has not seen the heartbeats of the
+//! meantime. If a target's record is removed before the target reports again, a late report cannot
+//! be told from a return; the target is then listed again at its second report. A late report comes
+//! alone, a running target goes on reporting.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::collections::VecDeque;
 
 use crate::ids::LogOffset;
 use crate::ids::TargetId;
 use crate::pipeline::fleet::FleetChange;
 use crate::pipeline::fleet::TargetReport;
+use crate::pipeline::removed_targets::RemovedTarget;
+use crate::pipeline::removed_targets::RemovedTargets;
 use crate::pipeline::report_stamp::ReportOrder;
 use crate::pipeline::report_stamp::ReportStamp;
 
 /// Largest number of changes kept. An instance that lags further behind fetches the full listing.
 const MAX_RECENT_CHANGES: usize = 2_048;
-/// Largest number of removed targets whose last report is remembered: more than leave within the
-/// seconds by which a write may be late, even if an availability zone is lost.
-const MAX_REMOVED_TARGETS: usize = 4_096;
+
+/// Where records come from, which tells whether reports between them may be unknown.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum RecordOrigin {
+    /// This instance read them in the platform's store, heartbeats included.
+    Store,
+    /// This instance read them after an outage of the store in which records of running targets may
+    /// have expired, so that returns are expected.
+    ReturnedStore,
+    /// A peer that reads the store passed them on, without most heartbeats.
+    Peer,
+}
 
 /// The state of the targets' records at an offset, and the changes that led to it.
 #[derive(Debug, Default)]
 pub struct FleetHistory {
     /// The newest record of each target.
     listed: BTreeMap<TargetId, TargetReport>,
-    /// Changes in order, each with the offset after the batch that contained it.
+    /// What other instances are told, in order, each with the offset after the batch that contained
+    /// it: changes, and the reports that show how recent a target's record is.
     recent: VecDeque<(LogOffset, FleetChange)>,
     /// Invariant: `recent` contains every change after this offset.
     complete_from: LogOffset,
     next: Option<LogOffset>,
     removed: RemovedTargets,
-    /// Reports of runs that seem to have started before the listed ones, by target. A second one in
-    /// a row shows that the run is alive and that only its clock was set back.
+    /// The first report of targets whose report is believed only if a second one follows: of runs
+    /// that seem to have started before the listed ones, and of targets that were removed while
+    /// their last report was unknown.
     doubtful: BTreeMap<TargetId, ReportStamp>,
+    /// Whether the newest records came from a peer.
+    follows_peer: bool,
+    /// The targets of which a peer may have read newer reports. Invariant: all of them are listed.
+    behind: BTreeSet<TargetId>,
+    /// The targets that were listed by their first report since. Their next report is forwarded to
+    /// instances that doubt the first. Invariant: all of them are listed.
+    reported_once: BTreeSet<TargetId>,
 }
 
-/// The last reports of targets that were removed, so that a report which was written late does not
-/// bring a target back.
-#[derive(Debug, Default)]
-struct RemovedTargets {
-    stamps: BTreeMap<TargetId, ReportStamp>,
-    /// The targets in the order in which they were removed.
-    order: VecDeque<TargetId>,
-}
-
-impl RemovedTargets {
-    fn insert(&mut self, id: TargetId, stamp: ReportStamp) {
-        if self.stamps.insert(id.clone(), stamp).is_none() {
-            self.order.push_back(id);
-        }
-        if self.order.len() > MAX_REMOVED_TARGETS
-            && let Some(oldest) = self.order.pop_front()
-        {
-            self.stamps.remove(&oldest);
-        }
-    }
+/// Whether a report is to be believed.
+enum ReportVerdict {
+    Believed,
+    /// It confirms an earlier report that was in doubt.
+    Confirmed(ReportStamp),
+    /// It is outdated, or in doubt until the next one.
+    Ignored,
 }
 
 impl FleetHistory {
@@ -74,31 +87,50 @@
         if self.listed.contains_key(id) {
             return None;
         }
-        self.removed.stamps.get(id).copied()
+        self.removed.get(id).map(|removed| removed.stamp)
     }
 
     /// Replaces the state by a full listing that was read up to `next`. Clears the recent changes.
     /// Targets of which a newer report is known keep it.
-    pub fn replace(&mut self, listing: BTreeMap<TargetId, TargetReport>, next: LogOffset) {
+    pub fn replace(
+        &mut self,
+        listing: BTreeMap<TargetId, TargetReport>,
+        next: LogOffset,
+        origin: RecordOrigin,
+    ) {
+        self.note_origin(origin);
         let missing = |id: &&TargetId| !listing.contains_key(*id);
         let missing: Vec<TargetId> = self.listed.keys().filter(missing).cloned().collect();
         for id in missing {
+            if origin == RecordOrigin::Peer {
+                self.behind.insert(id.clone());
+            }
             self.remove(&id);
         }
+        // A peer does not pass the next report on that would settle a doubt.
+        let doubts_returns = origin == RecordOrigin::Store;
         for (id, report) in listing {
-            self.report(&id, &report);
+            self.report(&id, &report, next, doubts_returns);
         }
         self.recent.clear();
+        self.reported_once.clear();
         self.complete_from = next;
         self.next = Some(next);
     }
 
     /// Applies a batch of records and returns those that changed the state.
-    pub fn apply(&mut self, batch: Vec<FleetChange>, next: LogOffset) -> Vec<FleetChange> {
+    pub fn apply(
+        &mut self,
+        batch: Vec<FleetChange>,
+        next: LogOffset,
+        origin: RecordOrigin,
+    ) -> Vec<FleetChange> {
+        self.note_origin(origin);
+        let doubts_returns = origin != RecordOrigin::ReturnedStore;
         let mut changes = Vec::new();
         for change in batch {
-            if self.apply_change(&change) {
-                self.recent.push_back((next, change.clone()));
+            if self.apply_change(&change, next, doubts_returns) {
+                self.forward(change.clone(), next);
                 changes.push(change);
             }
         }
@@ -111,8 +143,8 @@
         changes
     }
 
-    /// The changes after an offset, or `None` if they are no longer kept and the full listing is
-    /// needed.
+    /// What an instance that has read up to an offset needs to be told, or `None` if that is no
+    /// longer kept and the full listing is needed.
     pub fn since(&self, from: LogOffset) -> Option<Vec<FleetChange>> {
         if from < self.complete_from {
             return None;
@@ -121,52 +153,117 @@
         Some(newer.map(|(_, change)| change.clone()).collect())
     }
 
-    fn apply_change(&mut self, change: &FleetChange) -> bool {
+    /// Records where the next records come from.
+    fn note_origin(&mut self, origin: RecordOrigin) {
+        match origin {
+            RecordOrigin::Peer => self.follows_peer = true,
+            RecordOrigin::Store => {
+                if std::mem::take(&mut self.follows_peer) {
+                    self.behind = self.listed.keys().cloned().collect();
+                }
+            }
+            RecordOrigin::ReturnedStore => {
+                self.follows_peer = false;
+                self.behind.clear();
+            }
+        }
+    }
+
+    /// Applies one record of a batch that ends at `next`. Returns whether it changed the state.
+    fn apply_change(
+        &mut self,
+        change: &FleetChange,
+        next: LogOffset,
+        doubts_returns: bool,
+    ) -> bool {
         match change {
-            FleetChange::Reported(id, report) => self.report(id, report),
-            FleetChange::Removed(id) => self.remove(id),
+            FleetChange::Reported(id, report) => self.report(id, report, next, doubts_returns),
+            FleetChange::Removed(id) => {
+                let Some(report) = self.remove(id) else { return false };
+                // The last report tells the others which reports were written before the removal.
+                self.forward(FleetChange::Reported(id.clone(), report), next);
+                true
+            }
         }
     }
 
-    /// Lists a report unless it is older than the newest known one. Returns whether it changed more
-    /// than the time of the target's last report.
-    fn report(&mut self, id: &TargetId, report: &TargetReport) -> bool {
-        if !self.is_current(id, report.stamp) {
-            return false;
+    /// Lists a report if it is to be believed. Returns whether it changed more than the time of the
+    /// target's last report.
+    fn report(
+        &mut self,
+        id: &TargetId,
+        report: &TargetReport,
+        next: LogOffset,
+        doubts_returns: bool,
+    ) -> bool {
+        match self.judge(id, report.stamp, doubts_returns) {
+            ReportVerdict::Ignored => return false,
+            ReportVerdict::Confirmed(stamp) => {
+                let first = TargetReport { stamp, ..report.clone() };
+                self.forward(FleetChange::Reported(id.clone(), first), next);
+            }
+            ReportVerdict::Believed => {}
         }
-        if let Some(listed) = self.listed.get_mut(id)
-            && report.repeats(listed)
-        {
+        self.behind.remove(id);
+        let Some(listed) = self.listed.get_mut(id) else {
+            self.listed.insert(id.clone(), report.clone());
+            self.reported_once.insert(id.clone());
+            return true;
+        };
+        let previous = listed.stamp;
+        let repeats = report.repeats(listed);
+        if repeats {
             listed.stamp = report.stamp;
-            return false;
+        } else {
+            *listed = report.clone();
+        }
+        if report.stamp.born != previous.born {
+            self.reported_once.insert(id.clone());
+        } else if report.stamp.follows(previous) && self.reported_once.remove(id) && repeats {
+            self.forward(FleetChange::Reported(id.clone(), report.clone()), next);
         }
-        self.listed.insert(id.clone(), report.clone());
-        true
+        !repeats
     }
 
-    fn remove(&mut self, id: &TargetId) -> bool {
-        let Some(report) = self.listed.remove(id) else { return false };
+    /// Removes a target, and returns its last known report if it was listed.
+    fn remove(&mut self, id: &TargetId) -> Option<TargetReport> {
         self.doubtful.remove(id);
-        self.removed.insert(id.clone(), report.stamp);
-        true
+        self.reported_once.remove(id);
+        let is_exact = !self.behind.remove(id);
+        let report = self.listed.remove(id)?;
+        self.removed.insert(id.clone(), RemovedTarget { stamp: report.stamp, is_exact });
+        Some(report)
     }
 
-    /// Whether a report is not older than the newest known one of its target.
-    fn is_current(&mut self, id: &TargetId, stamp: ReportStamp) -> bool {
-        let listed = self.listed.get(id).map(|report| report.stamp);
-        let Some(known) = listed.or_else(|| self.removed.stamps.get(id).copied()) else {
-            return true;
+    /// Adds a record to those that other instances are told.
+    fn forward(&mut self, change: FleetChange, next: LogOffset) {
+        self.recent.push_back((next, change));
+    }
+
+    /// Whether a report is believed, by the newest known one of its target.
+    fn judge(&mut self, id: &TargetId, stamp: ReportStamp, doubts_returns: bool) -> ReportVerdict {
+        let listed = self.listed.get(id);
+        let listed = listed.map(|report| RemovedTarget { stamp: report.stamp, is_exact: true });
+        let Some(known) = listed.or_else(|| self.removed.get(id)) else {
+            return ReportVerdict::Believed;
         };
-        match stamp.compare(known) {
-            ReportOrder::Newer => {
+        let may_be_late = doubts_returns && !known.is_exact && stamp.follows(known.stamp);
+        match stamp.compare(known.stamp) {
+            ReportOrder::Outdated => ReportVerdict::Ignored,
+            ReportOrder::Newer if !may_be_late => {
                 self.doubtful.remove(id);
-                true
-            }
-            ReportOrder::Outdated => false,
-            ReportOrder::EarlierRun => {
-                let previous = self.doubtful.insert(id.clone(), stamp);
-                previous.is_some_and(|previous| stamp.follows(previous))
+                ReportVerdict::Believed
             }
+            ReportOrder::Newer | ReportOrder::EarlierRun => self.doubt(id, stamp),
+        }
+    }
+
+    /// Believes a report only if it follows one that was in doubt.
+    fn doubt(&mut self, id: &TargetId, stamp: ReportStamp) -> ReportVerdict {
+        let previous = self.doubtful.insert(id.clone(), stamp);
+        match previous.filter(|previous| stamp.follows(*previous)) {
+            Some(previous) => ReportVerdict::Confirmed(previous),
+            None => ReportVerdict::Ignored,
         }
     }
 }
--- a/crates/banyan-core/tests/pipeline/histories.rs
+++ b/crates/banyan-core/tests/pipeline/histories.rs
@@ -11,6 +11,7 @@
 use banyan_core::pipeline::fleet::FleetChange;
 use banyan_core::pipeline::fleet::TargetPhase;
 use banyan_core::pipeline::history::FleetHistory;
+use banyan_core::pipeline::history::RecordOrigin;
 use banyan_core::pipeline::report_stamp::ReportStamp;
 
 fn reported(name: &str, first: u32) -> FleetChange {
@@ -19,15 +20,18 @@
 
 fn listed_at_ten() -> FleetHistory {
     let mut history = FleetHistory::default();
-    history.replace(BTreeMap::new(), LogOffset(10));
+    history.replace(BTreeMap::new(), LogOffset(10), RecordOrigin::Store);
     history
 }
 
 #[test]
 fn heartbeats_without_a_change_are_not_forwarded() {
     let mut history = listed_at_ten();
-    assert_eq!(history.apply(vec![reported("e1", 0)], LogOffset(11)).len(), 1);
-    assert_eq!(history.apply(vec![reported("e1", 0)], LogOffset(12)), Vec::new());
+    assert_eq!(history.apply(vec![reported("e1", 0)], LogOffset(11), RecordOrigin::Store).len(), 1);
+    assert_eq!(
+        history.apply(vec![reported("e1", 0)], LogOffset(12), RecordOrigin::Store),
+        Vec::new()
+    );
     assert_eq!(history.since(LogOffset(11)), Some(Vec::new()));
     assert_eq!(history.next(), Some(LogOffset(12)));
 }
@@ -35,7 +39,7 @@
 #[test]
 fn a_follower_behind_the_first_listing_needs_the_full_listing() {
     let mut history = listed_at_ten();
-    history.apply(vec![reported("e1", 0)], LogOffset(11));
+    history.apply(vec![reported("e1", 0)], LogOffset(11), RecordOrigin::Store);
     assert_eq!(history.since(LogOffset(9)), None);
     assert_eq!(history.since(LogOffset(10)), Some(vec![reported("e1", 0)]));
 }
@@ -43,16 +47,20 @@
 #[test]
 fn removing_and_rewriting_a_record_are_both_changes() {
     let mut history = listed_at_ten();
-    history.apply(vec![reported("e1", 0)], LogOffset(11));
+    history.apply(vec![reported("e1", 0)], LogOffset(11), RecordOrigin::Store);
     let batch = vec![FleetChange::Removed(target("e1")), reported("e1", 0)];
-    assert_eq!(history.apply(batch.clone(), LogOffset(13)), batch);
+    assert_eq!(history.apply(batch.clone(), LogOffset(13), RecordOrigin::Store), batch);
 }
 
 #[test]
 fn followers_behind_the_kept_changes_need_the_full_listing() {
     let mut history = listed_at_ten();
     for round in 0..3_000 {
-        history.apply(vec![reported("e1", round % 70)], LogOffset(11 + u64::from(round)));
+        history.apply(
+            vec![reported("e1", round % 70)],
+            LogOffset(11 + u64::from(round)),
+            RecordOrigin::Store,
+        );
     }
     assert_eq!(history.since(LogOffset(11)), None);
     assert!(history.since(LogOffset(2_900)).is_some());
@@ -74,12 +82,15 @@
 fn a_report_that_was_written_late_does_not_take_back_a_newer_one() {
     // A write without an answer may be carried out seconds later, after newer ones.
     let mut history = listed_at_ten();
-    history.apply(vec![stamped(1, 4, TargetPhase::Ready)], LogOffset(11));
-    history.apply(vec![stamped(1, 6, TargetPhase::Draining)], LogOffset(12));
+    history.apply(vec![stamped(1, 4, TargetPhase::Ready)], LogOffset(11), RecordOrigin::Store);
+    history.apply(vec![stamped(1, 6, TargetPhase::Draining)], LogOffset(12), RecordOrigin::Store);
     let late = stamped(1, 5, TargetPhase::Ready);
-    assert_eq!(history.apply(vec![late.clone()], LogOffset(13)), Vec::new());
+    assert_eq!(history.apply(vec![late.clone()], LogOffset(13), RecordOrigin::Store), Vec::new());
     assert_eq!(phase(&history), Some(TargetPhase::Draining));
-    assert_eq!(history.apply(vec![late.clone(), late], LogOffset(15)), Vec::new());
+    assert_eq!(
+        history.apply(vec![late.clone(), late], LogOffset(15), RecordOrigin::Store),
+        Vec::new()
+    );
     assert_eq!(history.next(), Some(LogOffset(15)));
 }
 
@@ -88,60 +99,170 @@
     let mut history = listed_at_ten();
     for sequence in 4..8 {
         let beat = stamped(1, sequence, TargetPhase::Draining);
-        history.apply(vec![beat], LogOffset(7 + sequence));
+        history.apply(vec![beat], LogOffset(7 + sequence), RecordOrigin::Store);
     }
     let late = stamped(1, 6, TargetPhase::Ready);
-    assert_eq!(history.apply(vec![late], LogOffset(15)), Vec::new());
+    assert_eq!(history.apply(vec![late], LogOffset(15), RecordOrigin::Store), Vec::new());
     assert_eq!(phase(&history), Some(TargetPhase::Draining));
 }
 
 #[test]
 fn a_report_that_was_written_late_does_not_bring_back_a_removed_target() {
     let mut history = listed_at_ten();
-    history.apply(vec![stamped(1, 6, TargetPhase::Ready)], LogOffset(11));
-    history.apply(vec![FleetChange::Removed(target("e1"))], LogOffset(12));
+    history.apply(vec![stamped(1, 6, TargetPhase::Ready)], LogOffset(11), RecordOrigin::Store);
+    history.apply(vec![FleetChange::Removed(target("e1"))], LogOffset(12), RecordOrigin::Store);
     let late = stamped(1, 5, TargetPhase::Ready);
-    assert_eq!(history.apply(vec![late], LogOffset(13)), Vec::new());
+    assert_eq!(history.apply(vec![late], LogOffset(13), RecordOrigin::Store), Vec::new());
     assert_eq!(phase(&history), None);
     let back = stamped(1, 7, TargetPhase::Ready);
-    assert_eq!(history.apply(vec![back.clone()], LogOffset(14)), vec![back]);
+    assert_eq!(history.apply(vec![back.clone()], LogOffset(14), RecordOrigin::Store), vec![back]);
 }
 
 #[test]
 fn a_listing_with_a_late_report_keeps_the_newer_one() {
     let mut history = listed_at_ten();
-    history.apply(vec![stamped(1, 6, TargetPhase::Draining)], LogOffset(11));
+    history.apply(vec![stamped(1, 6, TargetPhase::Draining)], LogOffset(11), RecordOrigin::Store);
     let FleetChange::Reported(id, late) = stamped(1, 5, TargetPhase::Ready) else { return };
-    history.replace(BTreeMap::from([(id, late)]), LogOffset(20));
+    history.replace(BTreeMap::from([(id, late)]), LogOffset(20), RecordOrigin::Store);
     assert_eq!(phase(&history), Some(TargetPhase::Draining));
-    history.replace(BTreeMap::new(), LogOffset(21));
+    history.replace(BTreeMap::new(), LogOffset(21), RecordOrigin::Store);
     assert_eq!(phase(&history), None, "a target that is not listed is removed");
 }
 
 #[test]
 fn a_new_run_under_the_same_id_counts_its_reports_anew() {
     let mut history = listed_at_ten();
-    history.apply(vec![stamped(5, 90, TargetPhase::Draining)], LogOffset(11));
-    history.apply(vec![stamped(6, 1, TargetPhase::Ready)], LogOffset(12));
+    history.apply(vec![stamped(5, 90, TargetPhase::Draining)], LogOffset(11), RecordOrigin::Store);
+    history.apply(vec![stamped(6, 1, TargetPhase::Ready)], LogOffset(12), RecordOrigin::Store);
     assert_eq!(phase(&history), Some(TargetPhase::Ready));
     let late = stamped(5, 91, TargetPhase::Draining);
-    assert_eq!(history.apply(vec![late], LogOffset(13)), Vec::new());
+    assert_eq!(history.apply(vec![late], LogOffset(13), RecordOrigin::Store), Vec::new());
 }
 
 #[test]
 fn a_new_run_whose_clock_was_set_back_is_accepted_at_its_second_report() {
     // One report may be a late write of an earlier run; a run that goes on reporting is alive.
     let mut history = listed_at_ten();
-    history.apply(vec![stamped(5, 90, TargetPhase::Draining)], LogOffset(11));
-    history.apply(vec![stamped(4, 1, TargetPhase::Ready)], LogOffset(12));
+    history.apply(vec![stamped(5, 90, TargetPhase::Draining)], LogOffset(11), RecordOrigin::Store);
+    history.apply(vec![stamped(4, 1, TargetPhase::Ready)], LogOffset(12), RecordOrigin::Store);
     assert_eq!(phase(&history), Some(TargetPhase::Draining));
-    history.apply(vec![stamped(5, 91, TargetPhase::Draining)], LogOffset(13));
-    history.apply(vec![stamped(4, 2, TargetPhase::Ready)], LogOffset(14));
+    history.apply(vec![stamped(5, 91, TargetPhase::Draining)], LogOffset(13), RecordOrigin::Store);
+    history.apply(vec![stamped(4, 2, TargetPhase::Ready)], LogOffset(14), RecordOrigin::Store);
     assert_eq!(phase(&history), Some(TargetPhase::Draining), "the later run reported in between");
-    history.apply(vec![stamped(4, 3, TargetPhase::Ready)], LogOffset(15));
+    history.apply(vec![stamped(4, 3, TargetPhase::Ready)], LogOffset(15), RecordOrigin::Store);
     assert_eq!(phase(&history), Some(TargetPhase::Ready));
 }
 
+/// Tells a follower what it has not read yet.
+fn relay(reader: &FleetHistory, follower: &mut FleetHistory) -> Vec<FleetChange> {
+    let changes = reader.since(follower.next().expect("a listing")).expect("few changes");
+    follower.apply(changes, reader.next().expect("a listing"), RecordOrigin::Peer)
+}
+
+/// An instance that has read five reports of an engine, and one that follows it.
+fn reader_and_follower() -> (FleetHistory, FleetHistory) {
+    let mut reader = listed_at_ten();
+    let mut follower = listed_at_ten();
+    for sequence in 1..6 {
+        let beat = stamped(1, sequence, TargetPhase::Ready);
+        reader.apply(vec![beat], LogOffset(10 + sequence), RecordOrigin::Store);
+        relay(&reader, &mut follower);
+    }
+    (reader, follower)
+}
+
+#[test]
+fn a_late_report_does_not_bring_back_a_target_whose_heartbeats_another_instance_has_read() {
+    // Regression: a follower remembered the last change of a removed target, not its last report,
+    // and took a late report for news once it read the store itself.
+    let (mut reader, mut follower) = reader_and_follower();
+    reader.apply(vec![FleetChange::Removed(target("e1"))], LogOffset(16), RecordOrigin::Store);
+    assert_eq!(relay(&reader, &mut follower), vec![FleetChange::Removed(target("e1"))]);
+    let late = stamped(1, 4, TargetPhase::Ready);
+    assert_eq!(follower.apply(vec![late], LogOffset(17), RecordOrigin::Store), Vec::new());
+}
+
+#[test]
+fn a_single_report_does_not_bring_back_a_target_that_was_removed_after_its_reader_failed() {
+    // Regression: as above, with a reader that is lost before the removal.
+    let (_, mut follower) = reader_and_follower();
+    let mut offset = 20;
+    let mut read = |change: FleetChange| {
+        offset += 1;
+        follower.apply(vec![change], LogOffset(offset), RecordOrigin::Store)
+    };
+    let removed = FleetChange::Removed(target("e1"));
+    assert_eq!(read(removed.clone()), vec![removed.clone()]);
+    assert_eq!(read(stamped(1, 4, TargetPhase::Ready)), Vec::new());
+    assert_eq!(read(removed), Vec::new(), "the late report expired");
+    assert_eq!(read(stamped(1, 6, TargetPhase::Ready)), Vec::new());
+    let second = stamped(1, 7, TargetPhase::Ready);
+    assert_eq!(read(second.clone()), vec![second], "a running target reports again");
+}
+
+#[test]
+fn a_later_run_of_a_removed_target_is_listed_at_its_first_report() {
+    let (_, mut follower) = reader_and_follower();
+    let removed = FleetChange::Removed(target("e1"));
+    follower.apply(vec![removed], LogOffset(21), RecordOrigin::Store);
+    let next_run = stamped(2, 1, TargetPhase::Ready);
+    let changes = follower.apply(vec![next_run.clone()], LogOffset(22), RecordOrigin::Store);
+    assert_eq!(changes, vec![next_run]);
+}
+
+#[test]
+fn a_target_that_has_reported_to_its_new_reader_returns_at_once() {
+    let (_, mut follower) = reader_and_follower();
+    let batch = vec![stamped(1, 6, TargetPhase::Ready), FleetChange::Removed(target("e1"))];
+    follower.apply(batch, LogOffset(21), RecordOrigin::Store);
+    let late = stamped(1, 5, TargetPhase::Ready);
+    assert_eq!(follower.apply(vec![late], LogOffset(22), RecordOrigin::Store), Vec::new());
+    let back = stamped(1, 7, TargetPhase::Ready);
+    let changes = follower.apply(vec![back.clone()], LogOffset(23), RecordOrigin::Store);
+    assert_eq!(changes, vec![back]);
+}
+
+#[test]
+fn targets_whose_records_expired_in_an_outage_return_at_once() {
+    let (_, mut follower) = reader_and_follower();
+    let removed = FleetChange::Removed(target("e1"));
+    follower.apply(vec![removed], LogOffset(21), RecordOrigin::ReturnedStore);
+    let back = stamped(1, 9, TargetPhase::Ready);
+    let changes = follower.apply(vec![back.clone()], LogOffset(22), RecordOrigin::ReturnedStore);
+    assert_eq!(changes, vec![back]);
+}
+
+#[test]
+fn a_follower_hears_of_the_second_report_that_settles_its_doubt() {
+    // The target was removed while the follower was far behind, and then it has another reader that
+    // has never known the target.
+    let (_, mut follower) = reader_and_follower();
+    follower.replace(BTreeMap::new(), LogOffset(20), RecordOrigin::Peer);
+    let mut restarted = FleetHistory::default();
+    restarted.replace(BTreeMap::new(), LogOffset(20), RecordOrigin::Store);
+    let mut beat = |sequence: u64| {
+        let report = stamped(1, sequence, TargetPhase::Ready);
+        restarted.apply(vec![report], LogOffset(20 + sequence), RecordOrigin::Store);
+        relay(&restarted, &mut follower).len()
+    };
+    assert_eq!(beat(4), 0, "it may be a late report");
+    assert_eq!(beat(6), 1);
+    assert_eq!(beat(7), 0, "later heartbeats are not forwarded");
+    assert_eq!(restarted.since(LogOffset(26)), Some(Vec::new()));
+}
+
+#[test]
+fn a_new_run_whose_clock_was_set_back_is_listed_by_followers_too() {
+    // Regression: the reader forwarded only the report that it believed, which its followers
+    // doubted.
+    let (mut reader, mut follower) = reader_and_follower();
+    reader.apply(vec![stamped(0, 1, TargetPhase::Ready)], LogOffset(16), RecordOrigin::Store);
+    assert_eq!(relay(&reader, &mut follower), Vec::new());
+    reader.apply(vec![stamped(0, 2, TargetPhase::Ready)], LogOffset(17), RecordOrigin::Store);
+    assert_eq!(relay(&reader, &mut follower).len(), 1);
+    assert_eq!(follower.listed(), reader.listed());
+}
+
 /// Batches of changes: an engine and its first layer, or `None` if its record is removed.
 fn batches() -> impl Strategy<Value = Vec<Vec<(u8, Option<u32>)>>> {
     let change = (0..4u8, proptest::option::of(0..4u32));
@@ -169,13 +290,53 @@
                 })
                 .collect();
             if index < from {
-                follower.apply(batch.clone(), next);
+                follower.apply(batch.clone(), next, RecordOrigin::Store);
             }
-            reader.apply(batch, next);
+            reader.apply(batch, next, RecordOrigin::Store);
         }
         let behind = follower.next().expect("a listing");
         let changes = reader.since(behind).expect("few changes");
-        follower.apply(changes, reader.next().expect("a listing"));
+        follower.apply(changes, reader.next().expect("a listing"), RecordOrigin::Peer);
         prop_assert_eq!(follower.listed(), reader.listed());
     }
 }
+
+/// Batches of the reports of one run of each of two engines: an engine, and whether its record is
+/// removed.
+fn stamped_batches() -> impl Strategy<Value = Vec<Vec<(u8, bool)>>> {
+    let change = (0..2u8, prop::bool::weighted(0.2));
+    prop::collection::vec(prop::collection::vec(change, 0..4), 1..20)
+}
+
+proptest! {
+    #[test]
+    fn a_follower_of_stamped_reports_reaches_the_same_state(
+        batches in stamped_batches(),
+        asked in prop::collection::vec(any::<bool>(), 20),
+    ) {
+        let mut reader = listed_at_ten();
+        let mut follower = listed_at_ten();
+        let mut sequence = 0;
+        for (index, batch) in batches.iter().enumerate() {
+            let mut records = Vec::new();
+            for (engine, removed) in batch {
+                sequence += 1;
+                let id = target(&format!("e{engine}"));
+                let FleetChange::Reported(_, report) = stamped(1, sequence, TargetPhase::Ready)
+                else { continue };
+                records.push(match removed {
+                    true => FleetChange::Removed(id),
+                    false => FleetChange::Reported(id, report),
+                });
+            }
+            reader.apply(records, LogOffset(11 + index as u64), RecordOrigin::Store);
+            if asked[index] {
+                relay(&reader, &mut follower);
+                prop_assert_eq!(
+                    follower.listed().keys().collect::<Vec<_>>(),
+                    reader.listed().keys().collect::<Vec<_>>()
+                );
+            }
+        }
+    }
+}
--- a/crates/banyan-forward/src/decisions/tables.rs
+++ b/crates/banyan-forward/src/decisions/tables.rs
@@ -200,13 +200,24 @@
     /// How long they could not be read, from whichever instance, tells whether records of running
     /// targets may have expired. A failed call does not: it may concern one connection alone.
     pub fn note_fleet_read(&mut self, at: Moment, settings: &ForwardSettings) {
-        let lapse_time = settings.report_interval * MIN_LAPSE_INTERVALS;
-        if at.since(self.fleet_read_at) >= lapse_time {
+        if self.may_have_lapsed(settings, at) {
             self.store_returned_at = Some(at);
         }
         self.fleet_read_at = self.fleet_read_at.max(at);
     }
 
+    /// Whether running targets may return whose records expired because the store was away until
+    /// recently, or until now.
+    pub fn expects_returns(&self, settings: &ForwardSettings, now: Moment) -> bool {
+        self.may_have_lapsed(settings, now) || self.is_relisting(settings, now)
+    }
+
+    /// Whether the targets could not be read for so long before a moment that records of running
+    /// targets may have expired.
+    fn may_have_lapsed(&self, settings: &ForwardSettings, at: Moment) -> bool {
+        at.since(self.fleet_read_at) >= settings.report_interval * MIN_LAPSE_INTERVALS
+    }
+
     /// How long a target may still be used after its record was removed.
     pub fn removal_grace(&self, settings: &ForwardSettings, now: Moment) -> Duration {
         let relisting = self.is_relisting(settings, now);
--- a/crates/banyan-forward/src/peers/digests.rs
+++ b/crates/banyan-forward/src/peers/digests.rs
@@ -30,6 +30,7 @@
 use banyan_core::pipeline::duties::is_small_fleet;
 use banyan_core::pipeline::fleet::TargetReport;
 use banyan_core::pipeline::fleet::TargetRow;
+use banyan_core::pipeline::history::RecordOrigin;
 use banyan_core::pipeline::load::TargetLoad;
 use banyan_core::pipeline::readers::FeedRole;
 use banyan_core::pipeline::readers::ReaderStatus;
@@ -275,7 +276,10 @@
     let listing: Result<BTreeMap<TargetId, TargetReport>, _> =
         snapshot.fleet.into_iter().map(TryInto::try_into).collect();
     match listing {
-        Ok(listing) => feeds::apply_listing(state, listing, LogOffset(snapshot.fleet_next)),
+        Ok(listing) => {
+            let next = LogOffset(snapshot.fleet_next);
+            feeds::apply_listing(state, listing, next, RecordOrigin::Peer);
+        }
         Err(error) => {
             tracing::warn!(part = "peers", %address, %error, "Ignored a list of targets.")
         }
--- a/crates/banyan-forward/src/peers/news.rs
+++ b/crates/banyan-forward/src/peers/news.rs
@@ -24,6 +24,7 @@
 use banyan_core::ids::TargetId;
 use banyan_core::pipeline::fleet::FleetChange;
 use banyan_core::pipeline::fleet::TargetReport;
+use banyan_core::pipeline::history::RecordOrigin;
 use banyan_core::pipeline::readers::FeedRole;
 use banyan_core::pipeline::readers::FeedSource;
 use banyan_core::pipeline::readers::max_read_age;
@@ -229,12 +230,13 @@
         FleetUpdate::Changes(changes) => {
             let changes: Result<Vec<FleetChange>, _> =
                 changes.into_iter().map(TryInto::try_into).collect();
-            feeds::apply_changes(state, changes?, next);
+            feeds::apply_changes(state, changes?, next, RecordOrigin::Peer);
         }
         FleetUpdate::Listing(listing) => {
             let listing: Result<Vec<(TargetId, TargetReport)>, _> =
                 listing.into_iter().map(TryInto::try_into).collect();
-            feeds::apply_listing(state, listing?.into_iter().collect(), next);
+            let listing = listing?.into_iter().collect();
+            feeds::apply_listing(state, listing, next, RecordOrigin::Peer);
         }
     }
     let settings = state.settings();
--- a/crates/banyan-forward/src/store/feeds.rs
+++ b/crates/banyan-forward/src/store/feeds.rs
@@ -14,6 +14,7 @@
 use banyan_core::pipeline::fleet::FleetChange;
 use banyan_core::pipeline::fleet::TargetReport;
 use banyan_core::pipeline::history::FleetHistory;
+use banyan_core::pipeline::history::RecordOrigin;
 
 /// The time between two reads of the changes to the targets.
 const FLEET_INTERVAL: Duration = Duration::from_millis(800);
@@ -94,7 +95,7 @@
 
 async fn read_listing<P: Platform>(state: &ForwardState<P>) -> Result<(), StoreError> {
     let listing = state.platform.fleet().await?;
-    apply_listing(state, listing.content, listing.next);
+    apply_listing(state, listing.content, listing.next, store_origin(state));
     Ok(())
 }
 
@@ -105,23 +106,32 @@
     let listing = state.platform.fleet_after(from).await?;
     // A peer may have supplied newer changes in the meantime.
     if state.tables().history.next() == Some(from) {
-        apply_changes(state, listing.content, listing.next);
+        apply_changes(state, listing.content, listing.next, store_origin(state));
     }
     Ok(())
 }
 
+/// The origin of records that this instance has just read in the store.
+fn store_origin<P>(state: &ForwardState<P>) -> RecordOrigin {
+    let settings = state.settings();
+    let now = state.now();
+    let expects_returns = state.tables().expects_returns(&settings, now);
+    if expects_returns { RecordOrigin::ReturnedStore } else { RecordOrigin::Store }
+}
+
 /// Applies a full listing of targets, unless newer data is known.
 pub fn apply_listing<P>(
     state: &ForwardState<P>,
     listing: BTreeMap<TargetId, TargetReport>,
     next: LogOffset,
+    origin: RecordOrigin,
 ) {
     let now = state.now();
     let mut tables = state.tables();
     if tables.history.next().is_some_and(|known| known > next) {
         return;
     }
-    tables.history.replace(listing, next);
+    tables.history.replace(listing, next, origin);
     let listed = tables.history.listed().clone();
     tables.fleet.replace(listed, now);
     tables.fleet_known = true;
@@ -158,14 +168,19 @@
 }
 
 /// Applies a batch of changes up to the offset `next`, unless newer data is known.
-pub fn apply_changes<P>(state: &ForwardState<P>, batch: Vec<FleetChange>, next: LogOffset) {
+pub fn apply_changes<P>(
+    state: &ForwardState<P>,
+    batch: Vec<FleetChange>,
+    next: LogOffset,
+    origin: RecordOrigin,
+) {
     let now = state.now();
     let mut tables = state.tables();
     if tables.history.next().is_some_and(|known| known > next) {
         return;
     }
     log_returns(&tables.history, &batch);
-    let changes = tables.history.apply(batch, next);
+    let changes = tables.history.apply(batch, next, origin);
     let has_changes = !changes.is_empty();
     let previous_revision = tables.fleet.revision;
     for change in changes {
