The last report of a removed target, written once more, does not bring it back

A target whose write got no answer may send it again, and the store may carry out both, one of them after the record's removal. FleetHistory ignored only reports that are earlier than the last known one, so the same report listed the target again.

Cause: ReportStamp::compare calls an equal stamp newer, which is right for a listed target (it is read again) and wrong for a removed one. A removed target is now listed again only by a later report; a running target writes one within an interval. After an outage, when records that expired come back, nothing changes.

the_last_report_of_a_removed_target_does_not_bring_it_back failed before and passes now; the other tests of banyan-core's pipeline pass unchanged.

--- a/crates/banyan-core/src/pipeline/history.rs
+++ b/crates/banyan-core/src/pipeline/history.rs
@@ -242,14 +242,19 @@
 
     /// Whether a report is believed, by the newest known one of its target.
     fn judge(&mut self, id: &TargetId, stamp: ReportStamp, doubts_returns: bool) -> ReportVerdict {
-        let listed = self.listed.get(id);
-        let listed = listed.map(|report| RemovedTarget { stamp: report.stamp, is_exact: true });
-        let Some(known) = listed.or_else(|| self.removed.get(id)) else {
+        let listed = self.listed.get(id).map(|report| report.stamp);
+        let removed = self.removed.get(id).filter(|_| listed.is_none());
+        let Some(known) = listed.or(removed.map(|removed| removed.stamp)) else {
             return ReportVerdict::Believed;
         };
-        let may_be_late = doubts_returns && !known.is_exact && stamp.follows(known.stamp);
-        match stamp.compare(known.stamp) {
+        // A report that follows shows no return if others between it and the known one are unknown.
+        let may_be_late = doubts_returns
+            && removed.is_some_and(|removed| !removed.is_exact)
+            && stamp.follows(known);
+        let repeats_last = doubts_returns && removed.is_some() && stamp.is_same_report(known);
+        match stamp.compare(known) {
             ReportOrder::Outdated => ReportVerdict::Ignored,
+            ReportOrder::Newer if repeats_last => ReportVerdict::Ignored,
             ReportOrder::Newer if !may_be_late => {
                 self.doubtful.remove(id);
                 ReportVerdict::Believed
--- a/crates/banyan-core/src/pipeline/report_stamp.rs
+++ b/crates/banyan-core/src/pipeline/report_stamp.rs
@@ -23,6 +23,11 @@
         }
     }
 
+    /// Whether both are known to be the same report.
+    pub fn is_same_report(self, other: Self) -> bool {
+        self.born.is_some() && self.sequence.is_some() && self == other
+    }
+
     /// Whether this is a later report of the same run.
     pub fn follows(self, earlier: Self) -> bool {
         let is_later = match (self.sequence, earlier.sequence) {
--- a/crates/banyan-core/tests/pipeline/histories.rs
+++ b/crates/banyan-core/tests/pipeline/histories.rs
@@ -118,6 +118,20 @@
     assert_eq!(history.apply(vec![back.clone()], LogOffset(14), RecordOrigin::Store), vec![back]);
 }
 
+#[test]
+fn the_last_report_of_a_removed_target_does_not_bring_it_back() {
+    // Regression: a target repeated a write that got no answer, and the store carried both out, one
+    // of them after the record's removal. Only earlier reports were ignored.
+    let mut history = listed_at_ten();
+    let last = stamped(1, 6, TargetPhase::Ready);
+    let batch = vec![last.clone(), FleetChange::Removed(target("e1"))];
+    history.apply(batch, LogOffset(12), RecordOrigin::Store);
+    assert_eq!(history.apply(vec![last], LogOffset(13), RecordOrigin::Store), Vec::new());
+    let back = stamped(1, 7, TargetPhase::Ready);
+    let changes = history.apply(vec![back.clone()], LogOffset(14), RecordOrigin::Store);
+    assert_eq!(changes, vec![back]);
+}
+
 #[test]
 fn a_listing_with_a_late_report_keeps_the_newer_one() {
     let mut history = listed_at_ten();
