A restarted instance learns which targets were removed shortly before

Cause: a daemon that starts lists the targets. It knows nothing of one that was removed before, so the late report of such a target looks like that of a new one; and a late report that is already in the listing looks like any other.

Change: after its first read of the targets a daemon reads the records of the seconds before (store/backlog.rs), as many as its targets write in 8 s, between 1,024 and 8,192, and FleetHistory learns which targets were removed and which reports are outdated. Callers are served meanwhile. The records alone were chosen over asking a peer, since all daemons may have been restarted at once.

Two tests of FleetHistory.

Not covered: in a fleet of more targets than write 8,192 records in 8 s (about 1,200), the backlog is shorter than a write may be late.

--- a/crates/banyan-core/src/pipeline/history.rs
+++ b/crates/banyan-core/src/pipeline/history.rs
@@ -143,6 +143,41 @@
         changes
     }
 
+    /// Learns from records that were written before the known ones. Returns the changes: targets that
+    /// had been removed before the report by which they are listed was written late, and newer
+    /// reports of others.
+    pub fn learn(&mut self, earlier: Vec<FleetChange>) -> Vec<FleetChange> {
+        let mut past = Self::default();
+        past.apply(earlier, LogOffset::default(), RecordOrigin::Store);
+        let mut changes = Vec::new();
+        for (id, removed) in past.removed.iter() {
+            let is_back = past.listed.contains_key(id);
+            if !is_back && self.learn_removal(id, removed) {
+                changes.push(FleetChange::Removed(id.clone()));
+            }
+        }
+        for (id, report) in past.listed {
+            let Some(listed) = self.listed.get_mut(&id) else { continue };
+            if report.stamp.follows(listed.stamp) {
+                listed.clone_from(&report);
+                changes.push(FleetChange::Reported(id, report));
+            }
+        }
+        changes
+    }
+
+    /// Learns that a target was removed in the past. Returns whether it was listed until now.
+    fn learn_removal(&mut self, id: &TargetId, removed: RemovedTarget) -> bool {
+        let listed = self.listed.get(id).map(|report| report.stamp);
+        let known = listed.or_else(|| self.removed.get(id).map(|known| known.stamp));
+        if known.is_some_and(|known| known.is_return_after(removed.stamp)) {
+            return false;
+        }
+        self.remove(id);
+        self.removed.insert(id.clone(), removed);
+        listed.is_some()
+    }
+
     /// What an instance that has read up to an offset needs to be told, or `None` if that is no
     /// longer kept and the full listing is needed.
     pub fn since(&self, from: LogOffset) -> Option<Vec<FleetChange>> {
--- a/crates/banyan-core/src/pipeline/removed_targets.rs
+++ b/crates/banyan-core/src/pipeline/removed_targets.rs
@@ -36,6 +36,11 @@
         self.targets.get(id).copied()
     }
 
+    /// The remembered targets.
+    pub fn iter(&self) -> impl Iterator<Item = (&TargetId, RemovedTarget)> {
+        self.targets.iter().map(|(id, target)| (id, *target))
+    }
+
     /// Remembers a target. Forgets the oldest one if there are too many.
     pub fn insert(&mut self, id: TargetId, target: RemovedTarget) {
         if self.targets.insert(id.clone(), target).is_none() {
--- a/crates/banyan-core/src/pipeline/report_stamp.rs
+++ b/crates/banyan-core/src/pipeline/report_stamp.rs
@@ -23,6 +23,11 @@
         }
     }
 
+    /// Whether this report shows that a target is back that was removed after `last`.
+    pub fn is_return_after(self, last: Self) -> bool {
+        self.compare(last) == ReportOrder::Newer && !self.is_same_report(last)
+    }
+
     /// Whether both are known to be the same report.
     pub fn is_same_report(self, other: Self) -> bool {
         self.born.is_some() && self.sequence.is_some() && self == other
--- a/crates/banyan-core/tests/pipeline/histories.rs
+++ b/crates/banyan-core/tests/pipeline/histories.rs
@@ -246,6 +246,39 @@
     assert_eq!(changes, vec![back]);
 }
 
+/// What an engine wrote before its record was removed.
+fn backlog_of_a_removed_engine() -> Vec<FleetChange> {
+    let reports = (1..6).map(|sequence| stamped(1, sequence, TargetPhase::Ready));
+    reports.chain([FleetChange::Removed(target("e1"))]).collect()
+}
+
+#[test]
+fn a_late_report_does_not_list_a_target_that_the_backlog_shows_as_removed() {
+    let late = stamped(1, 4, TargetPhase::Ready);
+    let mut history = listed_at_ten();
+    assert_eq!(history.learn(backlog_of_a_removed_engine()), Vec::new());
+    let changes = history.apply(vec![late.clone()], LogOffset(11), RecordOrigin::Store);
+    assert_eq!(changes, Vec::new());
+    // The same with the late report in the listing.
+    let FleetChange::Reported(id, report) = late else { return };
+    let mut history = FleetHistory::default();
+    history.replace(BTreeMap::from([(id.clone(), report)]), LogOffset(10), RecordOrigin::Store);
+    let changes = history.learn(backlog_of_a_removed_engine());
+    assert_eq!(changes, vec![FleetChange::Removed(id)]);
+    assert_eq!(phase(&history), None);
+}
+
+#[test]
+fn the_backlog_takes_nothing_from_targets_that_are_back_or_still_there() {
+    let mut history = listed_at_ten();
+    let back = stamped(1, 7, TargetPhase::Ready);
+    history.apply(vec![back.clone()], LogOffset(11), RecordOrigin::Store);
+    assert_eq!(history.learn(backlog_of_a_removed_engine()), Vec::new());
+    let running = vec![stamped(1, 8, TargetPhase::Ready), stamped(1, 6, TargetPhase::Ready)];
+    assert_eq!(history.learn(running), vec![stamped(1, 8, TargetPhase::Ready)]);
+    assert_eq!(phase(&history), Some(TargetPhase::Ready));
+}
+
 #[test]
 fn a_follower_hears_of_the_second_report_that_settles_its_doubt() {
     // The target was removed while the follower was far behind, and then it has another reader that
--- a/crates/banyan-forward/src/edges.rs
+++ b/crates/banyan-forward/src/edges.rs
@@ -159,7 +159,10 @@
 pub enum StoreError {
     /// The log has been trimmed past the requested offset, so the feed must be listed again.
     #[error("the log was trimmed past the requested offset: list the feed again")]
-    OffsetTrimmed,
+    OffsetTrimmed {
+        /// The first offset that can still be read, if the store names it.
+        first: Option<LogOffset>,
+    },
     /// The store rejected the call and did nothing.
     #[error("the store refused the call with {status}: try later")]
     Refused {
--- a/crates/banyan-forward/src/store.rs
+++ b/crates/banyan-forward/src/store.rs
@@ -1,6 +1,8 @@
 //! The platform's store: [`feeds`] follows its records, [`configuration_record`] holds the newest
-//! configuration, [`membership`] keeps the instance in the group.
+//! configuration, [`membership`] keeps the instance in the group, [`backlog`] reads what was written
+//! before.
 
+pub mod backlog;
 pub mod configuration_record;
 pub mod feeds;
 pub mod membership;
--- /dev/null
+++ b/crates/banyan-forward/src/store/backlog.rs
@@ -0,0 +1,52 @@
+//! Reads what targets wrote shortly before this instance began to read: [`read_backlog`].
+//!
+//! A listing does not tell a report that the store wrote late from the report of a running target,
+//! nor which targets were removed. The records of the seconds before it do.
+
+use std::time::Duration;
+
+use crate::edges::Platform;
+use crate::edges::StoreError;
+use crate::state::ForwardState;
+use crate::store::feeds::apply_to_fleet;
+use banyan_core::ids::LogOffset;
+use banyan_core::pipeline::fleet::FleetChange;
+
+/// How long after it was sent a write may be carried out.
+const LATE_WRITE_TIME: Duration = Duration::from_secs(8);
+/// The number of records that are read at least, since few targets may be left of many.
+const MIN_BACKLOG_RECORDS: u64 = 1_024;
+/// The number of records that are read at most.
+const MAX_BACKLOG_RECORDS: u64 = 8_192;
+
+/// Reads the records of the last seconds before those that were read already, and applies what they
+/// tell. Must be called after the targets were listed.
+pub async fn read_backlog<P: Platform>(state: &ForwardState<P>) -> Result<(), StoreError> {
+    let end = state.tables().history.next().unwrap_or_default();
+    let mut from = LogOffset(end.0.saturating_sub(backlog_length(state)));
+    let mut backlog: Vec<FleetChange> = Vec::new();
+    while from < end {
+        match state.platform.fleet_after(from).await {
+            Ok(listing) if listing.next <= from => break,
+            Ok(listing) => {
+                let left = (end.0 - from.0) as usize;
+                backlog.extend(listing.content.into_iter().take(left));
+                from = listing.next;
+            }
+            Err(StoreError::OffsetTrimmed { first: Some(first) }) if first > from => from = first,
+            Err(error) => return Err(error),
+        }
+    }
+    let mut tables = state.tables();
+    let changes = tables.history.learn(backlog);
+    apply_to_fleet(state, &mut tables, changes);
+    Ok(())
+}
+
+/// The number of records that the targets write within `LATE_WRITE_TIME`.
+fn backlog_length<P>(state: &ForwardState<P>) -> u64 {
+    let interval = state.settings().report_interval.max(Duration::from_millis(1));
+    let reports = LATE_WRITE_TIME.div_duration_f64(interval).ceil() as u64;
+    let targets = state.tables().history.listed().len() as u64;
+    targets.saturating_mul(reports).clamp(MIN_BACKLOG_RECORDS, MAX_BACKLOG_RECORDS)
+}
--- a/crates/banyan-forward/src/store/feeds.rs
+++ b/crates/banyan-forward/src/store/feeds.rs
@@ -5,9 +5,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::decisions::tables::ForwardTables;
 use crate::edges::Platform;
 use crate::edges::StoreError;
 use crate::state::ForwardState;
+use crate::store::backlog::read_backlog;
 use crate::store::configuration_record::ConfigurationRecord;
 use banyan_core::ids::LogOffset;
 use banyan_core::ids::TargetId;
@@ -44,7 +46,7 @@
                     None => record_configuration_known(&state),
                 }
             }
-            Err(StoreError::OffsetTrimmed) => next = None,
+            Err(StoreError::OffsetTrimmed { .. }) => next = None,
             Err(error) => {
                 record_store_failure(&state, "configuration", &error);
                 tokio::time::sleep(retry_delay(&state)).await;
@@ -56,6 +58,7 @@
 /// Keeps the table of targets up to date, until the daemon stops.
 pub async fn follow_fleet<P: Platform>(state: Arc<ForwardState<P>>) {
     let mut relist = true;
+    let mut backlog_read = false;
     loop {
         state.wait_until_reading().await;
         let next = state.tables().history.next().filter(|_| !relist);
@@ -72,8 +75,11 @@
                 relist = false;
                 let settings = state.settings();
                 state.tables().note_fleet_read(state.now(), &settings);
+                if !backlog_read {
+                    backlog_read = try_backlog(&state).await;
+                }
             }
-            Err(StoreError::OffsetTrimmed) => relist = true,
+            Err(StoreError::OffsetTrimmed { .. }) => relist = true,
             Err(error) => {
                 record_store_failure(&state, "targets", &error);
                 pause = pause.max(retry_delay(&state));
@@ -84,6 +90,16 @@
     }
 }
 
+/// Reads what targets wrote before the listing. Returns whether that is done; without it this
+/// instance may take a report that was written late for a running target.
+async fn try_backlog<P: Platform>(state: &ForwardState<P>) -> bool {
+    let read = read_backlog(state).await;
+    if let Err(error) = &read {
+        tracing::info!(part = "targets", %error, "The earlier records could not be read.");
+    }
+    !matches!(read, Err(StoreError::NoAnswer { .. } | StoreError::Refused { .. }))
+}
+
 /// The delay before the next call after a failed one.
 fn retry_delay<P>(state: &ForwardState<P>) -> Duration {
     let settings = state.settings();
@@ -174,13 +190,22 @@
     next: LogOffset,
     origin: RecordOrigin,
 ) {
-    let now = state.now();
     let mut tables = state.tables();
     if tables.history.next().is_some_and(|known| known > next) {
         return;
     }
     log_returns(&tables.history, &batch);
     let changes = tables.history.apply(batch, next, origin);
+    apply_to_fleet(state, &mut tables, changes);
+}
+
+/// Applies changes of the records to the table of targets, and notifies those that wait for them.
+pub(super) fn apply_to_fleet<P>(
+    state: &ForwardState<P>,
+    tables: &mut ForwardTables,
+    changes: Vec<FleetChange>,
+) {
+    let now = state.now();
     let has_changes = !changes.is_empty();
     let previous_revision = tables.fleet.revision;
     for change in changes {
@@ -190,7 +215,6 @@
         tables.fleet.apply(change, now);
     }
     let revision = tables.fleet.revision;
-    drop(tables);
     if has_changes {
         state.feed_changed.send_replace(());
     }
