A configuration takes effect whatever its workspaces, services and models are called

A daemon that started anew had no configuration.

Cause: the adapter parsed names of workspaces, services and models as identifiers of our own declarations (a-z, A-Z, 0-9 and . _ - / : @, 128 bytes), and one that did not pass made the whole record unreadable. The line 'Ignored an invalid configuration record' in the log, with the name, is the evidence.

Change: identifiers have a constructor that takes a text as it is, which the adapter and the messages between instances use. FromStr checks names of declarations and command lines as before. What no header can hold (a control character, outer spaces) cannot be told to targets: requests of such a workspace alone are refused at once with 503 and its own cause, and the log tells operators to rename it. Related paths, all the same check: - records of targets with such a service or zone counted as removed, with such a key as unknown; - instances ignored digests, lists and changes of peers with such a name as a whole; - settings with such an instance or zone kept the daemon from starting; - names of over 126 bytes kept streams of their workspace from waiting for room.

--- a/crates/banyan-core/src/ids.rs
+++ b/crates/banyan-core/src/ids.rs
@@ -73,6 +73,12 @@
         pub struct $name(SmolStr);
 
         impl $name {
+            /// The identifier with a text as it is. For names that others have given and that the
+            /// limits of declarations do not bind; `FromStr` checks those.
+            pub fn new(text: impl Into<SmolStr>) -> Self {
+                Self(text.into())
+            }
+
             /// The identifier as text.
             pub fn as_str(&self) -> &str {
                 self.0.as_str()
--- a/crates/banyan-forward/src/callers/answer.rs
+++ b/crates/banyan-forward/src/callers/answer.rs
@@ -80,6 +80,8 @@
     CrashesTargets,
     /// The targets that could run it named limits that are used up.
     TargetLimited,
+    /// Targets cannot be told which workspace it belongs to.
+    UnusableWorkspace,
     /// The memory for callers is used up.
     NoMemory,
     /// Its body arrived too slowly.
@@ -98,6 +100,7 @@
             Self::NoTime => "no_time",
             Self::CrashesTargets => "crashes_targets",
             Self::TargetLimited => "target_limited",
+            Self::UnusableWorkspace => "unusable_workspace",
             Self::NoMemory => "no_memory",
             Self::SlowBody => "slow_body",
         }
--- a/crates/banyan-forward/src/callers/serve.rs
+++ b/crates/banyan-forward/src/callers/serve.rs
@@ -40,6 +40,9 @@
 /// them at once.
 const OTHER_INSTANCE_RETRY_AFTER: Duration = Duration::from_millis(50);
 
+/// The retry delay given to callers of a workspace that operators must rename first.
+const RENAMING_RETRY_AFTER: Duration = Duration::from_secs(5);
+
 /// Serves one request. The daemon's own errors become answers too, so this cannot fail.
 pub async fn serve_request<P: Platform>(
     state: Arc<ForwardState<P>>,
@@ -94,6 +97,9 @@
     let owner = routes.owner(&route, caller.key.as_deref()).map_err(refusal_for_miss)?;
     let priority = EffectivePriority::of(&route, owner);
     let workspace = owner.map(|owner| owner.workspace.clone());
+    if workspace.as_ref().is_some_and(|workspace| !state.platform.can_carry(workspace)) {
+        return Err(Refusal::NotRun(NotRunCause::UnusableWorkspace, RENAMING_RETRY_AFTER));
+    }
     let service = find_service(&routes, &route, &caller)?;
     let timeout = caller.time_left.map_or(route.timeout, |left| left.min(route.timeout));
     let deadline = received + timeout;
--- a/crates/banyan-forward/src/decisions/waiting.rs
+++ b/crates/banyan-forward/src/decisions/waiting.rs
@@ -10,6 +10,7 @@
 use crate::decisions::admission::RoomQuery;
 use crate::decisions::tables::ForwardTables;
 use crate::settings::ForwardSettings;
+use banyan_core::ids::IncarnationId;
 use banyan_core::ids::RequestId;
 use banyan_core::ids::ServiceId;
 use banyan_core::ids::WorkspaceId;
@@ -109,10 +110,10 @@
         let max_waiting = streams.max_waiting_for(priority)?;
         streams.last_id += 1;
         // The ids of the queue are local to this process, so that the incarnation is constant.
-        let id = RequestId { incarnation: "streams".parse().ok()?, counter: streams.last_id };
+        let id = RequestId { incarnation: IncarnationId::new("streams"), counter: streams.last_id };
         let request = AdmissionRequest {
             request: id.clone(),
-            workspace: queue_name(workspace, priority)?,
+            workspace: queue_name(workspace, priority),
             share: 1,
             priority,
             tokens: size.total.0,
@@ -226,7 +227,7 @@
 
 /// The name under which requests of a workspace and a priority share the queue. Workspaces of one
 /// priority are served alike, and a workspace may send requests of several.
-fn queue_name(workspace: Option<&WorkspaceId>, priority: u8) -> Option<WorkspaceId> {
+fn queue_name(workspace: Option<&WorkspaceId>, priority: u8) -> WorkspaceId {
     let workspace = workspace.map_or("", WorkspaceId::as_str);
-    format_smolstr!("{priority}:{workspace}").parse().ok()
+    WorkspaceId::new(format_smolstr!("{priority}:{workspace}"))
 }
--- a/crates/banyan-forward/src/edges.rs
+++ b/crates/banyan-forward/src/edges.rs
@@ -150,6 +150,9 @@
     /// Changes a caller's headers into those sent to a target.
     fn write_dispatch(&self, headers: &mut HeaderMap, dispatch: &Dispatch<'_>);
 
+    /// Whether targets can be told that a request belongs to this workspace.
+    fn can_carry(&self, workspace: &WorkspaceId) -> bool;
+
     /// Reads the head of a target's answer.
     fn read_answer(&self, status: StatusCode, headers: &HeaderMap) -> AnswerFacts;
 }
--- a/crates/banyan-forward/src/engines/checks.rs
+++ b/crates/banyan-forward/src/engines/checks.rs
@@ -130,12 +130,8 @@
     state: &Arc<ForwardState<P>>,
     names: Vec<SmolStr>,
 ) -> Vec<CheckWire> {
-    let parsed: Result<Vec<TargetId>, _> =
-        names.iter().take(MAX_CHECKED_TARGETS).map(|name| name.parse()).collect();
-    let Ok(ids) = parsed else {
-        tracing::warn!(part = "peers", "Ignored a question about an invalid target.");
-        return Vec::new();
-    };
+    let ids: Vec<TargetId> =
+        names.into_iter().take(MAX_CHECKED_TARGETS).map(TargetId::new).collect();
     let mut probe_ended = state.probe_ended.subscribe();
     let deadline = Instant::now() + CHECK_WAIT;
     let mut outcomes = known_outcomes(state, &ids);
--- a/crates/banyan-forward/src/engines/leaving.rs
+++ b/crates/banyan-forward/src/engines/leaving.rs
@@ -49,15 +49,9 @@
 /// Merges the targets that a peer reports as leaving.
 pub fn merge_leaving(tables: &mut ForwardTables, leaving: Vec<LeavingWire>, now: Moment) {
     for wire in leaving {
-        match wire.note(now) {
-            Ok((target, note)) => {
-                if tables.fleet.note_leaving(&target, note) {
-                    log_leaving(&target, "peer");
-                }
-            }
-            Err(error) => {
-                tracing::warn!(part = "peers", %error, "Ignored a target with an invalid name.")
-            }
+        let (target, note) = wire.note(now);
+        if tables.fleet.note_leaving(&target, note) {
+            log_leaving(&target, "peer");
         }
     }
 }
--- a/crates/banyan-forward/src/peers/crash_alerts.rs
+++ b/crates/banyan-forward/src/peers/crash_alerts.rs
@@ -14,7 +14,7 @@
 use crate::peers::alerts::choose_peers;
 use crate::peers::digests::millis;
 use crate::state::ForwardState;
-use banyan_core::ids::IdError;
+use banyan_core::ids::TargetId;
 use banyan_core::pipeline::crashes::CrashSuspect;
 use banyan_core::pipeline::crashes::RequestTrait;
 use banyan_core::pipeline::crashes::TargetCrash;
@@ -80,15 +80,9 @@
     suspects: Vec<SuspectWire>,
     now: Moment,
 ) -> Vec<RequestTrait> {
-    let parsed: Result<Vec<CrashSuspect>, IdError> =
-        suspects.into_iter().map(|wire| parse_suspect(wire, now)).collect();
-    match parsed {
-        Ok(suspects) => tables.crashes.merge(&suspects, now),
-        Err(error) => {
-            tracing::warn!(part = "peers", %error, "Ignored suspects with an invalid target.");
-            Vec::new()
-        }
-    }
+    let suspects: Vec<CrashSuspect> =
+        suspects.into_iter().map(|wire| read_suspect(wire, now)).collect();
+    tables.crashes.merge(&suspects, now)
 }
 
 /// The messages that tell peers about suspects.
@@ -105,12 +99,12 @@
     suspects.into_iter().map(wire).collect()
 }
 
-fn parse_suspect(wire: SuspectWire, now: Moment) -> Result<CrashSuspect, IdError> {
+fn read_suspect(wire: SuspectWire, now: Moment) -> CrashSuspect {
     let crash = |wire: CrashWire| {
         let sent = now.before(Duration::from_millis(wire.sent_age_ms));
         let at = now.before(Duration::from_millis(wire.age_ms));
-        Ok(TargetCrash { target: wire.target.parse()?, sent, at })
+        TargetCrash { target: TargetId::new(wire.target), sent, at }
     };
-    let crashes: Result<Vec<TargetCrash>, IdError> = wire.crashes.into_iter().map(crash).collect();
-    Ok(CrashSuspect { key: wire.key.into(), crashes: crashes? })
+    let crashes = wire.crashes.into_iter().map(crash).collect();
+    CrashSuspect { key: wire.key.into(), crashes }
 }
--- a/crates/banyan-forward/src/peers/digests.rs
+++ b/crates/banyan-forward/src/peers/digests.rs
@@ -26,6 +26,7 @@
 use banyan_core::ids::InstanceId;
 use banyan_core::ids::LogOffset;
 use banyan_core::ids::TargetId;
+use banyan_core::ids::ZoneId;
 use banyan_core::pipeline::duties::DutyCapacity;
 use banyan_core::pipeline::duties::is_small_fleet;
 use banyan_core::pipeline::fleet::TargetReport;
@@ -153,18 +154,9 @@
 
 /// Applies a digest received from a peer.
 pub fn apply_digest<P>(state: &ForwardState<P>, digest: ForwardDigest) {
-    let Ok(instance) = digest.instance.parse::<InstanceId>() else {
-        tracing::warn!(part = "peers", instance = %digest.instance, "Ignored an invalid name.");
-        return;
-    };
-    let loads: Result<BTreeMap<TargetId, TargetLoad>, _> =
-        digest.loads.into_iter().map(TryInto::try_into).collect();
-    let unreachable: Result<Vec<TargetId>, _> =
-        digest.unreachable.into_iter().map(TryInto::try_into).collect();
-    let (Ok(loads), Ok(unreachable)) = (loads, unreachable) else {
-        tracing::warn!(part = "peers", %instance, "Ignored a digest with invalid names.");
-        return;
-    };
+    let instance = InstanceId::new(digest.instance);
+    let loads: BTreeMap<TargetId, TargetLoad> = digest.loads.into_iter().map(Into::into).collect();
+    let unreachable: Vec<TargetId> = digest.unreachable.into_iter().map(TargetId::new).collect();
     let now = state.now();
     let settings = state.settings();
     let mut tables = state.tables();
@@ -174,17 +166,16 @@
         Some(_) => FeedRole::Reader,
         None => FeedRole::Follower,
     };
-    match digest.zone.parse() {
-        Ok(zone) => {
-            let capacity = DutyCapacity(digest.capacity_millicores);
-            let address = digest.address;
-            let status = ReaderStatus { zone, address, capacity, role, read_age };
-            tables.readers.record_status(instance.clone(), status, now);
-        }
-        Err(error) => {
-            tracing::warn!(part = "peers", %instance, %error, "Ignored an invalid zone.")
-        }
-    }
+    let zone = ZoneId::new(digest.zone);
+    let is_same_zone = zone == settings.zone;
+    let status = ReaderStatus {
+        zone,
+        address: digest.address,
+        capacity: DutyCapacity(digest.capacity_millicores),
+        role,
+        read_age,
+    };
+    tables.readers.record_status(instance.clone(), status, now);
     tables.peer_loads.record_peer(instance, loads, unreachable, now);
     tables.highest_seen_generation = tables.highest_seen_generation.max(digest.generation);
     if digest.leads {
@@ -193,7 +184,7 @@
         apply_leader_orders(&mut tables, digest.ordered, now);
     }
     if let Some(source) = digest.follows
-        && digest.zone == settings.zone.as_str()
+        && is_same_zone
     {
         merge_source(&mut tables, &settings, source, now);
     }
@@ -209,14 +200,9 @@
 fn apply_slowdowns(tables: &mut ForwardTables, slow: Vec<SlowWire>, now: Moment) {
     for slowdown in slow {
         let factor = f64::from(slowdown.factor_thousandths) / 1e3;
-        match slowdown.target.parse() {
-            Ok(id) => tables.fleet.note_slowdown(
-                &id,
-                factor,
-                now.before(Duration::from_millis(slowdown.age_ms)),
-            ),
-            Err(error) => tracing::warn!(part = "peers", %error, "Ignored an invalid slowdown."),
-        }
+        let id = TargetId::new(slowdown.target);
+        let seen = now.before(Duration::from_millis(slowdown.age_ms));
+        tables.fleet.note_slowdown(&id, factor, seen);
     }
 }
 
@@ -224,9 +210,12 @@
 fn apply_observations(tables: &mut ForwardTables, observed: Vec<ObservedWire>, now: Moment) {
     for observation in observed {
         let at = now.before(Duration::from_millis(observation.age_ms));
-        match (observation.target.parse(), layer_ranges(observation.held)) {
-            (Ok(id), Ok(held)) => tables.fleet.observe(&id, &held, at, now),
-            _ => tracing::warn!(part = "peers", "Ignored an invalid observation."),
+        let id = TargetId::new(observation.target);
+        match layer_ranges(observation.held) {
+            Ok(held) => tables.fleet.observe(&id, &held, at, now),
+            Err(error) => {
+                tracing::warn!(part = "peers", %error, "Ignored an invalid observation.")
+            }
         }
     }
 }
@@ -243,7 +232,8 @@
     }
     tables.pending_orders.clear();
     for order in ordered {
-        let (Ok(id), Ok(range)) = (order.target.parse(), layer_range(order.range)) else {
+        let id = TargetId::new(order.target);
+        let Ok(range) = layer_range(order.range) else {
             tracing::warn!(part = "peers", "Ignored an invalid order.");
             continue;
         };
--- a/crates/banyan-forward/src/peers/limit_alerts.rs
+++ b/crates/banyan-forward/src/peers/limit_alerts.rs
@@ -15,7 +15,6 @@
 use crate::peers::alerts::choose_peers;
 use crate::peers::digests::millis;
 use crate::state::ForwardState;
-use banyan_core::ids::IdError;
 use banyan_core::ids::TargetId;
 use banyan_core::pipeline::target_limits::LimitReport;
 use banyan_core::pipeline::target_limits::TargetLimit;
@@ -59,15 +58,7 @@
     limits: Vec<LimitWire>,
     now: Moment,
 ) -> Vec<TargetId> {
-    let parsed: Result<Vec<LimitReport>, IdError> =
-        limits.into_iter().map(|wire| parse_limit(wire, now)).collect();
-    let reports = match parsed {
-        Ok(reports) => reports,
-        Err(error) => {
-            tracing::warn!(part = "peers", %error, "Ignored limits of an invalid target.");
-            return Vec::new();
-        }
-    };
+    let reports: Vec<LimitReport> = limits.into_iter().map(|wire| read_limit(wire, now)).collect();
     let learned = tables.limits.merge(&reports, now);
     for report in tables.limits.reports(&learned) {
         logs::limit_changed(&report.target, report.limit, "peer");
@@ -85,8 +76,8 @@
     reports.into_iter().map(wire).collect()
 }
 
-fn parse_limit(wire: LimitWire, now: Moment) -> Result<LimitReport, IdError> {
+fn read_limit(wire: LimitWire, now: Moment) -> LimitReport {
     let heard = now.before(Duration::from_millis(wire.age_ms));
     let limit = wire.thousandths.map(TargetLimit);
-    Ok(LimitReport { target: wire.target.parse()?, limit, heard })
+    LimitReport { target: TargetId::new(wire.target), limit, heard }
 }
--- a/crates/banyan-forward/src/peers/members.rs
+++ b/crates/banyan-forward/src/peers/members.rs
@@ -9,8 +9,8 @@
 use crate::decisions::tables::ForwardTables;
 use crate::peers::digests::millis;
 use crate::settings::ForwardSettings;
-use banyan_core::ids::IdError;
 use banyan_core::ids::InstanceId;
+use banyan_core::ids::ZoneId;
 use banyan_core::pipeline::duties::DutyCapacity;
 use banyan_core::pipeline::duties::is_small_fleet;
 use banyan_core::pipeline::group::MAX_STATEMENTS;
@@ -63,29 +63,24 @@
 ) {
     for member in members.into_iter().take(MAX_STATEMENTS + 1) {
         let generation = member.generation;
-        match read_statement(member, now) {
-            Ok((name, statement)) if name != *own => {
-                tables.group.record_statement(name, statement);
-                tables.highest_seen_generation = tables.highest_seen_generation.max(generation);
-            }
-            Ok(_) => {}
-            Err(error) => tracing::warn!(part = "peers", %error, "Ignored an invalid member."),
+        let (name, statement) = read_statement(member, now);
+        if name == *own {
+            continue;
         }
+        tables.group.record_statement(name, statement);
+        tables.highest_seen_generation = tables.highest_seen_generation.max(generation);
     }
 }
 
-fn read_statement(
-    member: MemberWire,
-    now: Moment,
-) -> Result<(InstanceId, MemberStatement), IdError> {
+fn read_statement(member: MemberWire, now: Moment) -> (InstanceId, MemberStatement) {
     let statement = MemberStatement {
-        zone: member.zone.parse()?,
+        zone: ZoneId::new(member.zone),
         generation: member.generation,
         leads: member.leads,
         stated: now.before(Duration::from_millis(member.age_ms)),
         confirmed: now.before(Duration::from_millis(member.confirmed_age_ms)),
     };
-    Ok((member.instance.parse()?, statement))
+    (InstanceId::new(member.instance), statement)
 }
 
 /// The instance of this zone that this instance follows, so that others of the zone choose the same
@@ -109,10 +104,7 @@
     source: SourceWire,
     now: Moment,
 ) {
-    let Ok(name) = source.instance.parse::<InstanceId>() else {
-        tracing::warn!(part = "peers", instance = %source.instance, "Ignored an invalid name.");
-        return;
-    };
+    let name = InstanceId::new(source.instance);
     if name == settings.instance {
         return;
     }
--- a/crates/banyan-wire/src/forward.rs
+++ b/crates/banyan-wire/src/forward.rs
@@ -15,9 +15,10 @@
 use smol_str::SmolStr;
 use thiserror::Error;
 
-use banyan_core::ids::IdError;
 use banyan_core::ids::LayerRange;
+use banyan_core::ids::ServiceId;
 use banyan_core::ids::TargetId;
+use banyan_core::ids::ZoneId;
 use banyan_core::pipeline::crashes::RequestTrait;
 use banyan_core::pipeline::crashes::TraitKind;
 use banyan_core::pipeline::fleet::FleetChange;
@@ -286,9 +287,9 @@
 
 impl LeavingWire {
     /// The target and what it said, for an instance that receives the message at `now`.
-    pub fn note(self, now: Moment) -> Result<(TargetId, LeavingNote), ForwardWireError> {
+    pub fn note(self, now: Moment) -> (TargetId, LeavingNote) {
         let heard = now.before(Duration::from_millis(self.age_ms));
-        Ok((self.target.parse()?, LeavingNote { born: self.born, heard }))
+        (TargetId::new(self.target), LeavingNote { born: self.born, heard })
     }
 }
 
@@ -377,9 +378,6 @@
 /// Why a message from a peer is rejected.
 #[derive(Debug, Error)]
 pub enum ForwardWireError {
-    /// The message contains a malformed identifier.
-    #[error("a peer sent a malformed identifier: {0}")]
-    Name(#[from] IdError),
     /// The message contains an empty or reversed range of layers.
     #[error("a peer sent the layer range {0}-{1}: the start must be below the end")]
     Layers(u32, u32),
@@ -408,16 +406,16 @@
     fn try_from(wire: TargetWire) -> Result<Self, ForwardWireError> {
         let phase = if wire.draining { TargetPhase::Draining } else { TargetPhase::Ready };
         let report = TargetReport {
-            service: wire.service.parse()?,
+            service: ServiceId::new(wire.service),
             address: wire.address,
-            zone: wire.zone.parse()?,
+            zone: ZoneId::new(wire.zone),
             phase,
             slots: wire.slots,
             kind: wire.kind,
             held: layer_ranges(wire.held)?,
             stamp: ReportStamp { born: wire.born, sequence: wire.sequence },
         };
-        Ok((wire.id.parse()?, report))
+        Ok((TargetId::new(wire.id), report))
     }
 }
 
@@ -439,7 +437,7 @@
                 let (id, report) = target.try_into()?;
                 Ok(Self::Reported(id, report))
             }
-            FleetChangeWire::Removed(id) => Ok(Self::Removed(id.parse()?)),
+            FleetChangeWire::Removed(id) => Ok(Self::Removed(TargetId::new(id))),
         }
     }
 }
@@ -464,12 +462,10 @@
     }
 }
 
-impl TryFrom<LoadWire> for (TargetId, TargetLoad) {
-    type Error = IdError;
-
-    fn try_from(wire: LoadWire) -> Result<Self, IdError> {
+impl From<LoadWire> for (TargetId, TargetLoad) {
+    fn from(wire: LoadWire) -> Self {
         let LoadWire { target, token_layers, requests } = wire;
         let load = TargetLoad { token_layers, requests, ..TargetLoad::default() };
-        Ok((target.parse()?, load))
+        (TargetId::new(target), load)
     }
 }
