--- a/crates/banyan-forward/src/callers/serve.rs
+++ b/crates/banyan-forward/src/callers/serve.rs
@@ -92,7 +92,8 @@
     if *state.phase.borrow() >= DaemonPhase::Draining {
         return Err(Refusal::NotRun(NotRunCause::Stopping, OTHER_INSTANCE_RETRY_AFTER));
     }
-    let host = head.headers.get(header::HOST).and_then(|value| value.to_str().ok()).unwrap_or("");
+    let host = head.headers.get(header::HOST).map_or(&[][..], HeaderValue::as_bytes);
+    let host = str::from_utf8(host).unwrap_or_default();
     let route = routes.route(host, head.uri.path()).map_err(refusal_for_miss)?.clone();
     let owner = routes.owner(&route, caller.key.as_deref()).map_err(refusal_for_miss)?;
     let priority = EffectivePriority::of(&route, owner);
