Removed targets' usability and the outcomes of store calls have modules of their own

ForwardTables held what tells an outage of the store among forty other matters, and feeds.rs the outcomes of calls that feeds do not make. decisions/relisting.rs and store/call_outcomes.rs hold them now; the loops of peers and of the membership no longer depend on the feeds. No behaviour changed.

--- a/crates/banyan-core/src/pipeline/history.rs
+++ b/crates/banyan-core/src/pipeline/history.rs
@@ -166,18 +166,6 @@
         changes
     }
 
-    /// Learns that a target was removed in the past. Returns whether it was listed until now.
-    fn learn_removal(&mut self, id: &TargetId, removed: RemovedTarget) -> bool {
-        let listed = self.listed.get(id).map(|report| report.stamp);
-        let known = listed.or_else(|| self.removed.get(id).map(|known| known.stamp));
-        if known.is_some_and(|known| known.is_return_after(removed.stamp)) {
-            return false;
-        }
-        self.remove(id);
-        self.removed.insert(id.clone(), removed);
-        listed.is_some()
-    }
-
     /// What an instance that has read up to an offset needs to be told, or `None` if that is no
     /// longer kept and the full listing is needed.
     pub fn since(&self, from: LogOffset) -> Option<Vec<FleetChange>> {
@@ -222,6 +210,18 @@
         }
     }
 
+    /// Learns that a target was removed in the past. Returns whether it was listed until now.
+    fn learn_removal(&mut self, id: &TargetId, removed: RemovedTarget) -> bool {
+        let listed = self.listed.get(id).map(|report| report.stamp);
+        let known = listed.or_else(|| self.removed.get(id).map(|known| known.stamp));
+        if known.is_some_and(|known| known.is_return_after(removed.stamp)) {
+            return false;
+        }
+        self.remove(id);
+        self.removed.insert(id.clone(), removed);
+        listed.is_some()
+    }
+
     /// Lists a report if it is to be believed. Returns whether it changed more than the time of the
     /// target's last report.
     fn report(
--- /dev/null
+++ b/crates/banyan-forward/src/decisions/relisting.rs
@@ -0,0 +1,69 @@
+//! Which targets may be missing from the platform's store although they run, and for how long removed
+//! ones stay usable.
+
+use std::time::Duration;
+
+use crate::decisions::tables::ForwardTables;
+use crate::settings::ForwardSettings;
+use banyan_core::pipeline::history::RecordOrigin;
+use banyan_core::units::Moment;
+
+/// The shortest outage of the store in which records of running targets may expire, in report
+/// intervals: one fewer than the platform waits for a report, since the last one may have been
+/// written an interval before the outage.
+const MIN_LAPSE_INTERVALS: u32 = 2;
+/// The time after the return of the store within which running targets whose records expired are
+/// listed again. A target that is still missing has left.
+const RELISTING_TIME: Duration = Duration::from_millis(2_500);
+/// The fraction of `leave_time` for which a target stays usable after its record was removed.
+const REMOVED_GRACE_FRACTION: f64 = 0.25;
+/// The same fraction during [`RELISTING_TIME`]. It is below 1, so that requests stop going to a
+/// target in time even if it has left.
+const RELISTING_GRACE_FRACTION: f64 = 0.9;
+
+impl ForwardTables {
+    /// Records that the targets matched the platform's store at a moment.
+    ///
+    /// How long they could not be read, from whichever instance, tells whether records of running
+    /// targets may have expired. A failed call does not: it may concern one connection alone.
+    pub fn note_fleet_read(&mut self, at: Moment, settings: &ForwardSettings) {
+        if self.may_have_lapsed(settings, at) {
+            self.store_returned_at = Some(at);
+        }
+        self.fleet_read_at = self.fleet_read_at.max(at);
+    }
+
+    /// The origin of records that this instance has just read in the store. Returns are expected if
+    /// the store was away until recently, or until now.
+    pub fn store_origin(&self, settings: &ForwardSettings, now: Moment) -> RecordOrigin {
+        if self.may_have_lapsed(settings, now) || self.is_relisting(settings, now) {
+            return RecordOrigin::ReturnedStore;
+        }
+        RecordOrigin::Store
+    }
+
+    /// Whether the targets could not be read for so long before a moment that records of running
+    /// targets may have expired.
+    fn may_have_lapsed(&self, settings: &ForwardSettings, at: Moment) -> bool {
+        at.since(self.fleet_read_at) >= settings.report_interval * MIN_LAPSE_INTERVALS
+    }
+
+    /// How long a target may still be used after its record was removed.
+    pub fn removal_grace(&self, settings: &ForwardSettings, now: Moment) -> Duration {
+        let relisting = self.is_relisting(settings, now);
+        let fraction = if relisting { RELISTING_GRACE_FRACTION } else { REMOVED_GRACE_FRACTION };
+        settings.bounds.leave_time.mul_f64(fraction)
+    }
+
+    /// How long the row of a target is kept after its record was removed.
+    pub fn removal_retention(&self, settings: &ForwardSettings, now: Moment) -> Duration {
+        let grace = self.removal_grace(settings, now);
+        if self.is_relisting(settings, now) { grace.max(RELISTING_TIME) } else { grace }
+    }
+
+    /// Whether running targets may be missing because the store was away until recently.
+    fn is_relisting(&self, settings: &ForwardSettings, now: Moment) -> bool {
+        let relisting_time = RELISTING_TIME.min(settings.bounds.settle_time);
+        self.store_returned_at.is_some_and(|returned| now.since(returned) < relisting_time)
+    }
+}
--- a/crates/banyan-forward/src/decisions/tables.rs
+++ b/crates/banyan-forward/src/decisions/tables.rs
@@ -58,19 +58,6 @@
 /// previous digest expires.
 const MAX_FULLY_COVERED_PEERS: usize = 32;
 
-/// The shortest outage of the store in which records of running targets may expire, in report
-/// intervals: one fewer than the platform waits for a report, since the last one may have been
-/// written an interval before the outage.
-const MIN_LAPSE_INTERVALS: u32 = 2;
-/// The time after the return of the store within which running targets whose records expired are
-/// listed again. A target that is still missing has left.
-const RELISTING_TIME: Duration = Duration::from_millis(2_500);
-/// The fraction of `leave_time` for which a target stays usable after its record was removed.
-const REMOVED_GRACE_FRACTION: f64 = 0.25;
-/// The same fraction during [`RELISTING_TIME`]. It is below 1, so that requests stop going to a
-/// target in time even if it has left.
-const RELISTING_GRACE_FRACTION: f64 = 0.9;
-
 /// An order that was sent to an engine and may still be in progress.
 #[derive(Clone, Copy, Debug)]
 pub struct PendingOrder {
@@ -195,48 +182,6 @@
         if listed <= MAX_FULLY_COVERED_PEERS { 1.0 } else { listed as f64 / live_peers as f64 }
     }
 
-    /// Records that the targets matched the platform's store at a moment.
-    ///
-    /// How long they could not be read, from whichever instance, tells whether records of running
-    /// targets may have expired. A failed call does not: it may concern one connection alone.
-    pub fn note_fleet_read(&mut self, at: Moment, settings: &ForwardSettings) {
-        if self.may_have_lapsed(settings, at) {
-            self.store_returned_at = Some(at);
-        }
-        self.fleet_read_at = self.fleet_read_at.max(at);
-    }
-
-    /// Whether running targets may return whose records expired because the store was away until
-    /// recently, or until now.
-    pub fn expects_returns(&self, settings: &ForwardSettings, now: Moment) -> bool {
-        self.may_have_lapsed(settings, now) || self.is_relisting(settings, now)
-    }
-
-    /// Whether the targets could not be read for so long before a moment that records of running
-    /// targets may have expired.
-    fn may_have_lapsed(&self, settings: &ForwardSettings, at: Moment) -> bool {
-        at.since(self.fleet_read_at) >= settings.report_interval * MIN_LAPSE_INTERVALS
-    }
-
-    /// How long a target may still be used after its record was removed.
-    pub fn removal_grace(&self, settings: &ForwardSettings, now: Moment) -> Duration {
-        let relisting = self.is_relisting(settings, now);
-        let fraction = if relisting { RELISTING_GRACE_FRACTION } else { REMOVED_GRACE_FRACTION };
-        settings.bounds.leave_time.mul_f64(fraction)
-    }
-
-    /// How long the row of a target is kept after its record was removed.
-    pub fn removal_retention(&self, settings: &ForwardSettings, now: Moment) -> Duration {
-        let grace = self.removal_grace(settings, now);
-        if self.is_relisting(settings, now) { grace.max(RELISTING_TIME) } else { grace }
-    }
-
-    /// Whether running targets may be missing because the store was away until recently.
-    fn is_relisting(&self, settings: &ForwardSettings, now: Moment) -> bool {
-        let relisting_time = RELISTING_TIME.min(settings.bounds.settle_time);
-        self.store_returned_at.is_some_and(|returned| now.since(returned) < relisting_time)
-    }
-
     /// Whether digests carry what members of the group state, because the fleet is so large that not
     /// every instance hears each member itself. While the instances could not be listed, those that
     /// sent digests tell the size.
--- a/crates/banyan-forward/src/peers/rounds.rs
+++ b/crates/banyan-forward/src/peers/rounds.rs
@@ -20,7 +20,7 @@
 use crate::peers::peer_link::call_context;
 use crate::peers::peer_link::connect_or_reuse;
 use crate::state::ForwardState;
-use crate::store::feeds;
+use crate::store::call_outcomes;
 use banyan_core::ids::InstanceId;
 use banyan_core::pipeline::group::LISTING_CONFIRMATION;
 use banyan_core::units::Moment;
@@ -92,15 +92,17 @@
     if !peers.announced {
         match state.platform.announce(&settings.instance, settings.peer_address).await {
             Ok(()) => {
-                feeds::record_store_success(state, "announcement");
+                call_outcomes::record_store_success(state, "announcement");
                 peers.announced = true;
             }
-            Err(error) => return feeds::record_store_failure(state, "announcement", &error),
+            Err(error) => {
+                return call_outcomes::record_store_failure(state, "announcement", &error);
+            }
         }
     }
     match state.platform.peers().await {
         Ok(listed) => {
-            feeds::record_store_success(state, "peers");
+            call_outcomes::record_store_success(state, "peers");
             let names: BTreeSet<InstanceId> = listed.keys().cloned().collect();
             peers.addresses.extend(listed.into_values());
             peers.addresses.remove(&settings.peer_address);
@@ -112,7 +114,7 @@
             let interval = if reads_again { LISTING_CONFIRMATION } else { LISTING_INTERVAL };
             peers.next_listing = now + interval;
         }
-        Err(error) => feeds::record_store_failure(state, "peers", &error),
+        Err(error) => call_outcomes::record_store_failure(state, "peers", &error),
     }
 }
 
--- a/crates/banyan-forward/src/store/membership.rs
+++ b/crates/banyan-forward/src/store/membership.rs
@@ -9,8 +9,8 @@
 
 use crate::edges::Platform;
 use crate::state::ForwardState;
-use crate::store::feeds::record_store_failure;
-use crate::store::feeds::record_store_success;
+use crate::store::call_outcomes::record_store_failure;
+use crate::store::call_outcomes::record_store_success;
 use banyan_core::pipeline::duties::is_small_fleet;
 
 /// The time between two heartbeats to the group.
