Only instances that go on reading read the backlog; removals of disbelieved reports are passed on

At a start every instance reads the store for a moment, and each of them read the backlog, too, on machines with 0.084 of a core.

Change: an instance reads the backlog after three reads in a row, 1.6 s after it began, so only those do that read for their zone; also one that took over, which then knows exactly. Restarted followers need it no longer: a reader passes on the removal of a record whose report it did not believe, which it kept to itself before. That was a fault of its own: a follower that had started between the late report and its expiry listed the target for good.

Tests: a_follower_that_lists_a_late_report_hears_when_it_expires, red before.

Open: a restarted follower may use such a target for at most the time between 3 s after its start and the record's expiry, 3.6 s after the late report.

--- a/crates/banyan-core/src/pipeline/history.rs
+++ b/crates/banyan-core/src/pipeline/history.rs
@@ -60,6 +60,9 @@
     /// The targets that were listed by their first report since. Their next report is forwarded to
     /// instances that doubt the first. Invariant: all of them are listed.
     reported_once: BTreeSet<TargetId>,
+    /// The targets of which a report was not believed. Instances that have just started may list
+    /// them, so the next removal of their records is forwarded. Invariant: none of them is listed.
+    disbelieved: BTreeSet<TargetId>,
 }
 
 /// Whether a report is to be believed.
@@ -202,7 +205,12 @@
         match change {
             FleetChange::Reported(id, report) => self.report(id, report, next, doubts_returns),
             FleetChange::Removed(id) => {
-                let Some(report) = self.remove(id) else { return false };
+                let Some(report) = self.remove(id) else {
+                    if self.disbelieved.remove(id) {
+                        self.forward(change.clone(), next);
+                    }
+                    return false;
+                };
                 // The last report tells the others which reports were written before the removal.
                 self.forward(FleetChange::Reported(id.clone(), report), next);
                 true
@@ -232,7 +240,12 @@
         doubts_returns: bool,
     ) -> bool {
         match self.judge(id, report.stamp, doubts_returns) {
-            ReportVerdict::Ignored => return false,
+            ReportVerdict::Ignored => {
+                if !self.listed.contains_key(id) {
+                    self.disbelieved.insert(id.clone());
+                }
+                return false;
+            }
             ReportVerdict::Confirmed(stamp) => {
                 let first = TargetReport { stamp, ..report.clone() };
                 self.forward(FleetChange::Reported(id.clone(), first), next);
@@ -240,6 +253,7 @@
             ReportVerdict::Believed => {}
         }
         self.behind.remove(id);
+        self.disbelieved.remove(id);
         let Some(listed) = self.listed.get_mut(id) else {
             self.listed.insert(id.clone(), report.clone());
             self.reported_once.insert(id.clone());
--- a/crates/banyan-core/tests/pipeline/histories.rs
+++ b/crates/banyan-core/tests/pipeline/histories.rs
@@ -268,6 +268,26 @@
     assert_eq!(phase(&history), None);
 }
 
+#[test]
+fn a_follower_that_lists_a_late_report_hears_when_it_expires() {
+    // Regression: the reader did not list the target, so it kept the removal to itself, and a
+    // follower that had started meanwhile listed the target for good.
+    let (mut reader, _) = reader_and_follower();
+    let late = stamped(1, 4, TargetPhase::Ready);
+    let removed = FleetChange::Removed(target("e1"));
+    let batch = vec![removed.clone(), late.clone()];
+    reader.apply(batch, LogOffset(17), RecordOrigin::Store);
+    let FleetChange::Reported(id, report) = late else { return };
+    let mut restarted = FleetHistory::default();
+    restarted.replace(BTreeMap::from([(id, report)]), LogOffset(17), RecordOrigin::Store);
+    relay(&reader, &mut restarted);
+    assert_eq!(reader.apply(vec![removed], LogOffset(18), RecordOrigin::Store), Vec::new());
+    relay(&reader, &mut restarted);
+    assert_eq!(phase(&restarted), None);
+    reader.apply(vec![FleetChange::Removed(target("e1"))], LogOffset(19), RecordOrigin::Store);
+    assert_eq!(reader.since(LogOffset(18)), Some(Vec::new()), "others know already");
+}
+
 #[test]
 fn the_backlog_takes_nothing_from_targets_that_are_back_or_still_there() {
     let mut history = listed_at_ten();
--- a/crates/banyan-forward/src/store/feeds.rs
+++ b/crates/banyan-forward/src/store/feeds.rs
@@ -22,6 +22,9 @@
 
 /// The time between two reads of the changes to the targets.
 const FLEET_INTERVAL: Duration = Duration::from_millis(800);
+/// The number of reads in a row after which an instance goes on reading for others. At a start, and
+/// when a reader is lost, all instances of a zone read for a moment.
+const READS_BEFORE_BACKLOG: u32 = 3;
 /// The delay before the next call after a failed one.
 const RETRY_DELAY: Duration = Duration::from_millis(250);
 /// The retry delay if another live instance of the zone also retries and will pass on what it
@@ -60,9 +63,11 @@
 /// Keeps the table of targets up to date, until the daemon stops.
 pub async fn follow_fleet<P: Platform>(state: Arc<ForwardState<P>>) {
     let mut relist = true;
-    let mut backlog_read = false;
+    let mut reads_in_a_row = 0;
     loop {
-        state.wait_until_reading().await;
+        if state.wait_until_reading().await {
+            reads_in_a_row = 0;
+        }
         let next = state.tables().history.next().filter(|_| !relist);
         let read = match next {
             Some(from) => read_changes(&state, from).await,
@@ -77,8 +82,9 @@
                 relist = false;
                 let settings = state.settings();
                 state.tables().note_fleet_read(state.now(), &settings);
-                if !backlog_read {
-                    backlog_read = try_backlog(&state).await;
+                reads_in_a_row += 1;
+                if reads_in_a_row == READS_BEFORE_BACKLOG {
+                    try_backlog(&state).await;
                 }
             }
             Err(StoreError::OffsetTrimmed { .. }) => relist = true,
@@ -92,14 +98,12 @@
     }
 }
 
-/// Reads what targets wrote before the listing. Returns whether that is done; without it this
-/// instance may take a report that was written late for a running target.
-async fn try_backlog<P: Platform>(state: &ForwardState<P>) -> bool {
-    let read = read_backlog(state).await;
-    if let Err(error) = &read {
+/// Reads what targets wrote before this instance began to read. Without it, a report that was written
+/// late may be taken for that of a running target until it expires.
+async fn try_backlog<P: Platform>(state: &ForwardState<P>) {
+    if let Err(error) = read_backlog(state).await {
         tracing::info!(part = "targets", %error, "The earlier records could not be read.");
     }
-    !matches!(read, Err(StoreError::NoAnswer { .. } | StoreError::Refused { .. }))
 }
 
 /// The delay before the next call after a failed one.
