The backlog ends where an instance began to read

At the start of the whole system many of its 121 instances read more than three times before they follow another one, and each read the backlog then.

What an instance has read itself needs no backlog, so only the records before its first read in the row are fetched. Where the whole system starts for the first time there are none, and no call is made.

--- a/crates/banyan-forward/src/store/backlog.rs
+++ b/crates/banyan-forward/src/store/backlog.rs
@@ -19,10 +19,12 @@
 /// The number of records that are read at most.
 const MAX_BACKLOG_RECORDS: u64 = 8_192;
 
-/// Reads the records of the last seconds before those that were read already, and applies what they
-/// tell. Must be called after the targets were listed.
-pub async fn read_backlog<P: Platform>(state: &ForwardState<P>) -> Result<(), StoreError> {
-    let end = state.tables().history.next().unwrap_or_default();
+/// Reads the records of the last seconds before `end`, where this instance began to read, and applies
+/// what they tell. There are none where the system starts for the first time.
+pub async fn read_backlog<P: Platform>(
+    state: &ForwardState<P>,
+    end: LogOffset,
+) -> Result<(), StoreError> {
     let mut from = LogOffset(end.0.saturating_sub(backlog_length(state)));
     let mut backlog: Vec<FleetChange> = Vec::new();
     while from < end {
--- a/crates/banyan-forward/src/store/feeds.rs
+++ b/crates/banyan-forward/src/store/feeds.rs
@@ -64,6 +64,7 @@
 pub async fn follow_fleet<P: Platform>(state: Arc<ForwardState<P>>) {
     let mut relist = true;
     let mut reads_in_a_row = 0;
+    let mut began_at = LogOffset::default();
     loop {
         if state.wait_until_reading().await {
             reads_in_a_row = 0;
@@ -83,8 +84,11 @@
                 let settings = state.settings();
                 state.tables().note_fleet_read(state.now(), &settings);
                 reads_in_a_row += 1;
+                if reads_in_a_row == 1 {
+                    began_at = state.tables().history.next().unwrap_or_default();
+                }
                 if reads_in_a_row == READS_BEFORE_BACKLOG {
-                    try_backlog(&state).await;
+                    try_backlog(&state, began_at).await;
                 }
             }
             Err(StoreError::OffsetTrimmed { .. }) => relist = true,
@@ -100,8 +104,8 @@
 
 /// Reads what targets wrote before this instance began to read. Without it, a report that was written
 /// late may be taken for that of a running target until it expires.
-async fn try_backlog<P: Platform>(state: &ForwardState<P>) {
-    if let Err(error) = read_backlog(state).await {
+async fn try_backlog<P: Platform>(state: &ForwardState<P>, began_at: LogOffset) {
+    if let Err(error) = read_backlog(state, began_at).await {
         tracing::info!(part = "targets", %error, "The earlier records could not be read.");
     }
 }
