A late report that the backlog shows as such is taken back from followers, too

Found while reading the diff: a restarted reader that lists a late report learns of it from the backlog 1.6 s later, but a follower that got it in the listing meanwhile kept it, as the reader had nothing to pass on when the record expired. The removal is passed on now, as for any report that was not believed.

a_follower_hears_when_a_report_expires_that_the_backlog_shows_as_late was red before.

--- a/crates/banyan-core/src/pipeline/history.rs
+++ b/crates/banyan-core/src/pipeline/history.rs
@@ -220,6 +220,9 @@
         }
         self.remove(id);
         self.removed.insert(id.clone(), removed);
+        if listed.is_some() {
+            self.disbelieved.insert(id.clone());
+        }
         listed.is_some()
     }
 
--- a/crates/banyan-core/tests/pipeline/histories.rs
+++ b/crates/banyan-core/tests/pipeline/histories.rs
@@ -288,6 +288,20 @@
     assert_eq!(reader.since(LogOffset(18)), Some(Vec::new()), "others know already");
 }
 
+#[test]
+fn a_follower_hears_when_a_report_expires_that_the_backlog_shows_as_late() {
+    let FleetChange::Reported(id, late) = stamped(1, 4, TargetPhase::Ready) else { return };
+    let listing = BTreeMap::from([(id, late)]);
+    let (mut reader, mut follower) = (FleetHistory::default(), FleetHistory::default());
+    reader.replace(listing.clone(), LogOffset(10), RecordOrigin::Store);
+    follower.replace(listing, LogOffset(10), RecordOrigin::Peer);
+    reader.learn(backlog_of_a_removed_engine());
+    let expiry = vec![FleetChange::Removed(target("e1"))];
+    reader.apply(expiry, LogOffset(11), RecordOrigin::Store);
+    relay(&reader, &mut follower);
+    assert_eq!(phase(&follower), None);
+}
+
 #[test]
 fn the_backlog_takes_nothing_from_targets_that_are_back_or_still_there() {
     let mut history = listed_at_ten();
