store: a configuration written below a known offset is read after the store came back from a copy

Cause: a position in the log was a bare offset. The store gives offsets out again after its return, so the wait for the next record went on behind the record of the next version.

Change: a position is an era and an offset, ordered by the era first. The client reads the era of each answer at one place; a later one ends a wait and leads to a full listing, an earlier one is not used.

--- a/crates/banyan-core/src/ids.rs
+++ b/crates/banyan-core/src/ids.rs
@@ -1,7 +1,7 @@
 //! Identifiers, a separate type for each kind so that kinds can't be confused.
 //!
 //! Names are short texts ([`WorkspaceId`], [`TargetId`], ...); positions in the log are numbers
-//! ([`LogOffset`], [`Revision`]).
+//! ([`LogOffset`], [`StoreEra`], [`Revision`]).
 
 use std::fmt;
 use std::str::FromStr;
@@ -221,6 +221,12 @@
     }
 }
 
+number_id!(
+    /// How often the platform's store has come back from an older copy of itself. Offsets that it
+    /// gave out in one era say nothing about those of the next. Zero for a store that has no eras.
+    StoreEra,
+    "store era"
+);
 number_id!(
     /// A revision of the configuration: the log offset of the accepted proposal plus one. Zero
     /// stands for no revision.
--- a/crates/banyan-core/src/pipeline.rs
+++ b/crates/banyan-core/src/pipeline.rs
@@ -6,6 +6,7 @@
 //! - [`routes`]: which requests may be served, and by which service.
 //! - [`fleet`]: the known targets and the layers that they hold.
 //! - [`history`]: recent changes to the targets' records.
+//! - [`log_position`]: how far those records were read.
 //! - [`readers`]: which instance reads those records for others.
 //! - [`model`]: the model and the accelerators.
 //! - [`placement`]: which layers each engine should hold.
@@ -40,6 +41,7 @@
 pub mod history;
 mod layout;
 pub mod load;
+pub mod log_position;
 pub mod model;
 pub mod order_queue;
 mod path;
--- a/crates/banyan-forward/src/edges.rs
+++ b/crates/banyan-forward/src/edges.rs
@@ -21,10 +21,12 @@
 use banyan_core::ids::InstanceId;
 use banyan_core::ids::LayerRange;
 use banyan_core::ids::LogOffset;
+use banyan_core::ids::StoreEra;
 use banyan_core::ids::TargetId;
 use banyan_core::ids::WorkspaceId;
 use banyan_core::pipeline::fleet::FleetChange;
 use banyan_core::pipeline::fleet::TargetReport;
+use banyan_core::pipeline::log_position::LogPosition;
 use banyan_core::pipeline::prompt_order::Urgency;
 use banyan_core::pipeline::rejections::RoomReport;
 use banyan_core::pipeline::target_chain::ChainPart;
@@ -166,6 +168,20 @@
         /// The first offset that can still be read, if the store names it.
         first: Option<LogOffset>,
     },
+    /// The store has come back from an older copy of itself, so the feed must be listed again.
+    #[error("the store came back from a copy (era {era}): list the feed again")]
+    LaterEra {
+        /// The era of the answer.
+        era: StoreEra,
+    },
+    /// The answer was given before the store came back from an older copy of itself.
+    #[error("the answer is of era {era} and {known} is known: call again")]
+    EarlierEra {
+        /// The era of the answer.
+        era: StoreEra,
+        /// The era that was known when the call was made.
+        known: StoreEra,
+    },
     /// The store rejected the call and did nothing.
     #[error("the store refused the call with {status}: try later")]
     Refused {
@@ -186,13 +202,13 @@
     },
 }
 
-/// The content of a feed at one offset.
+/// The content of a feed at one position.
 #[derive(Clone, Debug)]
 pub struct FeedListing<T> {
     /// The records or changes that were read.
     pub content: T,
-    /// The offset of the first change after the content.
-    pub next: LogOffset,
+    /// The position of the first change after the content.
+    pub next: LogPosition,
 }
 
 /// This instance's membership in the group of live instances.
@@ -212,11 +228,15 @@
         &self,
     ) -> impl Future<Output = Result<FeedListing<Option<ConfigurationRecord>>, StoreError>> + Send;
 
+    /// Waits until an answer of the store, to whichever call, names a later era than `era`, and
+    /// returns that era.
+    fn later_era(&self, era: StoreEra) -> impl Future<Output = StoreEra> + Send;
+
     /// Waits for configurations at `from` or later and returns the newest, or `None` if none
     /// arrived.
     fn configuration_after(
         &self,
-        from: LogOffset,
+        from: LogPosition,
     ) -> impl Future<Output = Result<FeedListing<Option<ConfigurationRecord>>, StoreError>> + Send;
 
     /// Decodes a configuration record received from a peer.
--- a/crates/banyan-forward/src/store/backlog.rs
+++ b/crates/banyan-forward/src/store/backlog.rs
@@ -29,11 +29,11 @@
     let mut backlog: Vec<FleetChange> = Vec::new();
     while from < end {
         match state.platform.fleet_after(from).await {
-            Ok(listing) if listing.next <= from => break,
+            Ok(listing) if listing.next.offset <= from => break,
             Ok(listing) => {
                 let left = (end.0 - from.0) as usize;
                 backlog.extend(listing.content.into_iter().take(left));
-                from = listing.next;
+                from = listing.next.offset;
             }
             Err(StoreError::OffsetTrimmed { first: Some(first) }) if first > from => from = first,
             Err(error) => return Err(error),
--- a/crates/banyan-forward/src/store/feeds.rs
+++ b/crates/banyan-forward/src/store/feeds.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use crate::decisions::tables::ForwardTables;
+use crate::edges::FeedListing;
 use crate::edges::Platform;
 use crate::edges::StoreError;
 use crate::state::ForwardState;
@@ -19,6 +20,7 @@
 use banyan_core::pipeline::fleet::TargetReport;
 use banyan_core::pipeline::history::FleetHistory;
 use banyan_core::pipeline::history::RecordOrigin;
+use banyan_core::pipeline::log_position::LogPosition;
 
 /// The time between two reads of the changes to the targets.
 const FLEET_INTERVAL: Duration = Duration::from_millis(800);
@@ -33,16 +35,12 @@
 
 /// Reads new configurations and activates them, until the daemon stops.
 pub async fn follow_configuration<P: Platform>(state: Arc<ForwardState<P>>) {
-    let mut next: Option<LogOffset> = None;
+    let mut next: Option<LogPosition> = None;
     loop {
         if state.wait_until_reading().await {
             next = None;
         }
-        let read = match next {
-            Some(from) => state.platform.configuration_after(from).await,
-            None => state.platform.configuration().await,
-        };
-        match read {
+        match read_configuration(&state, next).await {
             Ok(listing) => {
                 record_store_success(&state, "configuration");
                 next = Some(listing.next);
@@ -51,7 +49,7 @@
                     None => record_configuration_known(&state),
                 }
             }
-            Err(StoreError::OffsetTrimmed { .. }) => next = None,
+            Err(StoreError::OffsetTrimmed { .. } | StoreError::LaterEra { .. }) => next = None,
             Err(error) => {
                 record_store_failure(&state, "configuration", &error);
                 tokio::time::sleep(retry_delay(&state)).await;
@@ -60,6 +58,19 @@
     }
 }
 
+/// Reads the newest configuration, or waits for the first one after a position. What a store wrote
+/// since it came back from a copy may stand before that position, so the wait ends if it did.
+async fn read_configuration<P: Platform>(
+    state: &ForwardState<P>,
+    next: Option<LogPosition>,
+) -> Result<FeedListing<Option<ConfigurationRecord>>, StoreError> {
+    let Some(from) = next else { return state.platform.configuration().await };
+    tokio::select! {
+        read = state.platform.configuration_after(from) => read,
+        era = state.platform.later_era(from.era) => Err(StoreError::LaterEra { era }),
+    }
+}
+
 /// Keeps the table of targets up to date, until the daemon stops.
 pub async fn follow_fleet<P: Platform>(state: Arc<ForwardState<P>>) {
     let mut relist = true;
@@ -121,7 +132,7 @@
 
 async fn read_listing<P: Platform>(state: &ForwardState<P>) -> Result<(), StoreError> {
     let listing = state.platform.fleet().await?;
-    apply_listing(state, listing.content, listing.next, store_origin(state));
+    apply_listing(state, listing.content, listing.next.offset, store_origin(state));
     Ok(())
 }
 
@@ -132,7 +143,7 @@
     let listing = state.platform.fleet_after(from).await?;
     // A peer may have supplied newer changes in the meantime.
     if state.tables().history.next() == Some(from) {
-        apply_changes(state, listing.content, listing.next, store_origin(state));
+        apply_changes(state, listing.content, listing.next.offset, store_origin(state));
     }
     Ok(())
 }
