store: changes of targets are read after the store came back from a copy

Listings, changes and peers' positions were compared by bare offsets, so each listing was dropped until the partition was as long as before, and what was written in between was never read.

Change: the history of targets, the messages of peers and the readers' backlog hold positions of an era and an offset; bare offsets no longer compile there. Followers are told the differences, and refuse a reader that has not noticed the return.

--- a/crates/banyan-core/src/pipeline/history.rs
+++ b/crates/banyan-core/src/pipeline/history.rs
@@ -8,15 +8,19 @@
 //! meantime. If a target's record is removed before the target reports again, a late report cannot
 //! be told from a return; the target is then listed again at its second report. A late report comes
 //! alone, a running target goes on reporting.
+//!
+//! A store that comes back from an older copy of itself lacks what was written since. What is known
+//! stays in use: a report that the copy still holds is an outdated one, and a target that the copy
+//! lacks has time to write again ([`FleetHistory::restore`]).
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::collections::VecDeque;
 
-use crate::ids::LogOffset;
 use crate::ids::TargetId;
 use crate::pipeline::fleet::FleetChange;
 use crate::pipeline::fleet::TargetReport;
+use crate::pipeline::log_position::LogPosition;
 use crate::pipeline::removed_targets::RemovedTarget;
 use crate::pipeline::removed_targets::RemovedTargets;
 use crate::pipeline::report_stamp::ReportOrder;
@@ -37,17 +41,23 @@
     Peer,
 }
 
-/// The state of the targets' records at an offset, and the changes that led to it.
+/// The state of the targets' records at a position, and the changes that led to it.
 #[derive(Debug, Default)]
 pub struct FleetHistory {
     /// The newest record of each target.
     listed: BTreeMap<TargetId, TargetReport>,
-    /// What other instances are told, in order, each with the offset after the batch that contained
+    /// What other instances are told, in order, each with the position after the batch that contained
     /// it: changes, and the reports that tell which others were written before.
-    recent: VecDeque<(LogOffset, FleetChange)>,
-    /// Invariant: `recent` contains every change after this offset.
-    complete_from: LogOffset,
-    next: Option<LogOffset>,
+    recent: VecDeque<(LogPosition, FleetChange)>,
+    /// Invariant: `recent` contains every change after this position.
+    complete_from: LogPosition,
+    next: Option<LogPosition>,
+    /// Where this instance had read to when it learned that the store had come back from a copy.
+    /// Instances that had read on by then may know of changes that it has never seen.
+    left_era_at: Option<LogPosition>,
+    /// The targets on which the store differed when it had come back from a copy, until they write
+    /// again: listed ones that it lacked, and ones that it had although they are known to have left.
+    unconfirmed: BTreeSet<TargetId>,
     removed: RemovedTargets,
     /// The first report of targets whose report is believed only if a second one follows: of runs
     /// that seem to have started before the listed ones, and of targets that were removed while
@@ -72,8 +82,8 @@
 }
 
 impl FleetHistory {
-    /// The offset of the first unread record; `None` before the first listing.
-    pub fn next(&self) -> Option<LogOffset> {
+    /// The position of the first unread record; `None` before the first listing.
+    pub fn next(&self) -> Option<LogPosition> {
         self.next
     }
 
@@ -90,18 +100,24 @@
         self.removed.get(id).map(|removed| removed.stamp)
     }
 
+    /// The number of targets on which the store differed when it had come back from a copy, and that
+    /// have not written since.
+    pub fn unconfirmed_count(&self) -> usize {
+        self.unconfirmed.len()
+    }
+
     /// Replaces the state by a full listing that was read up to `next`. Clears the recent changes.
     /// Targets of which a newer report is known keep it.
     pub fn replace(
         &mut self,
         listing: BTreeMap<TargetId, TargetReport>,
-        next: LogOffset,
+        next: LogPosition,
         origin: RecordOrigin,
     ) {
         self.note_origin(origin);
-        let missing = |id: &&TargetId| !listing.contains_key(*id);
-        let missing: Vec<TargetId> = self.listed.keys().filter(missing).cloned().collect();
-        for id in missing {
+        let is_kept = |id: &TargetId| listing.contains_key(id) || self.unconfirmed.contains(id);
+        let missing = self.listed.keys().filter(|id| !is_kept(id));
+        for id in missing.cloned().collect::<Vec<_>>() {
             if origin == RecordOrigin::Peer {
                 self.behind.insert(id.clone());
             }
@@ -112,14 +128,56 @@
         }
         self.recent.clear();
         self.complete_from = next;
-        self.next = Some(next);
+        self.advance(next);
+    }
+
+    /// Applies the full listing of a store that has come back from a copy, and returns the changes.
+    /// Targets that it lacks stay listed until [`Self::drop_unconfirmed`].
+    pub fn restore(
+        &mut self,
+        listing: BTreeMap<TargetId, TargetReport>,
+        next: LogPosition,
+        origin: RecordOrigin,
+    ) -> Vec<FleetChange> {
+        // The copy may hold the last report of a target that has left since, so that the same report
+        // shows no return.
+        let origin = match origin {
+            RecordOrigin::ReturnedStore => RecordOrigin::Store,
+            RecordOrigin::Store | RecordOrigin::Peer => origin,
+        };
+        let restored: BTreeSet<TargetId> = listing.keys().cloned().collect();
+        let missing = self.listed.keys().filter(|id| !restored.contains(*id));
+        self.unconfirmed = missing.cloned().collect();
+        let reports = listing.into_iter().map(|(id, report)| FleetChange::Reported(id, report));
+        let changes = self.apply(reports.collect(), next, origin);
+        self.unconfirmed.extend(restored.into_iter().filter(|id| !self.listed.contains_key(id)));
+        changes
+    }
+
+    /// Removes the listed targets that the store lacked when it had come back from a copy and that
+    /// have not written since, and returns the changes. Others are told as of the batch that was
+    /// applied last.
+    pub fn drop_unconfirmed(&mut self) -> Vec<FleetChange> {
+        let Some(next) = self.next else { return Vec::new() };
+        let mut changes = Vec::new();
+        for id in std::mem::take(&mut self.unconfirmed) {
+            if !self.listed.contains_key(&id) {
+                continue;
+            }
+            let change = FleetChange::Removed(id);
+            if self.apply_change(&change, next, RecordOrigin::Store) {
+                self.forward(change.clone(), next);
+                changes.push(change);
+            }
+        }
+        changes
     }
 
     /// Applies a batch of records and returns those that changed the state.
     pub fn apply(
         &mut self,
         batch: Vec<FleetChange>,
-        next: LogOffset,
+        next: LogPosition,
         origin: RecordOrigin,
     ) -> Vec<FleetChange> {
         self.note_origin(origin);
@@ -135,7 +193,7 @@
                 self.complete_from = offset;
             }
         }
-        self.next = Some(next);
+        self.advance(next);
         changes
     }
 
@@ -144,7 +202,7 @@
     /// reports of others.
     pub fn learn(&mut self, earlier: Vec<FleetChange>) -> Vec<FleetChange> {
         let mut past = Self::default();
-        past.apply(earlier, LogOffset::default(), RecordOrigin::Store);
+        past.apply(earlier, LogPosition::default(), RecordOrigin::Store);
         let mut changes = Vec::new();
         for (id, removed) in past.removed.iter() {
             let is_back = past.listed.contains_key(id);
@@ -162,16 +220,33 @@
         changes
     }
 
-    /// What an instance that has read up to an offset needs to be told, or `None` if that is no
+    /// What an instance that has read up to a position needs to be told, or `None` if that is no
     /// longer kept and the full listing is needed.
-    pub fn since(&self, from: LogOffset) -> Option<Vec<FleetChange>> {
-        if from < self.complete_from {
+    pub fn since(&self, from: LogPosition) -> Option<Vec<FleetChange>> {
+        if from < self.complete_from || !self.has_passed(from) {
             return None;
         }
         let newer = self.recent.iter().filter(|(offset, _)| *offset > from);
         Some(newer.map(|(_, change)| change.clone()).collect())
     }
 
+    /// Whether this instance has read all that one has that has read up to a position, unless that
+    /// is ahead in the same era.
+    fn has_passed(&self, from: LogPosition) -> bool {
+        let is_earlier = self.next.is_some_and(|next| from.era < next.era);
+        let left_behind = |left: LogPosition| from.era == left.era && from <= left;
+        !is_earlier || self.left_era_at.is_some_and(left_behind)
+    }
+
+    /// Moves on to the position up to which records were applied.
+    fn advance(&mut self, next: LogPosition) {
+        self.left_era_at = match self.next {
+            Some(known) if known.era < next.era => Some(known),
+            _ => self.left_era_at,
+        };
+        self.next = Some(next);
+    }
+
     /// Records where the next records come from.
     fn note_origin(&mut self, origin: RecordOrigin) {
         match origin {
@@ -192,7 +267,7 @@
     fn apply_change(
         &mut self,
         change: &FleetChange,
-        next: LogOffset,
+        next: LogPosition,
         origin: RecordOrigin,
     ) -> bool {
         match change {
@@ -232,12 +307,14 @@
         &mut self,
         id: &TargetId,
         report: &TargetReport,
-        next: LogOffset,
+        next: LogPosition,
         origin: RecordOrigin,
     ) -> bool {
         match self.judge(id, report.stamp, origin) {
             ReportVerdict::Ignored => {
-                if !self.listed.contains_key(id) {
+                if self.listed.contains_key(id) {
+                    self.unconfirmed.remove(id);
+                } else {
                     self.disbelieved.insert(id.clone());
                 }
                 return false;
@@ -248,6 +325,7 @@
             }
             ReportVerdict::Believed => {}
         }
+        self.unconfirmed.remove(id);
         self.behind.remove(id);
         self.disbelieved.remove(id);
         let Some(listed) = self.listed.get_mut(id) else {
@@ -265,6 +343,7 @@
     /// Removes a target, and returns its last known report if it was listed.
     fn remove(&mut self, id: &TargetId) -> Option<TargetReport> {
         self.doubtful.remove(id);
+        self.unconfirmed.remove(id);
         let is_exact = !self.behind.remove(id);
         let report = self.listed.remove(id)?;
         self.removed.insert(id.clone(), RemovedTarget { stamp: report.stamp, is_exact });
@@ -272,7 +351,7 @@
     }
 
     /// Adds a record to those that other instances are told.
-    fn forward(&mut self, change: FleetChange, next: LogOffset) {
+    fn forward(&mut self, change: FleetChange, next: LogPosition) {
         self.recent.push_back((next, change));
     }
 
--- a/crates/banyan-core/tests/pipeline/main.rs
+++ b/crates/banyan-core/tests/pipeline/main.rs
@@ -18,6 +18,7 @@
 mod replicas;
 mod reroutes;
 mod reservations;
+mod restored_histories;
 mod retry_budget;
 mod retry_times;
 mod returns;
--- a/crates/banyan-core/tests/pipeline/support.rs
+++ b/crates/banyan-core/tests/pipeline/support.rs
@@ -7,13 +7,16 @@
 use smol_str::format_smolstr;
 
 use banyan_core::ids::LayerRange;
+use banyan_core::ids::LogOffset;
 use banyan_core::ids::ServiceId;
+use banyan_core::ids::StoreEra;
 use banyan_core::ids::TargetId;
 use banyan_core::ids::ZoneId;
 use banyan_core::pipeline::fleet::FleetChange;
 use banyan_core::pipeline::fleet::FleetTable;
 use banyan_core::pipeline::fleet::TargetPhase;
 use banyan_core::pipeline::fleet::TargetReport;
+use banyan_core::pipeline::log_position::LogPosition;
 use banyan_core::pipeline::model::AcceleratorKind;
 use banyan_core::pipeline::model::PassTiming;
 use banyan_core::pipeline::model::PipelineModel;
@@ -36,6 +39,24 @@
     ("slow-vast", 300, 16.0),
 ];
 
+/// A position in the store's first era.
+pub fn position(offset: u64) -> LogPosition {
+    in_era(1, offset)
+}
+
+/// A position in one of the store's eras.
+pub fn in_era(era: u64, offset: u64) -> LogPosition {
+    LogPosition { era: StoreEra(era), offset: LogOffset(offset) }
+}
+
+/// A report of the first run of an engine that holds all layers.
+pub fn numbered(name: &str, sequence: u64, phase: TargetPhase) -> FleetChange {
+    let mut report = report("a", "fast", 1, &[layers(0, 80)]);
+    report.phase = phase;
+    report.stamp = ReportStamp { born: Some(1), sequence: Some(sequence) };
+    FleetChange::Reported(target(name), report)
+}
+
 /// A model of 80 layers.
 pub fn model() -> PipelineModel {
     let kind = |(name, memory, factor): (&str, u64, f64)| {
--- a/crates/banyan-forward/src/decisions/relisting.rs
+++ b/crates/banyan-forward/src/decisions/relisting.rs
@@ -36,10 +36,18 @@
     /// The origin of records that this instance has just read in the store. Returns are expected if
     /// the store was away until recently, or until now.
     pub fn store_origin(&self, settings: &ForwardSettings, now: Moment) -> RecordOrigin {
-        if self.may_have_lapsed(settings, now) || self.is_relisting(settings, now) {
-            return RecordOrigin::ReturnedStore;
-        }
-        RecordOrigin::Store
+        let has_returned = self.may_have_lapsed(settings, now) || self.is_relisting(settings, now);
+        // A store that has come back from a copy repeats reports of targets that have left since.
+        let is_restored = !self.is_confirmation_over(settings, now);
+        if has_returned && !is_restored { RecordOrigin::ReturnedStore } else { RecordOrigin::Store }
+    }
+
+    /// Whether targets that were missing when the store had come back from a copy have had the time
+    /// to write again. They may be used for the usual grace after that.
+    pub fn is_confirmation_over(&self, settings: &ForwardSettings, now: Moment) -> bool {
+        let grace = settings.bounds.leave_time.mul_f64(REMOVED_GRACE_FRACTION);
+        let time = relisting_time(settings).saturating_sub(grace);
+        self.store_restored_at.is_none_or(|restored| now.since(restored) >= time)
     }
 
     /// Whether the targets could not be read for so long before a moment that records of running
@@ -63,7 +71,12 @@
 
     /// Whether running targets may be missing because the store was away until recently.
     fn is_relisting(&self, settings: &ForwardSettings, now: Moment) -> bool {
-        let relisting_time = RELISTING_TIME.min(settings.bounds.settle_time);
-        self.store_returned_at.is_some_and(|returned| now.since(returned) < relisting_time)
+        self.store_returned_at
+            .is_some_and(|returned| now.since(returned) < relisting_time(settings))
     }
 }
+
+/// The time after the return of the store within which running targets are listed again.
+fn relisting_time(settings: &ForwardSettings) -> Duration {
+    RELISTING_TIME.min(settings.bounds.settle_time)
+}
--- a/crates/banyan-forward/src/decisions/tables.rs
+++ b/crates/banyan-forward/src/decisions/tables.rs
@@ -154,6 +154,8 @@
     /// When the targets could be read again after a time in which the records of running targets
     /// may have expired.
     pub store_returned_at: Option<Moment>,
+    /// When this instance learned what the store held after it had come back from a copy.
+    pub store_restored_at: Option<Moment>,
     /// When a call of this instance to the platform's store last failed, while some kind of call
     /// still fails.
     pub own_store_failure_at: Option<Moment>,
--- a/crates/banyan-forward/src/edges.rs
+++ b/crates/banyan-forward/src/edges.rs
@@ -250,7 +250,7 @@
     /// The changes of targets at `from` or later, without waiting for any.
     fn fleet_after(
         &self,
-        from: LogOffset,
+        from: LogPosition,
     ) -> impl Future<Output = Result<FeedListing<Vec<FleetChange>>, StoreError>> + Send;
 
     /// Joins the group of instances, or renews the membership. `generation` is the one last
--- a/crates/banyan-forward/src/peers/digests.rs
+++ b/crates/banyan-forward/src/peers/digests.rs
@@ -24,7 +24,6 @@
 use crate::state::ForwardState;
 use crate::store::feeds;
 use banyan_core::ids::InstanceId;
-use banyan_core::ids::LogOffset;
 use banyan_core::ids::TargetId;
 use banyan_core::ids::ZoneId;
 use banyan_core::pipeline::duties::DutyCapacity;
@@ -33,6 +32,7 @@
 use banyan_core::pipeline::fleet::TargetRow;
 use banyan_core::pipeline::history::RecordOrigin;
 use banyan_core::pipeline::load::TargetLoad;
+use banyan_core::pipeline::log_position::LogPosition;
 use banyan_core::pipeline::readers::FeedRole;
 use banyan_core::pipeline::readers::ReaderStatus;
 use banyan_core::units::Moment;
@@ -67,7 +67,7 @@
         relays: *state.feed_role.borrow() == FeedRole::Relay,
         read_age_ms: state.read_age(&tables, now).map(millis),
         configuration: tables.configuration.as_ref().map_or(0, |record| record.table.version),
-        fleet_next: tables.history.next().map_or(0, |next| next.0),
+        fleet_next: tables.history.next().unwrap_or_default().into(),
         loads: tables.loads.rows().map(LoadWire::from).collect(),
         unreachable: tables
             .suspicions
@@ -249,7 +249,7 @@
 pub fn own_snapshot<P>(state: &ForwardState<P>) -> ForwardSnapshot {
     let tables = state.tables();
     let record = tables.configuration.clone();
-    let fleet_next = tables.history.next().map_or(0, |next| next.0);
+    let fleet_next = tables.history.next().unwrap_or_default().into();
     let fleet = tables.history.listed().iter().map(TargetWire::from).collect();
     drop(tables);
     let configuration = record.map_or(Vec::new(), |record| record.compressed().to_vec());
@@ -262,17 +262,17 @@
     address: SocketAddr,
     snapshot: ForwardSnapshot,
 ) {
+    let next = LogPosition::from(snapshot.fleet_next);
     activate_peer_configuration(state, address, &snapshot.configuration);
     let listing: Result<BTreeMap<TargetId, TargetReport>, _> =
         snapshot.fleet.into_iter().map(TryInto::try_into).collect();
     match listing {
         Ok(listing) => {
-            let next = LogOffset(snapshot.fleet_next);
             feeds::apply_listing(state, listing, next, RecordOrigin::Peer);
         }
         Err(error) => {
             tracing::warn!(part = "peers", %address, %error, "Ignored a list of targets.")
         }
     }
-    tracing::info!(part = "peers", %address, next = snapshot.fleet_next, "Applied a snapshot.");
+    tracing::info!(part = "peers", %address, %next, "Applied a snapshot.");
 }
--- a/crates/banyan-forward/src/peers/news.rs
+++ b/crates/banyan-forward/src/peers/news.rs
@@ -20,11 +20,11 @@
 use crate::store::configuration_record::decompress;
 use crate::store::feeds;
 use banyan_core::ids::InstanceId;
-use banyan_core::ids::LogOffset;
 use banyan_core::ids::TargetId;
 use banyan_core::pipeline::fleet::FleetChange;
 use banyan_core::pipeline::fleet::TargetReport;
 use banyan_core::pipeline::history::RecordOrigin;
+use banyan_core::pipeline::log_position::LogPosition;
 use banyan_core::pipeline::readers::FeedRole;
 use banyan_core::pipeline::readers::FeedSource;
 use banyan_core::pipeline::readers::max_read_age;
@@ -49,6 +49,8 @@
     Silent,
     #[error("the peer does not read the store, or its reads lag")]
     Stale,
+    #[error("the peer does not know yet that the store came back from a copy")]
+    EarlierEra,
     #[error("{0}")]
     Unreadable(#[from] ForwardWireError),
 }
@@ -134,12 +136,14 @@
     Ok(link)
 }
 
-/// How far this instance has read the platform's data.
+/// How far this instance has read the platform's data. Peers pass on only changes, and most reports
+/// are none, so the full list is needed to learn which unconfirmed targets have written again.
 fn feed_position<P>(state: &ForwardState<P>) -> FeedPosition {
     let tables = state.tables();
+    let next = tables.history.next().filter(|_| tables.history.unconfirmed_count() == 0);
     FeedPosition {
         configuration: tables.configuration.as_ref().map_or(0, |record| record.table.version),
-        fleet_next: tables.history.next().map_or(0, |next| next.0),
+        fleet_next: next.map(Into::into),
     }
 }
 
@@ -168,8 +172,8 @@
 fn update_after<P>(state: &ForwardState<P>, position: FeedPosition) -> FeedUpdate {
     let now = state.now();
     let tables = state.tables();
-    let from = LogOffset(position.fleet_next);
-    let fleet = match tables.history.since(from) {
+    let from = position.fleet_next.map(LogPosition::from);
+    let fleet = match from.and_then(|from| tables.history.since(from)) {
         Some(changes) => FleetUpdate::Changes(changes.into_iter().map(Into::into).collect()),
         None => {
             FleetUpdate::Listing(tables.history.listed().iter().map(TargetWire::from).collect())
@@ -178,7 +182,7 @@
     let is_newer = |record: &&ConfigurationRecord| record.table.version > position.configuration;
     let newer = tables.configuration.as_ref().filter(is_newer).cloned();
     let read_age_ms = state.read_age(&tables, now).map(millis);
-    let fleet_next = tables.history.next().map_or(0, |next| next.0);
+    let fleet_next = tables.history.next().unwrap_or_default().into();
     drop(tables);
     FeedUpdate {
         relayed: *state.feed_role.borrow() == FeedRole::Relay,
@@ -225,7 +229,10 @@
     let limit = max_read_age(sender_role).unwrap_or_default();
     let age = age.filter(|age| *age < limit).ok_or(UpdateError::Stale)?;
     activate_peer_configuration(state, address, &update.configuration);
-    let next = LogOffset(update.fleet_next);
+    let next = LogPosition::from(update.fleet_next);
+    if state.tables().history.next().is_some_and(|known| next.era < known.era) {
+        return Err(UpdateError::EarlierEra);
+    }
     match update.fleet {
         FleetUpdate::Changes(changes) => {
             let changes: Result<Vec<FleetChange>, _> =
--- a/crates/banyan-forward/src/peers/rounds.rs
+++ b/crates/banyan-forward/src/peers/rounds.rs
@@ -23,6 +23,7 @@
 use crate::store::call_outcomes;
 use banyan_core::ids::InstanceId;
 use banyan_core::pipeline::group::LISTING_CONFIRMATION;
+use banyan_core::pipeline::log_position::LogPosition;
 use banyan_core::units::Moment;
 use banyan_wire::forward::ForwardDigest;
 use banyan_wire::forward::ForwardServiceClient;
@@ -223,7 +224,7 @@
 fn is_ahead<P>(state: &ForwardState<P>, digest: &ForwardDigest) -> bool {
     let tables = state.tables();
     let version = tables.configuration.as_ref().map_or(0, |record| record.table.version);
-    let next = tables.history.next().map_or(0, |next| next.0);
+    let next = tables.history.next().unwrap_or_default();
     let stale = state.now().since(tables.fleet_read_at) >= MAX_FLEET_AGE;
-    digest.configuration > version || (stale && digest.fleet_next > next)
+    digest.configuration > version || (stale && LogPosition::from(digest.fleet_next) > next)
 }
--- a/crates/banyan-forward/src/store/backlog.rs
+++ b/crates/banyan-forward/src/store/backlog.rs
@@ -11,6 +11,7 @@
 use crate::store::feeds::apply_to_fleet;
 use banyan_core::ids::LogOffset;
 use banyan_core::pipeline::fleet::FleetChange;
+use banyan_core::pipeline::log_position::LogPosition;
 
 /// How long after it was sent a write may be carried out.
 const LATE_WRITE_TIME: Duration = Duration::from_secs(8);
@@ -23,19 +24,22 @@
 /// what they tell. There are none where the system starts for the first time.
 pub async fn read_backlog<P: Platform>(
     state: &ForwardState<P>,
-    end: LogOffset,
+    end: LogPosition,
 ) -> Result<(), StoreError> {
-    let mut from = LogOffset(end.0.saturating_sub(backlog_length(state)));
+    let first = LogOffset(end.offset.0.saturating_sub(backlog_length(state)));
+    let mut from = LogPosition { era: end.era, offset: first };
     let mut backlog: Vec<FleetChange> = Vec::new();
     while from < end {
         match state.platform.fleet_after(from).await {
-            Ok(listing) if listing.next.offset <= from => break,
+            Ok(listing) if listing.next <= from => break,
             Ok(listing) => {
-                let left = (end.0 - from.0) as usize;
+                let left = (end.offset.0 - from.offset.0) as usize;
                 backlog.extend(listing.content.into_iter().take(left));
-                from = listing.next.offset;
+                from = listing.next;
+            }
+            Err(StoreError::OffsetTrimmed { first: Some(first) }) if first > from.offset => {
+                from.offset = first;
             }
-            Err(StoreError::OffsetTrimmed { first: Some(first) }) if first > from => from = first,
             Err(error) => return Err(error),
         }
     }
--- a/crates/banyan-forward/src/store/feeds.rs
+++ b/crates/banyan-forward/src/store/feeds.rs
@@ -9,18 +9,19 @@
 use crate::edges::FeedListing;
 use crate::edges::Platform;
 use crate::edges::StoreError;
+use crate::settings::ForwardSettings;
 use crate::state::ForwardState;
 use crate::store::backlog::read_backlog;
 use crate::store::call_outcomes::record_store_failure;
 use crate::store::call_outcomes::record_store_success;
 use crate::store::configuration_record::ConfigurationRecord;
-use banyan_core::ids::LogOffset;
 use banyan_core::ids::TargetId;
 use banyan_core::pipeline::fleet::FleetChange;
 use banyan_core::pipeline::fleet::TargetReport;
 use banyan_core::pipeline::history::FleetHistory;
 use banyan_core::pipeline::history::RecordOrigin;
 use banyan_core::pipeline::log_position::LogPosition;
+use banyan_core::units::Moment;
 
 /// The time between two reads of the changes to the targets.
 const FLEET_INTERVAL: Duration = Duration::from_millis(800);
@@ -75,7 +76,7 @@
 pub async fn follow_fleet<P: Platform>(state: Arc<ForwardState<P>>) {
     let mut relist = true;
     let mut reads_in_a_row = 0;
-    let mut began_at = LogOffset::default();
+    let mut began_at = LogPosition::default();
     loop {
         if state.wait_until_reading().await {
             reads_in_a_row = 0;
@@ -103,19 +104,47 @@
                 }
             }
             Err(StoreError::OffsetTrimmed { .. }) => relist = true,
+            Err(StoreError::LaterEra { .. }) => {
+                relist = true;
+                pause = Duration::ZERO;
+            }
             Err(error) => {
                 record_store_failure(&state, "targets", &error);
                 pause = pause.max(retry_delay(&state));
             }
         }
         expire_fleet_entries(&state);
-        tokio::time::sleep(pause).await;
+        relist |= wait_for_next_read(&state, pause, relist).await;
+        if relist {
+            // The records before a new listing are other ones than those that were read.
+            reads_in_a_row = 0;
+        }
+    }
+}
+
+/// Waits for a pause between two reads. Unless the targets are listed next anyway, the wait ends as
+/// soon as the store names a later era. Returns whether it does.
+async fn wait_for_next_read<P: Platform>(
+    state: &ForwardState<P>,
+    pause: Duration,
+    relist: bool,
+) -> bool {
+    let next = state.tables().history.next().filter(|_| !relist);
+    let later_era = async {
+        match next {
+            Some(next) => state.platform.later_era(next.era).await,
+            None => std::future::pending().await,
+        }
+    };
+    tokio::select! {
+        () = tokio::time::sleep(pause) => false,
+        _ = later_era => true,
     }
 }
 
 /// Reads what targets wrote before this instance began to read. Without it, a report that was written
 /// late may be taken for that of a running target until it expires.
-async fn try_backlog<P: Platform>(state: &ForwardState<P>, began_at: LogOffset) {
+async fn try_backlog<P: Platform>(state: &ForwardState<P>, began_at: LogPosition) {
     if let Err(error) = read_backlog(state, began_at).await {
         tracing::info!(part = "targets", %error, "The earlier records could not be read.");
     }
@@ -132,18 +161,22 @@
 
 async fn read_listing<P: Platform>(state: &ForwardState<P>) -> Result<(), StoreError> {
     let listing = state.platform.fleet().await?;
-    apply_listing(state, listing.content, listing.next.offset, store_origin(state));
+    let known = state.tables().history.next().map_or(listing.next.era, |next| next.era);
+    if listing.next.era < known {
+        return Err(StoreError::EarlierEra { era: listing.next.era, known });
+    }
+    apply_listing(state, listing.content, listing.next, store_origin(state));
     Ok(())
 }
 
 async fn read_changes<P: Platform>(
     state: &ForwardState<P>,
-    from: LogOffset,
+    from: LogPosition,
 ) -> Result<(), StoreError> {
     let listing = state.platform.fleet_after(from).await?;
     // A peer may have supplied newer changes in the meantime.
     if state.tables().history.next() == Some(from) {
-        apply_changes(state, listing.content, listing.next.offset, store_origin(state));
+        apply_changes(state, listing.content, listing.next, store_origin(state));
     }
     Ok(())
 }
@@ -158,17 +191,28 @@
 pub fn apply_listing<P>(
     state: &ForwardState<P>,
     listing: BTreeMap<TargetId, TargetReport>,
-    next: LogOffset,
+    next: LogPosition,
     origin: RecordOrigin,
 ) {
     let now = state.now();
+    let settings = state.settings();
     let mut tables = state.tables();
-    if tables.history.next().is_some_and(|known| known > next) {
+    let known = tables.history.next();
+    if known.is_some_and(|known| known > next) {
         return;
     }
-    tables.history.replace(listing, next, origin);
-    let listed = tables.history.listed().clone();
-    tables.fleet.replace(listed, now);
+    if known.is_some_and(|known| known.era < next.era) {
+        let changes = tables.history.restore(listing, next, origin);
+        note_restored_store(&mut tables, known, next, now);
+        apply_to_fleet(state, &mut tables, changes);
+    } else {
+        tables.history.replace(listing, next, origin);
+        if known != Some(next) {
+            drop_unconfirmed(&mut tables, &settings, now);
+        }
+        let listed = tables.history.listed().clone();
+        tables.fleet.replace(listed, now);
+    }
     tables.fleet_known = true;
     drop(tables);
     state.check_initial_reads();
@@ -206,18 +250,61 @@
 pub fn apply_changes<P>(
     state: &ForwardState<P>,
     batch: Vec<FleetChange>,
-    next: LogOffset,
+    next: LogPosition,
     origin: RecordOrigin,
 ) {
+    let now = state.now();
+    let settings = state.settings();
     let mut tables = state.tables();
-    if tables.history.next().is_some_and(|known| known > next) {
+    let known = tables.history.next();
+    if known.is_some_and(|known| known > next) {
         return;
     }
     log_returns(&tables.history, &batch);
-    let changes = tables.history.apply(batch, next, origin);
+    let mut changes = tables.history.apply(batch, next, origin);
+    if known.is_some_and(|known| known.era < next.era) {
+        note_restored_store(&mut tables, known, next, now);
+    }
+    if known != Some(next) {
+        changes.extend(drop_unconfirmed(&mut tables, &settings, now));
+    }
     apply_to_fleet(state, &mut tables, changes);
 }
 
+/// Removes the targets that have not written again in time since the store came back from a copy.
+/// Called only after new records, since instances that have read as far as this one are told only
+/// what follows.
+fn drop_unconfirmed(
+    tables: &mut ForwardTables,
+    settings: &ForwardSettings,
+    now: Moment,
+) -> Vec<FleetChange> {
+    if !tables.is_confirmation_over(settings, now) {
+        return Vec::new();
+    }
+    tables.history.drop_unconfirmed()
+}
+
+/// Records that the targets are known as of the store's return from a copy.
+fn note_restored_store(
+    tables: &mut ForwardTables,
+    known: Option<LogPosition>,
+    next: LogPosition,
+    now: Moment,
+) {
+    tables.store_restored_at = Some(now);
+    let was = known.unwrap_or_default();
+    metrics::counter!("banyan_store_returns_total").increment(1);
+    tracing::warn!(
+        part = "targets",
+        %was,
+        %next,
+        missing = tables.history.unconfirmed_count(),
+        "The store came back from a copy. Targets that it lacks stay in use until they had time to \
+         write again."
+    );
+}
+
 /// Applies changes of the records to the table of targets, and notifies those that wait for them.
 pub(super) fn apply_to_fleet<P>(
     state: &ForwardState<P>,
--- a/crates/banyan-wire/src/forward.rs
+++ b/crates/banyan-wire/src/forward.rs
@@ -16,7 +16,9 @@
 use thiserror::Error;
 
 use banyan_core::ids::LayerRange;
+use banyan_core::ids::LogOffset;
 use banyan_core::ids::ServiceId;
+use banyan_core::ids::StoreEra;
 use banyan_core::ids::TargetId;
 use banyan_core::ids::ZoneId;
 use banyan_core::pipeline::crashes::RequestTrait;
@@ -26,6 +28,7 @@
 use banyan_core::pipeline::fleet::TargetPhase;
 use banyan_core::pipeline::fleet::TargetReport;
 use banyan_core::pipeline::load::TargetLoad;
+use banyan_core::pipeline::log_position::LogPosition;
 use banyan_core::pipeline::report_stamp::ReportStamp;
 use banyan_core::pipeline::suspicion::CheckOutcome;
 use banyan_core::record::ContentDigest;
@@ -51,13 +54,35 @@
     async fn report_suspects(suspects: Vec<SuspectWire>) -> Vec<ClearedWire>;
 }
 
+/// A position in one stream of the platform's log.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct PositionWire {
+    /// How often the store had come back from a copy.
+    pub era: u64,
+    /// The offset within that era.
+    pub offset: u64,
+}
+
+impl From<LogPosition> for PositionWire {
+    fn from(position: LogPosition) -> Self {
+        Self { era: position.era.0, offset: position.offset.0 }
+    }
+}
+
+impl From<PositionWire> for LogPosition {
+    fn from(wire: PositionWire) -> Self {
+        Self { era: StoreEra(wire.era), offset: LogOffset(wire.offset) }
+    }
+}
+
 /// How much of the platform's data an instance has read.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct FeedPosition {
     /// The version of the configuration in force; zero if there is none.
     pub configuration: u64,
-    /// The offset of the first change of the targets that has not been read.
-    pub fleet_next: u64,
+    /// The position of the first change of the targets that has not been read; absent if the full
+    /// list is needed.
+    pub fleet_next: Option<PositionWire>,
 }
 
 /// The platform's data that one instance passes on to another.
@@ -72,8 +97,8 @@
     pub configuration: Vec<u8>,
     /// The changes of the targets since the requested position, or all targets.
     pub fleet: FleetUpdate,
-    /// The offset of the first change of the targets that the sender has not read.
-    pub fleet_next: u64,
+    /// The position of the first change of the targets that the sender has not read.
+    pub fleet_next: PositionWire,
 }
 
 /// The changes of the targets, or the whole list.
@@ -112,8 +137,8 @@
     pub read_age_ms: Option<u64>,
     /// The version of the configuration in force at the sender; zero if there is none.
     pub configuration: u64,
-    /// The offset of the first change of the targets that the sender has not read.
-    pub fleet_next: u64,
+    /// The position of the first change of the targets that the sender has not read.
+    pub fleet_next: PositionWire,
     /// The load of the sender's requests in flight, by target.
     pub loads: Vec<LoadWire>,
     /// Targets that did not answer the sender.
@@ -343,8 +368,8 @@
 pub struct ForwardSnapshot {
     /// The newest configuration record, compressed; empty if there is none.
     pub configuration: Vec<u8>,
-    /// The offset of the first change of the targets that the peer has not read.
-    pub fleet_next: u64,
+    /// The position of the first change of the targets that the peer has not read.
+    pub fleet_next: PositionWire,
     /// All targets that the peer knows.
     pub fleet: Vec<TargetWire>,
 }
