engines: requests under which the hosts of their targets go down are recognised

Cause: a crash was looked for only after a lost connection. What ends an attempt in silence (a time limit, another attempt's answer, a caller that left) left no trace, and a probe cannot tell a silent host from a slow or cut off one.

Change: attempts that end without a complete answer are noted until it shows what became of the target: its next run, or the end of its record with an address that accepts no connections. A target that answers others soon after, or leaves, did not crash; hosts that go down together count once; the same run's return withdraws it. Calls, at-most-once calls and the opening of streams are watched alike.

--- a/crates/banyan-core/src/pipeline.rs
+++ b/crates/banyan-core/src/pipeline.rs
@@ -24,6 +24,7 @@
 //! - [`checkers`]: which instance checks a target for the others of its zone.
 //! - [`suspicion`]: which targets are suspected of having failed.
 //! - [`crashes`]: which requests crash targets.
+//! - [`unanswered`]: which attempts ended without an answer, and whether their targets crashed.
 //! - [`load`]: the load of each target.
 //! - [`rejections`]: which targets rejected requests for lack of room.
 //! - [`replica`]: which replica of an unpartitioned service is called.
@@ -64,3 +65,4 @@
 pub mod suspicion;
 pub mod target_chain;
 pub mod target_limits;
+pub mod unanswered;
--- a/crates/banyan-core/src/pipeline/crashes.rs
+++ b/crates/banyan-core/src/pipeline/crashes.rs
@@ -1,7 +1,7 @@
 //! Detection of requests that crash targets: [`CrashTable`].
 //!
-//! When a target crashes, the requests whose answer it had just begun are suspects, by their
-//! traits: the whole content, and each part of the prompt that other requests may share. A trait
+//! When a target crashes, the requests whose answer it had just begun, or had not begun yet, are
+//! suspects, by their traits: the whole content, and each part of the prompt that other requests may share. A trait
 //! that several crashes have in common, and with which no answer went well since, is blocked. A
 //! sound request shares most of its traits with others whose answers go well, which clears them.
 
@@ -37,6 +37,9 @@
 const MIN_CRASH_SPACING: Duration = Duration::from_millis(50);
 /// Reports of one target's crash within this time are about the same crash.
 const SAME_CRASH_TIME: Duration = Duration::from_secs(1);
+/// How long a run of a target is remembered that turned out not to have crashed: longer than peers
+/// that have not learned it yet go on reporting the crash.
+const WITHDRAWAL_MEMORY: Duration = Duration::from_secs(60);
 /// The largest number of suspected traits; the one whose last crash is oldest is dropped first.
 const MAX_SUSPECTS: usize = 1_024;
 /// The largest number of cleared traits. Further ones are not remembered until some have expired.
@@ -60,27 +63,51 @@
     pub digest: ContentDigest,
 }
 
+/// How a crash was recognised, which tells how exactly its time is known.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum CrashEvidence {
+    /// The connection was lost and the host refused new ones: the crash was noticed as it happened.
+    Refusal,
+    /// The attempt ended without an answer, and the target's run turned out to have ended: the crash
+    /// may have happened at any time of the attempt.
+    Silence,
+}
+
 /// A crash of a target.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct TargetCrash {
     /// The target.
     pub target: TargetId,
+    /// The start time of the run that crashed, in wall-clock milliseconds, if it is known.
+    pub run: Option<u64>,
     /// When the suspected request was sent to it.
     pub sent: Moment,
-    /// When the crash was noticed.
+    /// When the crash was noticed, or when the attempt ended that it left without an answer.
     pub at: Moment,
+    /// How it was recognised.
+    pub evidence: CrashEvidence,
 }
 
 impl TargetCrash {
+    fn is_silent(&self) -> bool {
+        self.evidence == CrashEvidence::Silence
+    }
+
+    /// Whether both are one crash. A run crashes once, but that of a crash which was noticed at once
+    /// may be taken from an outdated record.
     fn is_same(&self, other: &TargetCrash) -> bool {
         let apart = self.at.since(other.at).max(other.at.since(self.at));
-        self.target == other.target && apart < SAME_CRASH_TIME
+        let same_run = self.run.is_some() && self.run == other.run;
+        let has_exact_run = same_run && (self.is_silent() || other.is_silent());
+        self.target == other.target && (has_exact_run || apart < SAME_CRASH_TIME)
     }
 
     /// Whether this crash and an earlier one have no common cause but a request: the target was
     /// still there when the request was sent to it after the earlier crash, or time passed.
     fn is_separate_from(&self, earlier: &TargetCrash) -> bool {
-        self.sent > earlier.at || self.at.since(earlier.at) >= MIN_CRASH_SPACING
+        let both_exact = !self.is_silent() && !earlier.is_silent();
+        let is_later = both_exact && self.at.since(earlier.at) >= MIN_CRASH_SPACING;
+        self.sent > earlier.at || is_later
     }
 }
 
@@ -153,6 +180,9 @@
     rows: BTreeMap<RequestTrait, SuspectRow>,
     /// When an answer to a request with the trait last went well. Invariant: at most `MAX_CLEARED`.
     cleared: BTreeMap<RequestTrait, Moment>,
+    /// The runs of targets that turned out not to have crashed, and when that was learned.
+    /// Invariant: at most `MAX_SUSPECTS`.
+    withdrawn: BTreeMap<(TargetId, u64), Moment>,
     /// Differs between instances, which end their doubts at different moments. Without one they
     /// end at the earliest.
     seed: Option<u64>,
@@ -226,6 +256,26 @@
         learned
     }
 
+    /// Records that a run of a target reports again after its record was removed. It did not crash:
+    /// what looked like it was a cut.
+    pub fn withdraw(&mut self, target: &TargetId, run: u64, now: Moment) {
+        let is_wrong = |crash: &TargetCrash| {
+            crash.is_silent() && crash.target == *target && crash.run == Some(run)
+        };
+        if !self.rows.values().any(|row| row.crashes.iter().any(is_wrong)) {
+            return;
+        }
+        if self.withdrawn.len() < MAX_SUSPECTS {
+            self.withdrawn.insert((target.clone(), run), now);
+        }
+        for row in self.rows.values_mut().filter(|row| row.crashes.iter().any(is_wrong)) {
+            row.crashes.retain(|crash| !is_wrong(crash));
+            row.blocked_until = Moment::default();
+        }
+        self.rows.retain(|_, row| !row.crashes.is_empty());
+        self.update_blocks();
+    }
+
     /// Records that an answer to a request with these traits went well at `at`.
     pub fn note_survival(&mut self, traits: &[RequestTrait], at: Moment) {
         let mut changed = false;
@@ -269,9 +319,18 @@
     pub fn expire(&mut self, now: Moment) {
         self.rows.retain(|_, row| now.since(row.last_crash()) < CONVICTION_TIME);
         self.cleared.retain(|_, at| now.since(*at) < SURVIVAL_MEMORY);
+        self.withdrawn.retain(|_, at| now.since(*at) < WITHDRAWAL_MEMORY);
+    }
+
+    fn is_withdrawn(&self, crash: &TargetCrash) -> bool {
+        let run = crash.run.filter(|_| crash.is_silent());
+        run.is_some_and(|run| self.withdrawn.contains_key(&(crash.target.clone(), run)))
     }
 
     fn add_crash(&mut self, key: RequestTrait, crash: &TargetCrash) -> bool {
+        if self.is_withdrawn(crash) {
+            return false;
+        }
         if self.rows.len() >= MAX_SUSPECTS && !self.rows.contains_key(&key) {
             self.drop_oldest();
         }
--- a/crates/banyan-core/src/pipeline/suspicion.rs
+++ b/crates/banyan-core/src/pipeline/suspicion.rs
@@ -280,6 +280,11 @@
         }
     }
 
+    /// When a target last answered or forwarded a token.
+    pub fn last_progress(&self, id: &TargetId) -> Option<Moment> {
+        self.progress.get(id).copied()
+    }
+
     /// Whether a target is suspected now, after a failure or a refusal.
     pub fn is_suspect(&self, id: &TargetId, now: Moment) -> bool {
         let failed = self.rows.get(id).is_some_and(|row| now < row.until);
--- a/crates/banyan-core/tests/pipeline/crashes.rs
+++ b/crates/banyan-core/tests/pipeline/crashes.rs
@@ -6,6 +6,7 @@
 
 use crate::support::at;
 use crate::support::target;
+use banyan_core::pipeline::crashes::CrashEvidence;
 use banyan_core::pipeline::crashes::CrashTable;
 use banyan_core::pipeline::crashes::CrashVerdict;
 use banyan_core::pipeline::crashes::RequestTrait;
@@ -25,9 +26,14 @@
     RequestTrait { kind: TraitKind::Content, digest: ContentDigest(number) }
 }
 
+/// A crash that was noticed as it happened.
+fn noticed(name: &str, sent: Moment, at: Moment) -> TargetCrash {
+    TargetCrash { target: target(name), run: None, sent, at, evidence: CrashEvidence::Refusal }
+}
+
 fn crash(table: &mut CrashTable, name: &str, traits: &[RequestTrait], now: Moment) {
     let sent = now.before(Duration::from_millis(150));
-    table.note_crash(traits, &TargetCrash { target: target(name), sent, at: now }, now);
+    table.note_crash(traits, &noticed(name, sent, now), now);
 }
 
 fn is_allowed(table: &CrashTable, traits: &[RequestTrait], now: Moment) -> bool {
@@ -94,8 +100,7 @@
     // the request after the first was gone.
     let mut table = CrashTable::default();
     crash(&mut table, "r1", &[content(1)], at(200));
-    let second = TargetCrash { target: target("r2"), sent: at(202), at: at(205) };
-    table.note_crash(&[content(1)], &second, at(205));
+    table.note_crash(&[content(1)], &noticed("r2", at(202), at(205)), at(205));
     assert!(!is_allowed(&table, &[content(1)], at(LONG)));
 }
 
--- a/crates/banyan-core/tests/pipeline/main.rs
+++ b/crates/banyan-core/tests/pipeline/main.rs
@@ -26,3 +26,4 @@
 mod support;
 mod suspicions;
 mod target_limits;
+mod unanswered_attempts;
--- a/crates/banyan-forward/src/daemon.rs
+++ b/crates/banyan-forward/src/daemon.rs
@@ -13,6 +13,7 @@
 use crate::callers::readiness;
 use crate::decisions::placement;
 use crate::edges::Platform;
+use crate::engines::attempt_watch;
 use crate::engines::checks;
 use crate::engines::probes;
 use crate::peers::answers;
@@ -79,6 +80,7 @@
     }
     tasks.spawn(feeds::follow_configuration(state.clone()));
     tasks.spawn(feeds::follow_fleet(state.clone()));
+    tasks.spawn(attempt_watch::review_unanswered(state.clone()));
     tasks.spawn(news::run_source(state.clone()));
     tasks.spawn(placement::run_leadership(state.clone()));
     tasks.spawn(answers::serve_peers(state.clone(), peer_listener));
--- a/crates/banyan-forward/src/decisions/tables.rs
+++ b/crates/banyan-forward/src/decisions/tables.rs
@@ -51,6 +51,7 @@
 use banyan_core::pipeline::target_chain::TargetChain;
 use banyan_core::pipeline::target_limits::InstanceRank;
 use banyan_core::pipeline::target_limits::LimitTable;
+use banyan_core::pipeline::unanswered::UnansweredTable;
 use banyan_core::units::Moment;
 use banyan_core::units::TokenCount;
 
@@ -103,6 +104,8 @@
     pub suspicions: SuspicionTable,
     /// Which requests may crash targets.
     pub crashes: CrashTable,
+    /// The attempts that ended without an answer.
+    pub unanswered: UnansweredTable,
     /// The limits that targets have named.
     pub limits: LimitTable,
     /// This instance's active requests at each target.
--- a/crates/banyan-forward/src/engines/call.rs
+++ b/crates/banyan-forward/src/engines/call.rs
@@ -22,6 +22,7 @@
 use crate::callers::routed_request::RoutedRequest;
 use crate::edges::Dispatch;
 use crate::edges::Platform;
+use crate::engines::attempt_watch::watch_attempt;
 use crate::engines::crash_watch::LostConnection;
 use crate::engines::crash_watch::examine_loss;
 use crate::engines::crash_watch::refuse_if_blocked;
@@ -62,6 +63,8 @@
     NotSent,
     /// The connection ended without an answer; the call may have run.
     ConnectionLost,
+    /// The connection ended within the answer; the call may have run.
+    CutOff,
     /// Any other failure; the call may have run. Holds the cause for the log.
     MaybeRun(&'static str),
 }
@@ -128,7 +131,9 @@
             }
             () = tokio::time::sleep_until(hedge_at), if may_hedge => {
                 progress.hedged = true;
-                if progress.sent < request.route.max_attempts {
+                if progress.sent < request.route.max_attempts
+                    && refuse_if_blocked(&state, &request, true).is_ok()
+                {
                     start_attempt(&state, &request, &mut progress, &mut running, true);
                 }
             }
@@ -216,7 +221,11 @@
 ) -> (CallAttempt, AttemptOutcome) {
     let _lease = lease_replica(&state, &choice.target);
     let sent = state.now();
+    let watch = watch_attempt(&state, request, &choice.target);
     let outcome = run_attempt(&state, request, &choice).await;
+    if !matches!(outcome, AttemptOutcome::ConnectionLost | AttemptOutcome::CutOff) {
+        watch.close();
+    }
     (CallAttempt { target: choice.target, sent }, outcome)
 }
 
@@ -247,7 +256,7 @@
         }
         Err(BodyFault::MemoryUsedUp) => AttemptOutcome::MaybeRun("no memory for the answer"),
         Err(BodyFault::TooLarge(_)) => AttemptOutcome::MaybeRun("the answer is too large"),
-        Err(_) => AttemptOutcome::MaybeRun("the answer was cut off"),
+        Err(_) => AttemptOutcome::CutOff,
     }
 }
 
@@ -274,6 +283,7 @@
         AttemptOutcome::NotRun
         | AttemptOutcome::NotSent
         | AttemptOutcome::ConnectionLost
+        | AttemptOutcome::CutOff
         | AttemptOutcome::MaybeRun(_) => {
             tables.suspicions.note_failure(target, now);
         }
@@ -310,6 +320,11 @@
             progress.maybe_run = true;
             None
         }
+        AttemptOutcome::CutOff => {
+            logs::attempt_failed(request, &target, "the answer was cut off");
+            progress.maybe_run = true;
+            None
+        }
         AttemptOutcome::MaybeRun(cause) => {
             logs::attempt_failed(request, &target, cause);
             progress.maybe_run = true;
--- a/crates/banyan-forward/src/engines/chain_attempt.rs
+++ b/crates/banyan-forward/src/engines/chain_attempt.rs
@@ -13,6 +13,7 @@
 use crate::edges::AnswerFacts;
 use crate::edges::Dispatch;
 use crate::edges::Platform;
+use crate::engines::attempt_watch::AttemptWatch;
 use crate::engines::events::EventBatch;
 use crate::engines::events::EventSplitter;
 use crate::engines::exchange::ExchangeFailure;
@@ -46,6 +47,8 @@
     pub first: Option<EventBatch>,
     /// The capacity that it reserves at the chain's engines, released when the stream ends.
     pub lease: RequestLease,
+    /// Notes that the stream ended without an answer, until it has run for long enough.
+    pub watch: Option<AttemptWatch>,
 }
 
 /// Why no stream could be opened on a chain.
@@ -101,7 +104,7 @@
     let mut splitter = EventSplitter::resuming_after(last_event);
     let first = read_first_events(&mut body, &mut splitter).await?;
     let opened_at = Instant::now();
-    Ok(OpenedStream { chain, sent, opened_at, head, body, splitter, first, lease })
+    Ok(OpenedStream { chain, sent, opened_at, head, body, splitter, first, lease, watch: None })
 }
 
 async fn read_first_events(
--- a/crates/banyan-forward/src/engines/crash_watch.rs
+++ b/crates/banyan-forward/src/engines/crash_watch.rs
@@ -14,6 +14,7 @@
 use crate::peers::crash_alerts::alert_peers;
 use crate::state::ForwardState;
 use banyan_core::ids::TargetId;
+use banyan_core::pipeline::crashes::CrashEvidence;
 use banyan_core::pipeline::crashes::CrashVerdict;
 use banyan_core::pipeline::crashes::SURVIVAL_TIME;
 use banyan_core::pipeline::crashes::TargetCrash;
@@ -63,8 +64,16 @@
         return;
     }
     let now = state.now();
-    let crash = TargetCrash { target: loss.target.clone(), sent: loss.sent, at: now };
-    let suspects = state.tables().crashes.note_crash(&request.traits, &crash, now);
+    let mut tables = state.tables();
+    let crash = TargetCrash {
+        target: loss.target.clone(),
+        run: tables.fleet.rows.get(loss.target).and_then(|row| row.report.stamp.born),
+        sent: loss.sent,
+        at: now,
+        evidence: CrashEvidence::Refusal,
+    };
+    let suspects = tables.crashes.note_crash(&request.traits, &crash, now);
+    drop(tables);
     logs::crash_suspected(request, loss.target, loss.written, suspects.len());
     alert_peers(state, suspects);
 }
--- a/crates/banyan-forward/src/engines/link.rs
+++ b/crates/banyan-forward/src/engines/link.rs
@@ -123,6 +123,11 @@
     connect(address).await.is_err_and(refused)
 }
 
+/// Whether a connection to this address can be opened.
+pub async fn accepts_connections(address: SocketAddr) -> bool {
+    connect(address).await.is_ok()
+}
+
 async fn connect(address: SocketAddr) -> std::io::Result<TcpStream> {
     let connecting = TcpStream::connect(address);
     let stream = tokio::time::timeout(CONNECT_TIMEOUT, connecting)
--- a/crates/banyan-forward/src/engines/stream.rs
+++ b/crates/banyan-forward/src/engines/stream.rs
@@ -101,8 +101,6 @@
     ended: bool,
     /// Whether the stream stalled and could not move, so that it waits for its chain.
     keeps_chain: bool,
-    /// Whether the request is known to crash no engine.
-    survived: bool,
     resumed: u32,
     /// The revision of the target table at the last check for engines that unload layers.
     checked_revision: u64,
@@ -147,7 +145,6 @@
             longest_gap: Duration::ZERO,
             ended: false,
             keeps_chain: false,
-            survived: false,
             resumed: 0,
             checked_revision: 0,
             reroute_at: None,
@@ -188,7 +185,7 @@
                 }
                 RelayInput::End => {
                     self.ended = true;
-                    note_survival(&self.state, &self.request);
+                    self.note_survival();
                     self.log_end(logs::COMPLETE);
                     return None;
                 }
@@ -364,12 +361,19 @@
 
     /// Records that the request is sound once its answer has been written for long enough.
     fn check_survival(&mut self) {
-        if !self.survived && self.opened.opened_at.elapsed() >= SURVIVAL_TIME {
-            self.survived = true;
-            note_survival(&self.state, &self.request);
+        let is_watched = self.opened.watch.is_some();
+        if is_watched && self.opened.opened_at.elapsed() >= SURVIVAL_TIME {
+            self.note_survival();
         }
     }
 
+    fn note_survival(&mut self) {
+        if let Some(watch) = self.opened.watch.take() {
+            watch.close();
+        }
+        note_survival(&self.state, &self.request);
+    }
+
     fn record_event(&mut self) {
         let now = Instant::now();
         self.longest_gap = self.longest_gap.max(now - self.last_event_at);
--- a/crates/banyan-forward/src/engines/stream_opener.rs
+++ b/crates/banyan-forward/src/engines/stream_opener.rs
@@ -22,6 +22,7 @@
 use crate::edges::OrderOutcome;
 use crate::edges::Platform;
 use crate::edges::with_time_limit;
+use crate::engines::attempt_watch::watch_attempt;
 use crate::engines::chain_attempt::OpenFailure;
 use crate::engines::chain_attempt::OpenedStream;
 use crate::engines::chain_attempt::open_chain;
@@ -395,10 +396,16 @@
             urgency,
             lease,
         );
+        let watch = watch_attempt(&self.state, &self.request, &chain.parts[0].target);
         let attempt = OpenAttempt { chain, started: now };
         self.running.push(Box::pin(async move {
-            let result = opening.await;
+            let mut result = opening.await;
             drop(prefill_lease);
+            match &mut result {
+                Ok(opened) => opened.watch = Some(watch),
+                Err(OpenFailure::ConnectionLost) => drop(watch),
+                Err(_) => watch.close(),
+            }
             (attempt, result)
         }));
     }
--- a/crates/banyan-forward/src/logs.rs
+++ b/crates/banyan-forward/src/logs.rs
@@ -32,6 +32,7 @@
 use banyan_core::ids::TargetId;
 use banyan_core::ids::ZoneId;
 use banyan_core::pipeline::chain::ChainChoice;
+use banyan_core::pipeline::crashes::TargetCrash;
 use banyan_core::pipeline::prompt_order::Urgency;
 use banyan_core::pipeline::target_chain::TargetChain;
 use banyan_core::pipeline::target_limits::TargetLimit;
@@ -326,6 +327,19 @@
     );
 }
 
+/// Logs that a target had crashed under a request that it left without an answer. `suspects` is the
+/// number of the request's traits that are suspected of it.
+pub fn silent_crash_suspected(crash: &TargetCrash, suspects: usize) {
+    metrics::counter!("banyan_silent_crashes_total").increment(1);
+    tracing::info!(
+        part = "health",
+        target = %crash.target,
+        run = crash.run,
+        suspects,
+        "A target turned out to have crashed under a request without an answer."
+    );
+}
+
 /// Logs that a target named another limit, or none any more. `source` is where that was learned.
 pub fn limit_changed(target: &TargetId, limit: Option<TargetLimit>, source: &str) {
     metrics::counter!("banyan_limit_changes_total").increment(1);
--- a/crates/banyan-forward/src/peers/crash_alerts.rs
+++ b/crates/banyan-forward/src/peers/crash_alerts.rs
@@ -15,6 +15,7 @@
 use crate::peers::digests::millis;
 use crate::state::ForwardState;
 use banyan_core::ids::TargetId;
+use banyan_core::pipeline::crashes::CrashEvidence;
 use banyan_core::pipeline::crashes::CrashSuspect;
 use banyan_core::pipeline::crashes::RequestTrait;
 use banyan_core::pipeline::crashes::TargetCrash;
@@ -25,13 +26,20 @@
 use banyan_wire::forward::SuspectWire;
 use banyan_wire::forward::TraitWire;
 
-/// Tells a few peers what is known about the given traits.
+/// The largest number of suspected traits in an alert.
+const MAX_ALERT_SUSPECTS: usize = 32;
+
+/// Tells a few peers what is known about the given traits: if there are many, about those with the
+/// most crashes.
 pub fn alert_peers<P: Platform>(state: &Arc<ForwardState<P>>, keys: Vec<RequestTrait>) {
     if keys.is_empty() {
         return;
     }
     let now = state.now();
-    let suspects = suspect_wires(state.tables().crashes.suspects(keys), now);
+    let mut suspects = state.tables().crashes.suspects(keys);
+    suspects.sort_by_key(|suspect| std::cmp::Reverse(suspect.crashes.len()));
+    suspects.truncate(MAX_ALERT_SUSPECTS);
+    let suspects = suspect_wires(suspects, now);
     for address in choose_peers(state) {
         tokio::spawn(alert_peer(state.clone(), address, suspects.clone()));
     }
@@ -89,6 +97,8 @@
 pub fn suspect_wires(suspects: Vec<CrashSuspect>, now: Moment) -> Vec<SuspectWire> {
     let crash = |crash: TargetCrash| CrashWire {
         target: SmolStr::new(crash.target.as_str()),
+        run: crash.run,
+        silent: crash.evidence == CrashEvidence::Silence,
         sent_age_ms: millis(now.since(crash.sent)),
         age_ms: millis(now.since(crash.at)),
     };
@@ -103,7 +113,8 @@
     let crash = |wire: CrashWire| {
         let sent = now.before(Duration::from_millis(wire.sent_age_ms));
         let at = now.before(Duration::from_millis(wire.age_ms));
-        TargetCrash { target: TargetId::new(wire.target), sent, at }
+        let evidence = if wire.silent { CrashEvidence::Silence } else { CrashEvidence::Refusal };
+        TargetCrash { target: TargetId::new(wire.target), run: wire.run, sent, at, evidence }
     };
     let crashes = wire.crashes.into_iter().map(crash).collect();
     CrashSuspect { key: wire.key.into(), crashes }
--- a/crates/banyan-forward/src/store/feeds.rs
+++ b/crates/banyan-forward/src/store/feeds.rs
@@ -211,6 +211,9 @@
             drop_unconfirmed(&mut tables, &settings, now);
         }
         let listed = tables.history.listed().clone();
+        for (id, report) in &listed {
+            withdraw_crash(&mut tables, id, report, now);
+        }
         tables.fleet.replace(listed, now);
     }
     tables.fleet_known = true;
@@ -315,8 +318,11 @@
     let has_changes = !changes.is_empty();
     let previous_revision = tables.fleet.revision;
     for change in changes {
-        if let FleetChange::Removed(id) = &change {
-            tracing::info!(part = "targets", target = %id, "The target's record was removed.");
+        match &change {
+            FleetChange::Removed(id) => {
+                tracing::info!(part = "targets", target = %id, "The target's record was removed.");
+            }
+            FleetChange::Reported(id, report) => withdraw_crash(tables, id, report, now),
         }
         tables.fleet.apply(change, now);
     }
@@ -330,6 +336,14 @@
     }
 }
 
+/// Records that a target did not crash whose run reports again after its record was removed.
+fn withdraw_crash(tables: &mut ForwardTables, id: &TargetId, report: &TargetReport, now: Moment) {
+    let was_listed = tables.fleet.rows.get(id).is_some_and(|row| row.removed.is_none());
+    if let Some(run) = report.stamp.born.filter(|_| !was_listed) {
+        tables.crashes.withdraw(id, run, now);
+    }
+}
+
 /// Logs the reports of removed targets, with the last report that was known before the removal. They
 /// tell a target that returned from a report that was written late.
 fn log_returns(history: &FleetHistory, batch: &[FleetChange]) {
--- a/crates/banyan-wire/src/forward.rs
+++ b/crates/banyan-wire/src/forward.rs
@@ -264,9 +264,14 @@
 pub struct CrashWire {
     /// The target.
     pub target: SmolStr,
+    /// The start time of the run that crashed, in wall-clock milliseconds; absent if unknown.
+    pub run: Option<u64>,
+    /// Whether the target left the request without an answer, so that the time is not exact.
+    pub silent: bool,
     /// The time since the request was sent to it, in milliseconds.
     pub sent_age_ms: u64,
-    /// The time since the crash, in milliseconds.
+    /// The time since the crash was noticed, or since the attempt without an answer ended, in
+    /// milliseconds.
     pub age_ms: u64,
 }
 
