engines: a call that crashes replicas within their answers is recognised as they crash

Cause: a crash was looked for only if there was no answer at all; a cut-off answer counted as any other failure.

Change: a cut-off answer has an outcome of its own and is examined like a lost connection.

--- a/crates/banyan-core/src/pipeline/history.rs
+++ b/crates/banyan-core/src/pipeline/history.rs
@@ -226,12 +226,12 @@
         if from < self.complete_from || !self.has_passed(from) {
             return None;
         }
-        let newer = self.recent.iter().filter(|(offset, _)| *offset > from);
+        let newer = self.recent.iter().filter(|(position, _)| *position > from);
         Some(newer.map(|(_, change)| change.clone()).collect())
     }
 
-    /// Whether this instance has read all that one has that has read up to a position, unless that
-    /// is ahead in the same era.
+    /// Whether an instance that has read up to a position knows of no change that this one has missed.
+    /// It may if it read further in an earlier era, whose last records are lost.
     fn has_passed(&self, from: LogPosition) -> bool {
         let is_earlier = self.next.is_some_and(|next| from.era < next.era);
         let left_behind = |left: LogPosition| from.era == left.era && from <= left;
--- a/crates/banyan-forward/src/engines/call.rs
+++ b/crates/banyan-forward/src/engines/call.rs
@@ -267,7 +267,7 @@
     outcome: &AttemptOutcome,
 ) {
     let target = &attempt.target;
-    if matches!(outcome, AttemptOutcome::ConnectionLost) {
+    if matches!(outcome, AttemptOutcome::ConnectionLost | AttemptOutcome::CutOff) {
         let loss = LostConnection { target, sent: attempt.sent, written: Duration::ZERO };
         examine_loss(state, request, &loss).await;
     }
--- a/crates/banyan-forward/src/store/feeds.rs
+++ b/crates/banyan-forward/src/store/feeds.rs
@@ -106,6 +106,7 @@
             Err(StoreError::OffsetTrimmed { .. }) => relist = true,
             Err(StoreError::LaterEra { .. }) => {
                 relist = true;
+                reads_in_a_row = 0;
                 pause = Duration::ZERO;
             }
             Err(error) => {
@@ -114,9 +115,8 @@
             }
         }
         expire_fleet_entries(&state);
-        relist |= wait_for_next_read(&state, pause, relist).await;
-        if relist {
-            // The records before a new listing are other ones than those that were read.
+        if wait_for_next_read(&state, pause, relist).await {
+            relist = true;
             reads_in_a_row = 0;
         }
     }
