engines: a target that comes back under another id at its address is known to have crashed

Cause: most targets start anew under another id. When the old record was removed, its address accepted connections again, those of the next run, so the old one was taken for a target that leaves. A target that leaves holds its address for longer than it takes to look.

Change: an attempt whose target's address belongs to another listed target by then was at a target that crashed.

Test: a_call_whose_replicas_come_back_under_other_ids_stops_reaching_them, red without the change.

--- a/crates/banyan-core/src/pipeline/fleet.rs
+++ b/crates/banyan-core/src/pipeline/fleet.rs
@@ -247,6 +247,11 @@
         self.rows.iter().find(|(_, row)| row.report.address == address).map(|(id, _)| id)
     }
 
+    /// Whether the record of a target with this address is there.
+    pub fn is_listed_at(&self, address: SocketAddr) -> bool {
+        self.rows.values().any(|row| row.removed.is_none() && row.report.address == address)
+    }
+
     /// Records which layers a target itself stated to hold at `at`. Older statements are ignored.
     pub fn observe(&mut self, id: &TargetId, held: &[LayerRange], at: Moment, now: Moment) {
         let Some(row) = self.rows.get_mut(id) else { return };
--- a/crates/banyan-forward/src/engines/attempt_watch.rs
+++ b/crates/banyan-forward/src/engines/attempt_watch.rs
@@ -120,13 +120,14 @@
 }
 
 /// Finds out whether a target crashed whose record was removed. One that leaves, or whose record
-/// expired while the store was away, still accepts connections.
+/// expired while the store was away, still accepts connections, and no other has its address yet.
 async fn examine_unlisted<P: Platform>(
     state: Arc<ForwardState<P>>,
     attempts: Vec<UnansweredAttempt>,
 ) {
     let Some(address) = attempts.first().map(|attempt| attempt.address) else { return };
-    if !accepts_connections(address).await {
+    let is_replaced = state.tables().fleet.is_listed_at(address);
+    if is_replaced || !accepts_connections(address).await {
         accuse_requests(&state, attempts);
     }
 }
